--- /dev/null
+++ b/bench/backend/mode.go
@@ -0,0 +1,20 @@
+package backend
+
+// Mode is how a server behaves.
+type Mode int
+
+// The ways to behave.
+//
+//go:generate enumer -type=Mode -transform=title-lower
+const (
+	Normal Mode = iota
+	Failing
+	Slow
+	Silent
+	Truncating
+	Crossing
+	Overlong
+	Refusing
+	Leaving
+	Down
+)
--- /dev/null
+++ b/bench/experiment/report.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Report is the outcome of one experiment.
+type Report struct {
+	name       string
+	seed       uint64
+	baseline   string
+	figures    map[string]any
+	order      []string
+	violations []string
+}
+
+func newReport(name string, e Environment) *Report {
+	return &Report{name: name, seed: e.Seed, baseline: e.Baseline, figures: map[string]any{}, violations: []string{}}
+}
+
+// figure records a value under a camel case name with its unit.
+func (r *Report) figure(name string, v any) {
+	if _, ok := r.figures[name]; !ok {
+		r.order = append(r.order, name)
+	}
+	r.figures[name] = v
+}
+
+// ms records a duration in milliseconds.
+func (r *Report) ms(name string, d time.Duration) {
+	r.figure(name, round(float64(d.Microseconds())/1000))
+}
+
+// share records a part of 1.
+func (r *Report) share(name string, part, whole float64) {
+	if whole == 0 {
+		r.figure(name, 0.0)
+		return
+	}
+	r.figure(name, round(part/whole))
+}
+
+func round(v float64) float64 {
+	return math.Round(v*1000) / 1000
+}
+
+// violate records a broken promise.
+func (r *Report) violate(format string, a ...any) {
+	r.violations = append(r.violations, fmt.Sprintf(format, a...))
+}
+
+// expect records a violation unless the condition holds.
+func (r *Report) expect(ok bool, format string, a ...any) {
+	if !ok {
+		r.violate(format, a...)
+	}
+}
+
+// Pass says whether no promise was broken.
+func (r *Report) Pass() bool {
+	return len(r.violations) == 0
+}
+
+// Write prints a table and, as the last line, one JSON object.
+func (r *Report) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, n := range r.order {
+		fmt.Fprintf(t, "%s\t%v\n", n, r.figures[n])
+	}
+	if err := t.Flush(); err != nil {
+		return trace.Wrap(err, "printing the report")
+	}
+	m := map[string]any{"experiment": r.name, "seed": r.seed, "pass": r.Pass(), "violations": r.violations}
+	if r.baseline != "" {
+		m["baseline"] = r.baseline
+	}
+	for n, v := range r.figures {
+		m[n] = v
+	}
+	sort.Strings(r.violations)
+	return trace.Wrap(json.NewEncoder(w).Encode(m), "printing the report")
+}
--- /dev/null
+++ b/bench/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy is a fault-injecting TCP proxy that knows which link each connection is on.
+package proxy
--- /dev/null
+++ b/bench/site/site.go
@@ -0,0 +1,281 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonbank/tarragonbank/bench/backend"
+	"github.com/tarragonbank/tarragonbank/bench/load"
+	"github.com/tarragonbank/tarragonbank/bench/platform"
+	"github.com/tarragonbank/tarragonbank/bench/proxy"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+)
+
+// Token authorises changes at every entry of the site.
+const Token = "bench-token"
+
+// Plan says what the site is made of.
+type Plan struct {
+	// Binaries is the folder of the programs, Deploy that of the inventory and rules, Out that of logs and settings.
+	Binaries string
+	Deploy   string
+	Out      string
+	Seed     uint64
+	Entries  int
+	Work     time.Duration
+	ListLag  time.Duration
+	// Proxies puts a proxy before each backend server and before the platform.
+	Proxies bool
+	// PeerProxies puts a proxy before the peers' side of each entry.
+	PeerProxies bool
+	// Settings are more lines for the settings of every entry.
+	Settings string
+}
+
+// Site is a running site.
+type Site struct {
+	Plan     Plan
+	Platform *platform.Platform
+	Ledger   *backend.Ledger
+	Servers  map[string]*backend.Server
+	Proxies  map[string]*proxy.Proxy
+	Source   config.Source
+	Entries  []*Entry
+
+	platformAddress netip.AddrPort
+	octet           int
+}
+
+// New starts a site and has its configuration accepted.
+func New(ctx context.Context, p Plan) (*Site, error) {
+	s := &Site{
+		Plan: p, Platform: platform.New(p.ListLag, p.Seed), Ledger: backend.NewLedger(),
+		Servers: map[string]*backend.Server{}, Proxies: map[string]*proxy.Proxy{},
+		octet: 10 + os.Getpid()%200,
+	}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := os.MkdirAll(s.Plan.Out, 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
+	if err := s.startServers(); err != nil {
+		return err
+	}
+	if err := s.planEntries(); err != nil {
+		return err
+	}
+	for _, e := range s.Entries {
+		if err := e.Start(); err != nil {
+			return err
+		}
+	}
+	for _, e := range s.Entries {
+		if err := e.AwaitLive(ctx); err != nil {
+			return err
+		}
+	}
+	if err := s.WriteSource(); err != nil {
+		return err
+	}
+	if _, err := s.Apply(ctx, s.Entries[0]); err != nil {
+		return err
+	}
+	return s.AwaitRevision(ctx, 1, s.Entries)
+}
+
+// Stop ends all processes and stand-ins.
+func (s *Site) Stop() {
+	for _, e := range s.Entries {
+		e.Kill()
+	}
+	for _, p := range s.Proxies {
+		p.Stop()
+	}
+	for _, x := range s.Servers {
+		x.Stop()
+	}
+	s.Platform.Stop()
+}
+
+// address finds a free port on a loopback address of the site.
+func (s *Site) address(group, host int) (netip.AddrPort, error) {
+	a := netip.AddrFrom4([4]byte{127, byte(s.octet), byte(group), byte(host)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(a, 0).String())
+	if err != nil {
+		return netip.AddrPort{}, trace.ConvertSystemError(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+const (
+	groupPlatform = 1
+	groupServers  = 2
+	groupProxies  = 3
+	groupEntries  = 10
+	groupPeers    = 20
+	platformProxy = "platform"
+)
+
+func (s *Site) startPlatform() error {
+	a, err := s.address(groupPlatform, 1)
+	if err != nil {
+		return err
+	}
+	if err := s.Platform.Start(a); err != nil {
+		return err
+	}
+	s.platformAddress = a
+	if !s.Plan.Proxies {
+		return nil
+	}
+	s.platformAddress, err = s.proxied(platformProxy, a, groupProxies, 1)
+	return err
+}
+
+// proxied puts a proxy before the target and returns its address.
+func (s *Site) proxied(name string, target netip.AddrPort, group, host int) (netip.AddrPort, error) {
+	a, err := s.address(group, host)
+	if err != nil {
+		return a, err
+	}
+	p := proxy.New(target)
+	s.Proxies[name] = p
+	return a, p.Start(a)
+}
+
+// startServers starts a backend server for each VM of the inventory.
+func (s *Site) startServers() error {
+	if err := s.readSource(); err != nil {
+		return err
+	}
+	for i, m := range s.Source.Inventory.Vms {
+		a, err := s.address(groupServers, i+1)
+		if err != nil {
+			return err
+		}
+		x := backend.New(m.Name, s.Ledger, int(m.Slots), s.Plan.Work, s.Plan.Seed+uint64(i))
+		if err := x.Start(a); err != nil {
+			return err
+		}
+		s.Servers[m.Name] = x
+		if s.Plan.Proxies {
+			if a, err = s.proxied(m.Name, a, groupProxies, i+2); err != nil {
+				return err
+			}
+		}
+		m.Address = a.String()
+		s.Platform.SetMachine(platform.Machine{Name: m.Name, Address: a})
+	}
+	return nil
+}
+
+func (s *Site) readSource() error {
+	i, err := os.ReadFile(filepath.Join(s.Plan.Deploy, "inventory.toml"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	r, err := os.ReadFile(filepath.Join(s.Plan.Deploy, "rules.toml"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s.Source, err = config.ParseSource("inventory.toml", i, "rules.toml", r)
+	return err
+}
+
+// dataCentres lists the data centres of the inventory, sorted.
+func (s *Site) dataCentres() []string {
+	m := map[string]bool{}
+	for _, v := range s.Source.Inventory.Vms {
+		m[v.DataCentre] = true
+	}
+	l := []string{}
+	for d := range m {
+		l = append(l, d)
+	}
+	sort.Strings(l)
+	return l
+}
+
+// planEntries chooses the entries' names, data centres and addresses.
+func (s *Site) planEntries() error {
+	dcs := s.dataCentres()
+	for i := range s.Plan.Entries {
+		d := i % len(dcs)
+		e := &Entry{Name: fmt.Sprintf("entry-%d", i+1), DataCentre: dcs[d], site: s}
+		for _, a := range []*netip.AddrPort{&e.Caller, &e.Operator, &e.PeerListen} {
+			x, err := s.address(groupEntries+d, i+1)
+			if err != nil {
+				return err
+			}
+			*a = x
+		}
+		e.Peer = e.PeerListen
+		if s.Plan.PeerProxies {
+			x, err := s.proxied(e.Name, e.PeerListen, groupPeers+d, i+1)
+			if err != nil {
+				return err
+			}
+			e.Peer = x
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	return nil
+}
+
+// Targets are the entries for a balancer, all of the same weight.
+func (s *Site) Targets() []load.Target {
+	l := []load.Target{}
+	for _, e := range s.Entries {
+		l = append(l, load.Target{Caller: e.Caller, Operator: e.Operator, Weight: 1})
+	}
+	return l
+}
+
+// Pool lists the names of a pool's servers, sorted.
+func (s *Site) Pool(name string) []string {
+	l := []string{}
+	for _, v := range s.Source.Inventory.Vms {
+		if v.Pool == name {
+			l = append(l, v.Name)
+		}
+	}
+	sort.Strings(l)
+	return l
+}
+
+// AwaitRevision waits until the entries have a revision at least as high in force.
+func (s *Site) AwaitRevision(ctx context.Context, n uint64, l []*Entry) error {
+	for _, e := range l {
+		for {
+			x, err := e.Status(ctx)
+			if err == nil && x.Revision >= n {
+				break
+			}
+			if ctx.Err() != nil {
+				return trace.LimitExceeded("revision %d did not reach %s", n, e.Name)
+			}
+			time.Sleep(statusPoll)
+		}
+	}
+	return nil
+}
+
+const statusPoll = 5 * time.Millisecond
--- /dev/null
+++ b/ctl/cmd/tarragonctl/main.go
@@ -0,0 +1,94 @@
+// Command tarragonctl lets operators see and change the fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/integrii/flaggy"
+
+	"github.com/tarragonbank/tarragonbank/ctl/tarragonctl"
+)
+
+const (
+	environmentEntry = "TARRAGON_ENTRY"
+	environmentToken = "TARRAGON_TOKEN"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "tarragonctl: "+trace.Unwrap(err).Error())
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	entry := os.Getenv(environmentEntry)
+	o := tarragonctl.Options{Base: -1, Author: os.Getenv("USER")}
+	flaggy.SetName("tarragonctl")
+	flaggy.SetDescription("lets operators see and change the fleet")
+	flaggy.String(&entry, "e", "entry", "the operators' URL of an entry (or "+environmentEntry+")")
+	flaggy.Bool(&o.JSON, "j", "json", "print JSON")
+	words := attach(&o)
+	flaggy.Parse()
+	w := words()
+	if w == "" {
+		flaggy.ShowHelpAndExit("")
+	}
+	c := tarragonctl.New(strings.TrimSuffix(entry, "/"), os.Getenv(environmentToken))
+	return tarragonctl.Run(context.Background(), w, c, o, os.Stdout)
+}
+
+// attach makes a subcommand for each command; the result tells which was used.
+func attach(o *tarragonctl.Options) func() string {
+	used := map[string]*flaggy.Subcommand{}
+	parents := map[string]*flaggy.Subcommand{}
+	for _, c := range tarragonctl.Commands() {
+		p := strings.Fields(c.Words)
+		s := flaggy.NewSubcommand(p[len(p)-1])
+		s.Description = c.Help
+		used[c.Words] = s
+		if len(p) == 1 {
+			flaggy.AttachSubcommand(s, 1)
+			continue
+		}
+		flags(s, c.Words, o)
+		parent(parents, p[0]).AttachSubcommand(s, 1)
+	}
+	return func() string {
+		for w, s := range used {
+			if s.Used {
+				return w
+			}
+		}
+		return ""
+	}
+}
+
+func parent(m map[string]*flaggy.Subcommand, name string) *flaggy.Subcommand {
+	if m[name] == nil {
+		m[name] = flaggy.NewSubcommand(name)
+		m[name].Description = "see or change the " + name
+		flaggy.AttachSubcommand(m[name], 1)
+	}
+	return m[name]
+}
+
+func flags(s *flaggy.Subcommand, words string, o *tarragonctl.Options) {
+	switch words {
+	case "config apply", "config check":
+		s.String(&o.Inventory, "i", "inventory", "the inventory file")
+		s.String(&o.Rules, "r", "rules", "the rules file")
+		s.Int(&o.Base, "b", "base", "the revision that was edited; the one in force if not given")
+		s.String(&o.Note, "n", "note", "why")
+	case "config rollback":
+		s.Int(&o.Revision, "r", "revision", "the revision to return to")
+	default:
+		return
+	}
+	s.String(&o.Author, "a", "author", "who")
+	s.String(&o.Mark, "m", "mark", "the identity of the change, so that asking twice changes once")
+}
--- /dev/null
+++ b/ctl/tarragonctl/command.go
@@ -0,0 +1,196 @@
+package tarragonctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Command is one thing that an operator can ask, found by its words.
+type Command struct {
+	Words string
+	Help  string
+	run   func(ctx context.Context, c *Client, o Options, w io.Writer) error
+}
+
+// Options are the flags of all commands.
+type Options struct {
+	Inventory string
+	Rules     string
+	Author    string
+	Note      string
+	Mark      string
+	Base      int
+	Revision  int
+	JSON      bool
+}
+
+// commands are all commands by their words.
+var commands = []Command{
+	{"status", "what the entry has in force and what waits", status},
+	{"members", "the entries that this one knows", members},
+	{"pools", "the pools as this entry sees them", pools},
+	{"decisions", "the last routing and placement decisions", decisions},
+	{"config show", "the configuration in force", show},
+	{"config check", "check the inventory and rules and show what would change", check},
+	{"config apply", "have the inventory and rules accepted", apply},
+	{"config history", "the configurations that are kept", history},
+	{"config rollback", "have an older configuration accepted as a new revision", rollback},
+	{"config collect", "delete sections that no kept configuration names", collect},
+}
+
+// Commands lists all commands.
+func Commands() []Command {
+	return commands
+}
+
+// UnknownCommandError reports words that are no command.
+type UnknownCommandError struct {
+	Words string
+}
+
+// Error describes the failure in one line.
+func (e *UnknownCommandError) Error() string {
+	return fmt.Sprintf("unknown command %q", e.Words)
+}
+
+// Run runs the command with the words and writes its result.
+func Run(ctx context.Context, words string, c *Client, o Options, w io.Writer) error {
+	for _, x := range commands {
+		if x.Words == words {
+			return x.run(ctx, c, o, w)
+		}
+	}
+	return trace.Wrap(&UnknownCommandError{Words: words})
+}
+
+// object is JSON whose fields are shown as they are.
+type object map[string]any
+
+func status(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	var v object
+	if err := c.Get(ctx, "/v1/status", &v); err != nil {
+		return err
+	}
+	if o.JSON {
+		return encode(w, v)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, k := range []string{"name", "dataCentre", "version", "ready", "reason", "revision", "accepted", "since", "watching", "platformHeard", "waiting", "inFlight", "logsDropped"} {
+		fmt.Fprintf(t, "%s\t%v\n", k, v[k])
+	}
+	return t.Flush()
+}
+
+func members(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/members", "name", "dataCentre", "state", "revision", "watching", "heard", "leaving")
+}
+
+func pools(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/pools", "name", "granted", "load", "out")
+}
+
+func decisions(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/decisions", "Time", "Kind", "Request", "Service", "VM", "Reason")
+}
+
+func history(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/config/history", "revision", "accepted", "author", "note", "changed")
+}
+
+// table shows a list of objects, one a line.
+func table(ctx context.Context, c *Client, o Options, w io.Writer, path string, columns ...string) error {
+	var l []object
+	if err := c.Get(ctx, path, &l); err != nil {
+		return err
+	}
+	if o.JSON {
+		return encode(w, l)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(columns, "\t"))
+	for _, v := range l {
+		for _, k := range columns {
+			fmt.Fprintf(t, "%v\t", v[k])
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+func show(ctx context.Context, c *Client, _ Options, w io.Writer) error {
+	var v object
+	if err := c.Get(ctx, "/v1/config", &v); err != nil {
+		return err
+	}
+	return encode(w, v)
+}
+
+func check(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return change(ctx, c, o, w, true)
+}
+
+func apply(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return change(ctx, c, o, w, false)
+}
+
+func change(ctx context.Context, c *Client, o Options, w io.Writer, checkOnly bool) error {
+	i, err := os.ReadFile(o.Inventory)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	r, err := os.ReadFile(o.Rules)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	q := object{
+		"inventory": string(i), "inventoryFile": o.Inventory, "rules": string(r), "rulesFile": o.Rules,
+		"author": o.Author, "note": o.Note, "mark": o.Mark, "check": checkOnly,
+	}
+	if o.Base >= 0 {
+		q["base"] = o.Base
+	}
+	return changed(ctx, c, w, "/v1/config", q)
+}
+
+func rollback(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return changed(ctx, c, w, "/v1/config/rollback", object{"revision": o.Revision, "author": o.Author, "mark": o.Mark})
+}
+
+func changed(ctx context.Context, c *Client, w io.Writer, path string, q object) error {
+	var v struct {
+		Revision uint64    `json:"revision"`
+		Accepted time.Time `json:"accepted"`
+		Changed  []string  `json:"changed"`
+	}
+	if err := c.Post(ctx, path, q, &v); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "revision %d\n", v.Revision)
+	for _, n := range v.Changed {
+		fmt.Fprintf(w, "  changes %s\n", n)
+	}
+	return nil
+}
+
+func collect(ctx context.Context, c *Client, _ Options, w io.Writer) error {
+	var v object
+	if err := c.Post(ctx, "/v1/config/collect", object{}, &v); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "deleted %v sections\n", v["deleted"])
+	return nil
+}
+
+func encode(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return trace.Wrap(e.Encode(v), "writing the result")
+}
--- /dev/null
+++ b/ctl/tarragonctl/doc.go
@@ -0,0 +1,2 @@
+// Package tarragonctl speaks to the operators' side of an entry.
+package tarragonctl
--- /dev/null
+++ b/entry/decision/log.go
@@ -0,0 +1,170 @@
+package decision
+
+import (
+	"bufio"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	queueLength = 8192
+	bufferBytes = 64 << 10
+	recentCount = 64
+	flushPeriod = 100 * time.Millisecond
+)
+
+// Kind is what was decided.
+type Kind int
+
+// The kinds of decisions.
+//
+//go:generate enumer -type=Kind -transform=title-lower
+const (
+	Route Kind = iota
+	Refuse
+	Retry
+	Answer
+	Health
+	Grant
+	Config
+	Membership
+	Claim
+	Lifecycle
+)
+
+// Record is one decision and its reason.
+type Record struct {
+	Time     time.Time
+	Kind     Kind
+	Request  string
+	Service  string
+	Pool     string
+	VM       string
+	Reason   string
+	Attempt  int
+	Duration time.Duration
+	Revision uint64
+}
+
+// Log writes records from one goroutine; what does not fit its queue is dropped and counted.
+type Log struct {
+	logger  *logrus.Logger
+	buffer  *bufio.Writer
+	queue   chan Record
+	done    chan struct{}
+	dropped atomic.Uint64
+	written atomic.Uint64
+	lock    sync.Mutex
+	recent  [recentCount]Record
+	next    int
+}
+
+// New makes a log that writes JSON lines with the entry's name.
+func New(w io.Writer, level logrus.Level) *Log {
+	b := bufio.NewWriterSize(w, bufferBytes)
+	g := logrus.New()
+	g.SetOutput(b)
+	g.SetLevel(level)
+	g.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	l := &Log{logger: g, buffer: b, queue: make(chan Record, queueLength), done: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+// Add queues a record and never blocks.
+func (l *Log) Add(r Record) {
+	select {
+	case l.queue <- r:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Dropped is how many records were lost because the queue was full.
+func (l *Log) Dropped() uint64 {
+	return l.dropped.Load()
+}
+
+// Written is how many records were written.
+func (l *Log) Written() uint64 {
+	return l.written.Load()
+}
+
+// Close writes what is queued; nothing may be added afterwards.
+func (l *Log) Close() {
+	close(l.queue)
+	<-l.done
+}
+
+// Recent lists the last decisions, the oldest first.
+func (l *Log) Recent() []Record {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	r := []Record{}
+	for i := range recentCount {
+		x := l.recent[(l.next+i)%recentCount]
+		if !x.Time.IsZero() {
+			r = append(r, x)
+		}
+	}
+	return r
+}
+
+func (l *Log) run() {
+	defer close(l.done)
+	t := time.NewTicker(flushPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case r, ok := <-l.queue:
+			if !ok {
+				_ = l.buffer.Flush()
+				return
+			}
+			l.write(r)
+		case <-t.C:
+			_ = l.buffer.Flush()
+		}
+	}
+}
+
+func (l *Log) write(r Record) {
+	l.remember(r)
+	l.written.Add(1)
+	e := l.logger.WithTime(r.Time).WithFields(r.fields())
+	if r.Kind == Health || r.Kind == Membership {
+		e.Warn("decision")
+		return
+	}
+	e.Info("decision")
+}
+
+func (l *Log) remember(r Record) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.recent[l.next] = r
+	l.next = (l.next + 1) % recentCount
+}
+
+func (r Record) fields() logrus.Fields {
+	f := logrus.Fields{"kind": r.Kind.String(), "reason": r.Reason}
+	for k, v := range map[string]string{"request": r.Request, "service": r.Service, "pool": r.Pool, "vm": r.VM} {
+		if v != "" {
+			f[k] = v
+		}
+	}
+	if r.Attempt > 0 {
+		f["attempt"] = r.Attempt
+	}
+	if r.Duration > 0 {
+		f["durationMs"] = float64(r.Duration.Microseconds()) / 1000
+	}
+	if r.Revision > 0 {
+		f["revision"] = r.Revision
+	}
+	return f
+}
--- /dev/null
+++ b/entry/dispatch/dispatcher.go
@@ -0,0 +1,331 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/admission"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/health"
+	"github.com/tarragonbank/tarragonbank/fleet/pool"
+	"github.com/tarragonbank/tarragonbank/fleet/service"
+	"github.com/tarragonbank/tarragonbank/fleet/share"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+// Logger takes decisions without blocking.
+type Logger interface {
+	Add(r decision.Record)
+}
+
+// Prober asks a VM on a new connection whether it takes work.
+type Prober interface {
+	Probe(ctx context.Context, v vm.VM, path string) bool
+}
+
+// Dispatcher holds the pools that the entry sends to.
+type Dispatcher struct {
+	self       string
+	shares     share.Policy
+	admission  admission.Policy
+	log        Logger
+	prober     Prober
+	stallLimit time.Duration
+	changed    func()
+
+	lock    sync.RWMutex
+	pools   map[string]*table
+	peers   []Peer
+	leaving map[string]bool
+}
+
+// Option changes a Dispatcher at its making.
+type Option func(*Dispatcher)
+
+// WithShares sets how slots are divided among entries.
+func WithShares(p share.Policy) Option {
+	return func(d *Dispatcher) { d.shares = p }
+}
+
+// WithAdmission sets how requests are admitted.
+func WithAdmission(p admission.Policy) Option {
+	return func(d *Dispatcher) { d.admission = p }
+}
+
+// WithStallLimit bounds the wait on a connection while no service time is known.
+func WithStallLimit(t time.Duration) Option {
+	return func(d *Dispatcher) { d.stallLimit = t }
+}
+
+// WithChanged has the function called when what the entry tells its peers has changed.
+func WithChanged(f func()) Option {
+	return func(d *Dispatcher) { d.changed = f }
+}
+
+// New makes a dispatcher without pools.
+func New(self string, l Logger, p Prober, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		self:       self,
+		admission:  admission.PolicyFunc(admission.Forecast.InTime),
+		log:        l,
+		prober:     p,
+		stallLimit: time.Second,
+		changed:    func() {},
+		pools:      map[string]*table{},
+		leaving:    map[string]bool{},
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
+}
+
+func (d *Dispatcher) table(name string) *table {
+	d.lock.RLock()
+	defer d.lock.RUnlock()
+	return d.pools[name]
+}
+
+func (d *Dispatcher) tables() []*table {
+	d.lock.RLock()
+	defer d.lock.RUnlock()
+	l := make([]*table, 0, len(d.pools))
+	for _, n := range slices.Sorted(maps.Keys(d.pools)) {
+		l = append(l, d.pools[n])
+	}
+	return l
+}
+
+// SetConfig puts the pools and services of a configuration to use.
+func (d *Dispatcher) SetConfig(s *config.Snapshot) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for n, p := range s.Pools {
+		t := d.pools[n]
+		if t == nil {
+			t = newTable(n, d.admission)
+			d.pools[n] = t
+		}
+		t.setRules(p, services(s, n), s)
+	}
+	for n, t := range d.pools {
+		if _, ok := s.Pools[n]; !ok {
+			t.setRules(pool.Pool{Name: n}, nil, s)
+			delete(d.pools, n)
+		}
+	}
+	d.divide()
+}
+
+func services(s *config.Snapshot, pool string) []service.Service {
+	l := []service.Service{}
+	for _, x := range s.Services {
+		if x.Pool == pool {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+func (t *table) setRules(p pool.Pool, l []service.Service, s *config.Snapshot) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.rules = p
+	t.vms = map[string]vm.VM{}
+	for _, v := range p.VMs {
+		t.vms[v.Name] = v
+	}
+	t.probePath = service.DefaultHealthPath
+	if len(l) > 0 {
+		t.probePath = l[0].HealthPath
+	}
+	t.health.SetMost(max(p.MaxDown, 1))
+	t.health.Keep(func(n string) bool { return t.vms[n].Name != "" })
+	t.admission.SetRules(l, s.Teams)
+}
+
+// Peer is an entry that takes part in the work, with its demand for each pool in slots.
+type Peer struct {
+	Name       string
+	DataCentre string
+	Demand     map[string]int
+}
+
+// SetPeers takes the entries that share the work, this one included, and the VMs known to be leaving.
+func (d *Dispatcher) SetPeers(l []Peer, leaving map[string]bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.peers = l
+	d.leaving = leaving
+	d.divide()
+}
+
+// divide works out the entry's slots in every pool; the lock is held.
+func (d *Dispatcher) divide() {
+	now := time.Now()
+	for n, t := range d.pools {
+		t.lock.Lock()
+		t.leaving = d.leaving
+		l := []vm.VM{}
+		for _, v := range t.rules.VMs {
+			if !d.leaving[v.Name] {
+				l = append(l, v)
+			}
+		}
+		t.grant = d.shares.Divide(d.self, d.entries(n), l)
+		t.regrant(now)
+		t.lock.Unlock()
+	}
+}
+
+func (d *Dispatcher) entries(pool string) []share.Entry {
+	l := make([]share.Entry, 0, len(d.peers))
+	for _, p := range d.peers {
+		l = append(l, share.Entry{Name: p.Name, DataCentre: p.DataCentre, Demand: p.Demand[pool]})
+	}
+	return l
+}
+
+// Demands is what the entry asks of each pool, in slots, rounded so that it changes seldom.
+func (d *Dispatcher) Demands() map[string]int {
+	now := time.Now()
+	m := map[string]int{}
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		n := t.admission.Demand(now)
+		t.lock.Unlock()
+		if n > 0 {
+			m[t.name] = roundUp(n)
+		}
+	}
+	return m
+}
+
+// roundUp gives the next of 1 to 8 and then of steps of about a quarter.
+func roundUp(n int) int {
+	step := 1
+	for n > 8*step {
+		step *= 2
+	}
+	return (n + step - 1) / step * step
+}
+
+// SaidLeaving lists the VMs that told this entry that they are leaving, sorted.
+func (d *Dispatcher) SaidLeaving() []string {
+	l := []string{}
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		for n, s := range t.health.Out() {
+			if s == health.Leaving {
+				l = append(l, n)
+			}
+		}
+		t.lock.Unlock()
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Run compares and probes VMs until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	compare := time.NewTicker(comparePeriod)
+	defer compare.Stop()
+	probe := time.NewTicker(probePeriod)
+	defer probe.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-compare.C:
+			d.compare()
+		case <-probe.C:
+			d.probe(ctx)
+		}
+	}
+}
+
+const (
+	comparePeriod = 500 * time.Millisecond
+	probePeriod   = 100 * time.Millisecond
+)
+
+func (d *Dispatcher) compare() {
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		l := t.compareLatency(time.Now())
+		t.lock.Unlock()
+		for _, r := range l {
+			d.log.Add(r)
+		}
+	}
+}
+
+func (d *Dispatcher) probe(ctx context.Context) {
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		l := t.health.Due(time.Now())
+		t.lock.Unlock()
+		for _, n := range l {
+			go d.probeOne(ctx, t, n)
+		}
+	}
+}
+
+func (d *Dispatcher) probeOne(ctx context.Context, t *table, n string) {
+	t.lock.Lock()
+	v, known := t.vms[n]
+	path := t.probePath
+	t.lock.Unlock()
+	ok := known && d.prober.Probe(ctx, v, path)
+	now := time.Now()
+	t.lock.Lock()
+	c, changed := t.health.Probed(now, n, ok)
+	if changed {
+		t.admission.Forget(n)
+		t.regrant(now)
+	}
+	t.lock.Unlock()
+	if changed {
+		d.log.Add(t.describe(now, c))
+		d.changed()
+	}
+}
+
+// PoolView is one pool as the entry sees it.
+type PoolView struct {
+	Name    string            `json:"name"`
+	Load    admission.Load    `json:"load"`
+	Granted int               `json:"granted"`
+	Out     map[string]string `json:"out"`
+	VMs     []string          `json:"vms"`
+}
+
+// View describes all pools, sorted by name.
+func (d *Dispatcher) View() []PoolView {
+	l := []PoolView{}
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		v := PoolView{Name: t.name, Load: t.admission.Load(), Granted: t.grant.Slots(), Out: map[string]string{}}
+		v.VMs = slices.Sorted(maps.Keys(t.vms))
+		for n, s := range t.health.Out() {
+			v.Out[n] = s.String()
+		}
+		for n := range t.leaving {
+			if _, ok := t.vms[n]; ok {
+				v.Out[n] = health.Leaving.String()
+			}
+		}
+		t.lock.Unlock()
+		l = append(l, v)
+	}
+	return l
+}
+
+func median(l []time.Duration) time.Duration {
+	slices.Sort(l)
+	return l[len(l)/2]
+}
--- /dev/null
+++ b/entry/dispatch/pool.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/admission"
+	"github.com/tarragonbank/tarragonbank/fleet/health"
+	"github.com/tarragonbank/tarragonbank/fleet/pool"
+	"github.com/tarragonbank/tarragonbank/fleet/retry"
+	"github.com/tarragonbank/tarragonbank/fleet/share"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+const (
+	slowFactor = 5
+	slowMargin = 50 * time.Millisecond
+	slowSample = 3
+)
+
+// table is the state of one pool under its lock.
+type table struct {
+	name      string
+	lock      sync.Mutex
+	rules     pool.Pool
+	vms       map[string]vm.VM
+	admission *admission.Pool
+	health    *health.Table
+	retries   *retry.Budget
+	leaving   map[string]bool
+	probePath string
+	grant     share.Grant
+}
+
+func newTable(name string, p admission.Policy) *table {
+	return &table{
+		name:      name,
+		vms:       map[string]vm.VM{},
+		admission: admission.New(name, admission.WithPolicy(p)),
+		health:    health.New(1),
+		retries:   retry.New(),
+		leaving:   map[string]bool{},
+		grant:     share.Grant{},
+	}
+}
+
+// regrant recomputes which slots can be used; the lock is held.
+func (t *table) regrant(now time.Time) {
+	t.admission.SetGrant(t.grant, func(n string) bool { return !t.leaving[n] && t.health.Usable(n) })
+	t.admission.Next(now)
+}
+
+func (t *table) observe(now time.Time, vm string, e health.Event) (decision.Record, bool) {
+	c, ok := t.health.Observe(now, vm, e)
+	if !ok {
+		return decision.Record{}, false
+	}
+	if !c.Withheld {
+		t.regrant(now)
+	}
+	return t.describe(now, c), true
+}
+
+func (t *table) describe(now time.Time, c health.Change) decision.Record {
+	r := decision.Record{Time: now, Kind: decision.Health, Pool: t.name, VM: c.VM, Reason: c.From.String() + " to " + c.To.String()}
+	if c.Withheld {
+		r.Reason += " withheld by the pool's budget"
+	}
+	return r
+}
+
+// compareLatency finds VMs that answer far slower than their pool; the lock is held.
+func (t *table) compareLatency(now time.Time) []decision.Record {
+	m := t.admission.Latency()
+	if len(m) < slowSample {
+		return nil
+	}
+	l := make([]time.Duration, 0, len(m))
+	for _, d := range m {
+		l = append(l, d)
+	}
+	limit := slowFactor*median(l) + slowMargin
+	r := []decision.Record{}
+	for n, d := range m {
+		if d <= limit {
+			t.health.Brisk(n)
+			continue
+		}
+		if x, ok := t.observe(now, n, health.Sluggish); ok {
+			r = append(r, x)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/entry/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics counts what the entry does and serves the counts.
+package metrics
--- /dev/null
+++ b/entry/peer/link.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/yamux"
+
+	"github.com/tarragonbank/tarragonbank/fleet/member"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const (
+	dialTimeout  = time.Second
+	writeTimeout = time.Second
+	fetchTimeout = 2 * time.Second
+	redialPause  = time.Second
+	headerBytes  = 12
+)
+
+// link is the entry's own connection to one peer; it is used by the link's goroutine and by fetches.
+type link struct {
+	name    string
+	node    *Node
+	kick    chan struct{}
+	address netip.AddrPort
+	session *yamux.Session
+	stream  net.Conn
+	sent    *member.Sent
+	failed  time.Time
+}
+
+func yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = writeTimeout
+	c.StreamOpenTimeout = fetchTimeout
+	c.LogOutput = io.Discard
+	return c
+}
+
+// run sends an exchange at each kick until the context ends.
+func (l *link) run(ctx context.Context) {
+	defer l.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.kick:
+			l.send(ctx)
+		}
+	}
+}
+
+func (l *link) send(ctx context.Context) {
+	if !l.ready(ctx) {
+		return
+	}
+	m := l.node.exchange(l)
+	_ = l.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n, err := WriteFrame(l.stream, m)
+	l.node.counter.Count("peer.exchange", n+headerBytes, 0)
+	if err != nil {
+		l.close()
+		l.failed = time.Now()
+	}
+}
+
+// ready connects where there is no connection, or the peer says that it hears nothing on it.
+func (l *link) ready(ctx context.Context) bool {
+	a, deaf := l.node.target(l.name)
+	if l.session != nil && (deaf || a != l.address || l.session.IsClosed()) {
+		l.close()
+	}
+	if l.session != nil {
+		return true
+	}
+	if time.Since(l.failed) < redialPause || !a.IsValid() {
+		return false
+	}
+	if err := l.connect(ctx, a); err != nil {
+		l.failed = time.Now()
+		return false
+	}
+	return true
+}
+
+func (l *link) connect(ctx context.Context, a netip.AddrPort) error {
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	c, err := l.node.dial(ctx, a)
+	if err != nil {
+		return trace.Wrap(err, "connecting to %s", l.name)
+	}
+	s, err := yamux.Client(c, yamuxConfig())
+	if err != nil {
+		c.Close()
+		return trace.Wrap(err, "connecting to %s", l.name)
+	}
+	t, err := s.Open()
+	if err != nil {
+		s.Close()
+		return trace.Wrap(err, "connecting to %s", l.name)
+	}
+	l.set(s, t, a)
+	return nil
+}
+
+func (l *link) set(s *yamux.Session, t net.Conn, a netip.AddrPort) {
+	l.node.lock.Lock()
+	defer l.node.lock.Unlock()
+	l.session = s
+	l.stream = t
+	l.address = a
+	l.sent = member.NewSent()
+}
+
+func (l *link) close() {
+	l.node.lock.Lock()
+	s := l.session
+	l.session = nil
+	l.node.lock.Unlock()
+	if s != nil {
+		s.Close()
+	}
+}
+
+// fetch asks the peer on a stream of its own.
+func (l *link) fetch(m *schema.Envelope) (*schema.Envelope, error) {
+	l.node.lock.Lock()
+	s := l.session
+	l.node.lock.Unlock()
+	if s == nil {
+		return nil, trace.Wrap(&UnlinkedError{Peer: l.name})
+	}
+	t, err := s.Open()
+	if err != nil {
+		return nil, trace.Wrap(err, "asking %s", l.name)
+	}
+	defer t.Close()
+	_ = t.SetDeadline(time.Now().Add(fetchTimeout))
+	n, err := WriteFrame(t, m)
+	if err != nil {
+		return nil, err
+	}
+	r, k, err := ReadFrame(t)
+	l.node.counter.Count("peer.fetch", n+headerBytes, k+headerBytes)
+	return r, err
+}
+
+// UnlinkedError reports a peer to which there is no connection.
+type UnlinkedError struct {
+	Peer string
+}
+
+// Error describes the failure in one line.
+func (e *UnlinkedError) Error() string {
+	return "there is no connection to " + e.Peer
+}
+
+func (n *Node) dial(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+	d := &net.Dialer{}
+	if n.outgoing.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(n.outgoing, 0))
+	}
+	if n.client == nil {
+		return d.DialContext(ctx, "tcp", a.String())
+	}
+	return (&tls.Dialer{NetDialer: d, Config: n.client}).DialContext(ctx, "tcp", a.String())
+}
--- /dev/null
+++ b/entry/peer/serve.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const acceptPause = 50 * time.Millisecond
+
+func (n *Node) accept(ctx context.Context, l net.Listener) {
+	defer n.closing.Done()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		go n.serve(ctx, c)
+	}
+}
+
+func (n *Node) serve(ctx context.Context, c net.Conn) {
+	s, err := yamux.Server(c, yamuxConfig())
+	if err != nil {
+		c.Close()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	defer s.Close()
+	for {
+		t, err := s.Accept()
+		if err != nil {
+			n.refused(c, err)
+			return
+		}
+		go n.serveStream(ctx, t)
+	}
+}
+
+// refused names a peer whose certificate was not accepted.
+func (n *Node) refused(c net.Conn, err error) {
+	if n.server == nil || !isCertificate(err) {
+		return
+	}
+	n.log.Add(decision.Record{
+		Time: time.Now(), Kind: decision.Membership,
+		Reason: "refused peer at " + c.RemoteAddr().String() + ": " + err.Error(),
+	})
+}
+
+func (n *Node) serveStream(ctx context.Context, t net.Conn) {
+	defer t.Close()
+	for ctx.Err() == nil {
+		m, k, err := ReadFrame(t)
+		if err != nil {
+			return
+		}
+		p := n.handle(m)
+		sent := 0
+		if p != nil {
+			_ = t.SetWriteDeadline(time.Now().Add(fetchTimeout))
+			sent, err = WriteFrame(t, p)
+		}
+		n.counter.Count(kindOf(m), sent, k+headerBytes)
+		if err != nil {
+			return
+		}
+	}
+}
+
+func kindOf(m *schema.Envelope) string {
+	if m.GetExchange() != nil {
+		return "peer.exchange"
+	}
+	return "peer.fetch"
+}
+
+// handle answers a message; exchanges have no answer.
+func (n *Node) handle(m *schema.Envelope) *schema.Envelope {
+	switch b := m.Body.(type) {
+	case *schema.Envelope_Exchange:
+		n.merge(b.Exchange)
+		return nil
+	case *schema.Envelope_HeadRequest:
+		return &schema.Envelope{Body: &schema.Envelope_HeadReply{HeadReply: n.view.HeadSince(b.HeadRequest.Have)}}
+	case *schema.Envelope_SectionRequest:
+		return &schema.Envelope{Body: &schema.Envelope_SectionReply{SectionReply: n.sections(b.SectionRequest)}}
+	default:
+		return nil
+	}
+}
+
+// sections finds as many of the wanted sections as fit one message.
+func (n *Node) sections(q *schema.SectionRequest) *schema.SectionReply {
+	r := &schema.SectionReply{}
+	c := n.view.Current()
+	if c == nil {
+		return r
+	}
+	size := 0
+	for _, d := range q.Digests {
+		b := c.Encoded[config.AsDigest(d)]
+		size += len(b)
+		if b == nil || size > MaxFrame/2 {
+			continue
+		}
+		r.Sections = append(r.Sections, b)
+	}
+	return r
+}
+
+// merge takes the rows of an exchange.
+func (n *Node) merge(x *schema.Exchange) {
+	now := time.Now()
+	changed := false
+	n.lock.Lock()
+	n.asked[x.From] = x.Missing
+	if l := n.links[x.From]; l != nil {
+		l.sent.Want(x.Unknown)
+	}
+	for _, r := range x.Rows {
+		taken, unknown := n.table.Merge(now, r)
+		if unknown {
+			n.unknown[x.From] = append(n.unknown[x.From], r.Name)
+		}
+		changed = changed || taken && r.Body != nil
+	}
+	newer := len(n.table.Newer(n.view.Current().Revision())) > 0
+	n.lock.Unlock()
+	if changed {
+		n.changed()
+	}
+	if newer {
+		signal(n.pull)
+	}
+}
--- /dev/null
+++ b/entry/peer/tls.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonbank/tarragonbank/fleet/settings"
+)
+
+const reloadPeriod = 5 * time.Second
+
+// CertificateError reports key files that cannot be used.
+type CertificateError struct {
+	File   string
+	Detail string
+}
+
+// Error describes the failure in one line.
+func (e *CertificateError) Error() string {
+	return "certificate file " + e.File + ": " + e.Detail
+}
+
+// keys are the entry's certificate and the authority's, read again when they are old.
+type keys struct {
+	files settings.TLS
+	lock  sync.Mutex
+	read  time.Time
+	own   *tls.Certificate
+	roots *x509.CertPool
+}
+
+// NewTLS makes the mutual configurations of both ends; the files are read again without a restart.
+// It fails with a CertificateError.
+func NewTLS(f settings.TLS) (client, server *tls.Config, err error) {
+	k := &keys{files: f}
+	if err := k.load(); err != nil {
+		return nil, nil, err
+	}
+	client = &tls.Config{
+		MinVersion:           tls.VersionTLS13,
+		InsecureSkipVerify:   true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return k.certificate(), nil },
+		VerifyConnection:     k.verify,
+	}
+	server = &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		ClientAuth:       tls.RequireAnyClientCert,
+		GetCertificate:   func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return k.certificate(), nil },
+		VerifyConnection: k.verify,
+	}
+	return client, server, nil
+}
+
+func (k *keys) load() error {
+	c, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
+	if err != nil {
+		return trace.Wrap(&CertificateError{File: k.files.Certificate, Detail: err.Error()})
+	}
+	b, err := os.ReadFile(k.files.Authority)
+	if err != nil {
+		return trace.Wrap(&CertificateError{File: k.files.Authority, Detail: err.Error()})
+	}
+	p := x509.NewCertPool()
+	if !p.AppendCertsFromPEM(b) {
+		return trace.Wrap(&CertificateError{File: k.files.Authority, Detail: "it holds no certificate"})
+	}
+	k.own = &c
+	k.roots = p
+	k.read = time.Now()
+	return nil
+}
+
+// certificate is the entry's certificate; a file that has become unreadable leaves the one at hand.
+func (k *keys) certificate() *tls.Certificate {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if time.Since(k.read) > reloadPeriod && k.load() != nil {
+		k.read = time.Now()
+	}
+	return k.own
+}
+
+// verify accepts a peer whose certificate the authority signed, whatever name it carries.
+func (k *keys) verify(s tls.ConnectionState) error {
+	k.certificate()
+	k.lock.Lock()
+	o := x509.VerifyOptions{Roots: k.roots, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
+	k.lock.Unlock()
+	if len(s.PeerCertificates) == 0 {
+		return trace.Wrap(&CertificateError{File: "of the peer", Detail: "there is none"})
+	}
+	_, err := s.PeerCertificates[0].Verify(o)
+	return trace.Wrap(err, "verifying a peer")
+}
+
+func isCertificate(err error) bool {
+	var u x509.UnknownAuthorityError
+	var v x509.CertificateInvalidError
+	return errors.As(err, &u) || errors.As(err, &v)
+}
--- /dev/null
+++ b/entry/platform/client.go
@@ -0,0 +1,240 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+const (
+	callTimeout   = 2 * time.Second
+	dialTimeout   = time.Second
+	watchSlack    = 2 * time.Second
+	idleTimeout   = 15 * time.Second
+	answerLimit   = 4 << 20
+	expectParam   = "expect"
+	ttlParam      = "ttlMs"
+	prefixParam   = "prefix"
+	afterParam    = "after"
+	waitParam     = "waitMs"
+	revisionField = "Store-Revision"
+)
+
+// Counter counts the calls to the platform by kind.
+type Counter interface {
+	Count(kind string, sent, received int)
+}
+
+// Client is the adapter to the platform over HTTP and JSON.
+type Client struct {
+	base    string
+	http    *http.Client
+	counter Counter
+}
+
+// Option changes a Client at its making.
+type Option func(*Client, *net.Dialer)
+
+// WithOutgoing binds outgoing connections to an address of the entry.
+func WithOutgoing(a netip.Addr) Option {
+	return func(_ *Client, d *net.Dialer) {
+		if a.IsValid() {
+			d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
+		}
+	}
+}
+
+// WithCounter counts calls.
+func WithCounter(n Counter) Option {
+	return func(c *Client, _ *net.Dialer) { c.counter = n }
+}
+
+// New makes a client for the platform at the address.
+func New(a netip.AddrPort, l ...Option) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	c := &Client{base: "http://" + a.String(), counter: noCounter{}}
+	for _, o := range l {
+		o(c, d)
+	}
+	c.http = &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+	return c
+}
+
+type noCounter struct{}
+
+func (noCounter) Count(string, int, int) {}
+
+// Get reads a key; it fails with an AbsentError or an UnavailableError.
+func (c *Client) Get(ctx context.Context, key string) (store.Item, error) {
+	a, err := c.call(ctx, "get", http.MethodGet, "/v1/kv/"+url.PathEscape(key), nil, callTimeout)
+	if err != nil {
+		return store.Item{}, err
+	}
+	switch a.status {
+	case http.StatusOK:
+		return store.Item{Key: key, Value: a.body, Revision: a.revision}, nil
+	case http.StatusNotFound:
+		return store.Item{}, trace.Wrap(&store.AbsentError{Key: key})
+	default:
+		return store.Item{}, a.unavailable("get")
+	}
+}
+
+// Swap writes a key if it is still at the expected revision, 0 for absent.
+// It fails with a ConflictError, or with an UnavailableError after which the write may have taken effect.
+func (c *Client) Swap(ctx context.Context, key string, expect store.Revision, v []byte) (store.Revision, error) {
+	return c.write(ctx, http.MethodPut, key, url.Values{expectParam: {format(expect)}}, expect, v)
+}
+
+// SwapLease is Swap for a key that vanishes after the time unless it is written again.
+func (c *Client) SwapLease(ctx context.Context, key string, expect store.Revision, v []byte, ttl time.Duration) (store.Revision, error) {
+	q := url.Values{expectParam: {format(expect)}, ttlParam: {strconv.FormatInt(ttl.Milliseconds(), 10)}}
+	return c.write(ctx, http.MethodPut, key, q, expect, v)
+}
+
+// Delete removes a key if it is still at the expected revision; it fails as Swap does.
+func (c *Client) Delete(ctx context.Context, key string, expect store.Revision) error {
+	_, err := c.write(ctx, http.MethodDelete, key, url.Values{expectParam: {format(expect)}}, expect, nil)
+	return err
+}
+
+func (c *Client) write(ctx context.Context, method, key string, q url.Values, expect store.Revision, v []byte) (store.Revision, error) {
+	a, err := c.call(ctx, "write", method, "/v1/kv/"+url.PathEscape(key)+"?"+q.Encode(), v, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	switch a.status {
+	case http.StatusOK:
+		return a.revision, nil
+	case http.StatusConflict:
+		return 0, trace.Wrap(&store.ConflictError{Key: key, Expected: expect})
+	default:
+		return 0, a.unavailable("write")
+	}
+}
+
+// itemJSON is one key in the platform's lists.
+type itemJSON struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// List reads the revisions of all keys with a prefix, without values; it fails with an UnavailableError.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Item, error) {
+	a, err := c.call(ctx, "list", http.MethodGet, "/v1/keys?"+url.Values{prefixParam: {prefix}}.Encode(), nil, callTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return a.items("list")
+}
+
+// Watch waits until a key with the prefix changes after the revision, or the time has passed.
+func (c *Client) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Item, store.Revision, error) {
+	q := url.Values{prefixParam: {prefix}, afterParam: {format(after)}, waitParam: {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	a, err := c.call(ctx, "watch", http.MethodGet, "/v1/watch?"+q.Encode(), nil, wait+watchSlack)
+	if err != nil {
+		return nil, 0, err
+	}
+	l, err := a.items("watch")
+	return l, a.revision, err
+}
+
+// Machine is one VM in the platform's list.
+type Machine struct {
+	Name    string         `json:"name"`
+	Address netip.AddrPort `json:"address"`
+	Leaving bool           `json:"leaving"`
+}
+
+// Machines reads the lagging list of VMs; it fails with an UnavailableError.
+func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
+	a, err := c.call(ctx, "machines", http.MethodGet, "/v1/machines", nil, callTimeout)
+	if err != nil {
+		return nil, err
+	}
+	if a.status != http.StatusOK {
+		return nil, a.unavailable("machines")
+	}
+	var l []Machine
+	if err := json.Unmarshal(a.body, &l); err != nil {
+		return nil, trace.Wrap(&store.UnavailableError{Call: "machines", Detail: err.Error()})
+	}
+	return l, nil
+}
+
+// answer is one whole answer of the platform.
+type answer struct {
+	status   int
+	revision store.Revision
+	body     []byte
+}
+
+func (a answer) unavailable(call string) error {
+	return trace.Wrap(&store.UnavailableError{Call: call, Detail: http.StatusText(a.status)})
+}
+
+func (a answer) items(call string) ([]store.Item, error) {
+	if a.status != http.StatusOK {
+		return nil, a.unavailable(call)
+	}
+	var l []itemJSON
+	if err := json.Unmarshal(a.body, &l); err != nil {
+		return nil, trace.Wrap(&store.UnavailableError{Call: call, Detail: err.Error()})
+	}
+	r := make([]store.Item, 0, len(l))
+	for _, x := range l {
+		r = append(r, store.Item{Key: x.Key, Value: x.Value, Revision: store.Revision(x.Revision)})
+	}
+	return r, nil
+}
+
+func (c *Client) call(ctx context.Context, kind, method, path string, body []byte, limit time.Duration) (answer, error) {
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, trace.Wrap(&store.UnavailableError{Call: kind, Detail: err.Error()})
+	}
+	a, err := c.exchange(r)
+	c.counter.Count("store."+kind, len(body)+len(path), len(a.body))
+	if err != nil {
+		c.http.CloseIdleConnections()
+		return answer{}, trace.Wrap(&store.UnavailableError{Call: kind, Detail: err.Error()})
+	}
+	return a, nil
+}
+
+func (c *Client) exchange(r *http.Request) (answer, error) {
+	p, err := c.http.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(p.Body, answerLimit))
+	if err != nil {
+		return answer{}, err
+	}
+	n, _ := strconv.ParseUint(p.Header.Get(revisionField), 10, 64)
+	return answer{status: p.StatusCode, revision: store.Revision(n), body: b}, nil
+}
+
+func format(r store.Revision) string {
+	return strconv.FormatUint(uint64(r), 10)
+}
--- /dev/null
+++ b/entry/platform/watcher.go
@@ -0,0 +1,213 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/view"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+const (
+	watchWait  = 3 * time.Second
+	idlePause  = 250 * time.Millisecond
+	errorPause = 500 * time.Millisecond
+	freshFor   = 6 * time.Second
+	pollPeriod = 500 * time.Millisecond
+)
+
+// Logger takes decisions without blocking.
+type Logger interface {
+	Add(r decision.Record)
+}
+
+// Watcher learns the accepted configuration and the leaving VMs for its data centre.
+type Watcher struct {
+	client  *Client
+	view    *view.View
+	log     Logger
+	active  func() bool
+	changed func()
+	list    time.Duration
+	poll    bool
+
+	lock    sync.Mutex
+	heard   time.Time
+	leaving []string
+}
+
+// WatcherOption changes a Watcher at its making.
+type WatcherOption func(*Watcher)
+
+// WithPolling reads the head at a fixed period instead of waiting for its change.
+func WithPolling() WatcherOption {
+	return func(w *Watcher) { w.poll = true }
+}
+
+// NewWatcher makes a watcher that works while active says so, and calls changed after news.
+func NewWatcher(c *Client, v *view.View, l Logger, list time.Duration, active func() bool, changed func(), opts ...WatcherOption) *Watcher {
+	w := &Watcher{client: c, view: v, log: l, active: active, changed: changed, list: list}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
+}
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.repeat(ctx, w.watchHead)
+	}()
+	w.repeat(ctx, w.readMachines)
+	<-done
+}
+
+// Fresh says whether the platform has answered lately.
+func (w *Watcher) Fresh() bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return !w.heard.IsZero() && time.Since(w.heard) < freshFor
+}
+
+// Heard is when the platform last answered, the zero time for never.
+func (w *Watcher) Heard() time.Time {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.heard
+}
+
+// Leaving lists the VMs that the platform's list shows as leaving, sorted.
+func (w *Watcher) Leaving() []string {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.leaving
+}
+
+func (w *Watcher) repeat(ctx context.Context, step func(context.Context) (time.Duration, error)) {
+	for ctx.Err() == nil {
+		pause := idlePause
+		if w.active() {
+			d, err := step(ctx)
+			pause = d
+			if err != nil {
+				pause = errorPause
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (w *Watcher) hear() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.heard = time.Now()
+}
+
+// watchHead waits until the head is above the one last seen and adopts it.
+func (w *Watcher) watchHead(ctx context.Context) (time.Duration, error) {
+	i, err := w.client.Get(ctx, config.HeadKey)
+	var absent *store.AbsentError
+	if err != nil && !errors.As(err, &absent) {
+		return 0, err
+	}
+	w.hear()
+	if err := w.adopt(ctx, i); err != nil {
+		return 0, err
+	}
+	if w.poll {
+		return pollPeriod, nil
+	}
+	after := i.Revision
+	for w.active() && ctx.Err() == nil {
+		l, _, err := w.client.Watch(ctx, config.HeadKey, after, watchWait)
+		if err != nil {
+			return 0, err
+		}
+		w.hear()
+		for _, x := range l {
+			after = max(after, x.Revision)
+			if err := w.adopt(ctx, x); err != nil {
+				return 0, err
+			}
+		}
+	}
+	return 0, nil
+}
+
+func (w *Watcher) adopt(ctx context.Context, i store.Item) error {
+	if len(i.Value) == 0 {
+		return nil
+	}
+	h := &schema.Head{}
+	if err := proto.Unmarshal(i.Value, h); err != nil {
+		return trace.Wrap(&config.CorruptError{Name: "head", Detail: err.Error()})
+	}
+	c := w.view.Current()
+	if c.Replaces(h) != nil {
+		return nil
+	}
+	s, err := w.client.Sections(ctx, c.Missing(h, nil))
+	if err != nil {
+		return err
+	}
+	err = w.view.Adopt(time.Now(), h, s)
+	var stale *config.StaleError
+	if errors.As(err, &stale) {
+		return nil
+	}
+	if err == nil {
+		w.log.Add(decision.Record{Time: time.Now(), Kind: decision.Config, Reason: "learned from the platform", Revision: h.Revision})
+	}
+	return err
+}
+
+// Sections reads the sections from the store.
+func (c *Client) Sections(ctx context.Context, l []config.Digest) (map[config.Digest][]byte, error) {
+	r := map[config.Digest][]byte{}
+	for _, d := range l {
+		i, err := c.Get(ctx, config.SectionKey(d))
+		if err != nil {
+			return nil, err
+		}
+		r[d] = i.Value
+	}
+	return r, nil
+}
+
+// readMachines reads the lagging list of VMs.
+func (w *Watcher) readMachines(ctx context.Context) (time.Duration, error) {
+	m, err := w.client.Machines(ctx)
+	if err != nil {
+		return 0, err
+	}
+	l := []string{}
+	for _, x := range m {
+		if x.Leaving {
+			l = append(l, x.Name)
+		}
+	}
+	slices.Sort(l)
+	w.lock.Lock()
+	w.heard = time.Now()
+	news := !slices.Equal(l, w.leaving)
+	w.leaving = l
+	w.lock.Unlock()
+	if news {
+		w.changed()
+	}
+	return w.list, nil
+}
--- /dev/null
+++ b/entry/view/doc.go
@@ -0,0 +1,2 @@
+// Package view holds the configuration that the entry has in force.
+package view
--- /dev/null
+++ b/fleet/admission/forecast.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/priority"
+)
+
+// Margins of the forecast.
+const (
+	waitMargin  = 1.1
+	fixedMargin = 5 * time.Millisecond
+)
+
+// Forecast is when a request would be answered if it were taken now.
+type Forecast struct {
+	Wait    time.Duration
+	Service time.Duration
+	Left    time.Duration
+}
+
+// InTime says whether the answer would come before the deadline.
+func (f Forecast) InTime() bool {
+	w := time.Duration(float64(f.Wait) * waitMargin)
+	return w+f.Service+fixedMargin <= f.Left
+}
+
+func decay(d time.Duration) float64 {
+	return math.Exp(-float64(d) / float64(rateMemory))
+}
+
+// forecast predicts the wait from what is queued before the request and the rate that is left to it.
+func (p *Pool) forecast(now time.Time, s *serviceState, c priority.Priority, deadline time.Time) Forecast {
+	f := Forecast{Service: s.times.High(), Left: deadline.Sub(now)}
+	if p.free > 0 && s.waiting == 0 {
+		return f
+	}
+	slots := p.effectiveSlots(s)
+	if slots <= 0 {
+		f.Wait = math.MaxInt32 * time.Second
+		return f
+	}
+	capacity := slots / s.times.Mean().Seconds()
+	ahead := 1
+	urgent := 0.0
+	floors := 0.0
+	for i := range s.classes {
+		x := &s.classes[i]
+		switch q := priority.Priority(i); {
+		case q < c:
+			ahead += x.waiting
+			urgent += x.arrivals.at(now)
+		case q == c:
+			ahead += x.waiting
+		case x.waiting > 0:
+			floors += q.Floor()
+		}
+	}
+	left := max(capacity*(1-floors)-urgent, capacity*c.Floor())
+	f.Wait = time.Duration(float64(ahead) / left * float64(time.Second))
+	return f
+}
+
+// effectiveSlots is how many of the entry's slots the service can count on.
+func (p *Pool) effectiveSlots(s *serviceState) float64 {
+	total := 0.0
+	for _, x := range p.services {
+		if x == s || x.waiting > 0 || x.busy > 0 {
+			total += p.weight(x)
+		}
+	}
+	return float64(p.usable) * p.weight(s) / total
+}
+
+// weight is the service's reserved share, or an even part of what no service has reserved.
+func (p *Pool) weight(s *serviceState) float64 {
+	if s.rules.ReservedShare > 0 {
+		return s.rules.ReservedShare
+	}
+	left := 1.0
+	open := 0
+	for _, x := range p.services {
+		left -= x.rules.ReservedShare
+		if x.rules.ReservedShare == 0 {
+			open++
+		}
+	}
+	return max(left, minWeight) / float64(open)
+}
+
+// minWeight keeps a service without a reserved share from dividing by nothing.
+const minWeight = 0.01
--- /dev/null
+++ b/fleet/admission/pool.go
@@ -0,0 +1,300 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/request"
+	"github.com/tarragonbank/tarragonbank/fleet/service"
+	"github.com/tarragonbank/tarragonbank/fleet/share"
+	"github.com/tarragonbank/tarragonbank/fleet/team"
+)
+
+const (
+	shortestRetry = 50 * time.Millisecond
+	longestRetry  = 10 * time.Second
+	openQuota     = 0.05
+)
+
+// Pool holds the requests that wait for, or run on, the VMs of one pool.
+type Pool struct {
+	name     string
+	policy   Policy
+	random   *rand.Rand
+	vms      map[string]*vmState
+	order    []*vmState
+	scratch  []*vmState
+	services map[string]*serviceState
+	teams    map[string]team.Team
+	free     int
+	usable   int
+}
+
+// Option changes a Pool at its making.
+type Option func(*Pool)
+
+// WithPolicy sets how requests are admitted.
+func WithPolicy(x Policy) Option {
+	return func(p *Pool) { p.policy = x }
+}
+
+// WithRandom sets the source of random choices.
+func WithRandom(r *rand.Rand) Option {
+	return func(p *Pool) { p.random = r }
+}
+
+// New makes a pool without VMs that admits by deadline.
+func New(name string, l ...Option) *Pool {
+	p := &Pool{
+		name:     name,
+		policy:   PolicyFunc(Forecast.InTime),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		vms:      map[string]*vmState{},
+		services: map[string]*serviceState{},
+	}
+	for _, o := range l {
+		o(p)
+	}
+	return p
+}
+
+// SetRules replaces the services and teams; what waits or runs is kept.
+func (p *Pool) SetRules(l []service.Service, t map[string]team.Team) {
+	p.teams = t
+	for _, s := range l {
+		if x := p.services[s.Name]; x != nil {
+			x.rules = s
+			continue
+		}
+		p.services[s.Name] = newServiceState(s)
+	}
+	named := func(n string) bool {
+		return slices.ContainsFunc(l, func(s service.Service) bool { return s.Name == n })
+	}
+	for n, x := range p.services {
+		if named(n) {
+			continue
+		}
+		x.rules.ReservedShare = 0
+		if x.busy == 0 && x.waiting == 0 {
+			delete(p.services, n)
+		}
+	}
+}
+
+// SetGrant replaces the slots that the entry may use; requests that run keep theirs.
+func (p *Pool) SetGrant(g share.Grant, usable func(vm string) bool) {
+	for n := range g {
+		if p.vms[n] == nil {
+			p.vms[n] = &vmState{name: n}
+		}
+	}
+	for n, v := range p.vms {
+		v.granted = g[n]
+		v.usable = usable(n)
+		if v.granted == 0 && v.busy == 0 {
+			delete(p.vms, n)
+		}
+	}
+	p.recount()
+}
+
+// Offer admits a request and queues it, or refuses it.
+func (p *Pool) Offer(now time.Time, r request.Request) (*Ticket, Refusal) {
+	s := p.services[r.Service]
+	if s == nil {
+		return nil, Refusal{Reason: UnknownService}
+	}
+	s.offered.add(now)
+	if f := p.check(now, s, r); f.Reason != None {
+		return nil, f
+	}
+	s.classes[r.Priority].arrivals.add(now)
+	t := &Ticket{Request: r, Ready: make(chan struct{}), admitted: now, service: s}
+	s.push(t, p.quota(r.Team))
+	return t, Refusal{}
+}
+
+// Check says whether a request would be admitted, without queueing it.
+func (p *Pool) Check(now time.Time, r request.Request) Refusal {
+	s := p.services[r.Service]
+	if s == nil {
+		return Refusal{Reason: UnknownService}
+	}
+	return p.check(now, s, r)
+}
+
+func (p *Pool) check(now time.Time, s *serviceState, r request.Request) Refusal {
+	if p.usable == 0 {
+		return Refusal{Reason: NoCapacity, RetryAfter: p.spread(time.Second)}
+	}
+	f := p.forecast(now, s, r.Priority, r.Deadline)
+	if p.policy.Admit(f) {
+		return Refusal{}
+	}
+	return Refusal{Reason: Overloaded, RetryAfter: p.spread(f.Wait + f.Service - f.Left)}
+}
+
+// Next gives free slots to waiting requests and gives up those that cannot be in time.
+func (p *Pool) Next(now time.Time) {
+	for p.free > 0 {
+		s := p.nextService()
+		if s == nil {
+			return
+		}
+		t := s.pop()
+		if t.Request.Deadline.Sub(now) < s.times.Median() {
+			p.refuse(t, DeadlinePassed)
+			continue
+		}
+		p.start(now, t, p.pick(p.random, t.avoid))
+	}
+}
+
+func (p *Pool) start(now time.Time, t *Ticket, v *vmState) {
+	v.busy++
+	p.free--
+	t.service.busy++
+	t.team.busy++
+	t.started = now
+	t.VM = v.name
+	close(t.Ready)
+}
+
+func (p *Pool) refuse(t *Ticket, r Reason) {
+	t.Refused = r
+	t.service.tidy(t)
+	close(t.Ready)
+}
+
+// nextService is the one furthest under its share of the slots among those that wait.
+func (p *Pool) nextService() *serviceState {
+	var s *serviceState
+	best := 0.0
+	for _, x := range p.services {
+		if x.waiting == 0 {
+			continue
+		}
+		v := float64(x.busy+1) / p.weight(x)
+		if s == nil || v < best || v == best && x.rules.Name < s.rules.Name {
+			s = x
+			best = v
+		}
+	}
+	return s
+}
+
+// Cancel takes a waiting request out and says whether it was still waiting.
+func (p *Pool) Cancel(t *Ticket) bool {
+	if t.VM != "" || t.Refused != None {
+		return false
+	}
+	return t.service.remove(t)
+}
+
+// Done frees the slot of a request that ran; a served request teaches its time.
+func (p *Pool) Done(now time.Time, t *Ticket, served bool) {
+	v := p.vms[t.VM]
+	if v == nil || v.busy == 0 || t.service.busy == 0 {
+		panic(fmt.Sprintf("admission: pool %s freed a slot of %s that was not taken", p.name, t.VM))
+	}
+	before := v.free()
+	v.busy--
+	p.free += v.free() - before
+	t.service.busy--
+	t.team.busy--
+	t.service.tidy(t)
+	if served {
+		d := now.Sub(t.started)
+		t.service.times.Observe(now, d)
+		v.observe(d)
+	}
+	if v.granted == 0 && v.busy == 0 {
+		delete(p.vms, v.name)
+		p.recount()
+	}
+}
+
+// Again queues a request once more, at the head, away from the VM it was on.
+func (p *Pool) Again(now time.Time, t *Ticket) *Ticket {
+	n := &Ticket{Request: t.Request, Ready: make(chan struct{}), admitted: now, service: t.service, avoid: t.VM}
+	t.service.push(n, p.quota(t.Request.Team))
+	q := n.team.queue
+	copy(q[1:], q[:len(q)-1])
+	q[0] = n
+	return n
+}
+
+// Demand is how many slots the entry could use for the pool now.
+func (p *Pool) Demand(now time.Time) int {
+	d := 0.0
+	for _, s := range p.services {
+		d += max(s.offered.at(now)*s.times.Mean().Seconds(), float64(s.busy))
+	}
+	return int(d + 0.5)
+}
+
+// Expect is the learned time of the service that 95 of 100 requests stay under.
+func (p *Pool) Expect(name string) (time.Duration, bool) {
+	s := p.services[name]
+	if s == nil {
+		return 0, false
+	}
+	return s.times.High(), s.times.Learned()
+}
+
+// Load is the pool's state in numbers.
+type Load struct {
+	Free    int `json:"free"`
+	Usable  int `json:"usable"`
+	Busy    int `json:"busy"`
+	Waiting int `json:"waiting"`
+}
+
+// Load counts slots and requests.
+func (p *Pool) Load() Load {
+	l := Load{Free: p.free, Usable: p.usable}
+	for _, s := range p.services {
+		l.Busy += s.busy
+		l.Waiting += s.waiting
+	}
+	return l
+}
+
+// LatestStart is the time after which a waiting request can no longer be answered by its deadline.
+func (t *Ticket) LatestStart() time.Time {
+	return t.Request.Deadline.Add(-t.service.times.Median())
+}
+
+// Forget drops the learned latency of a VM.
+func (p *Pool) Forget(vm string) {
+	if v := p.vms[vm]; v != nil {
+		v.latency = 0
+	}
+}
+
+// Latency is the smoothed latency of each VM that has answered.
+func (p *Pool) Latency() map[string]time.Duration {
+	r := make(map[string]time.Duration, len(p.vms))
+	for n, v := range p.vms {
+		if v.latency > 0 {
+			r[n] = v.latency
+		}
+	}
+	return r
+}
+
+func (p *Pool) quota(name string) float64 {
+	if t, ok := p.teams[name]; ok && t.Quota > 0 {
+		return t.Quota
+	}
+	return openQuota
+}
+
+// spread draws a time to come back from one to two times the wait.
+func (p *Pool) spread(d time.Duration) time.Duration {
+	d = min(max(d, shortestRetry), longestRetry)
+	return d + time.Duration(p.random.Int64N(int64(d)))
+}
--- /dev/null
+++ b/fleet/config/doc.go
@@ -0,0 +1,2 @@
+// Package config builds, names and reads the operators' accepted configuration.
+package config
--- /dev/null
+++ b/fleet/document/doc.go
@@ -0,0 +1,2 @@
+// Package document reads TOML documents strictly into schema messages.
+package document
--- /dev/null
+++ b/fleet/document/index.go
@@ -0,0 +1,46 @@
+package document
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+var (
+	tablePattern = regexp.MustCompile(`^\s*\[([A-Za-z0-9_.-]+)\]`)
+	arrayPattern = regexp.MustCompile(`^\s*\[\[([A-Za-z0-9_.-]+)\]\]`)
+	keyPattern   = regexp.MustCompile(`^\s*([A-Za-z0-9_-]+)\s*=`)
+)
+
+// index maps the path of each key to the line that sets it.
+type index map[string]int
+
+func newIndex(text string) index {
+	x := index{}
+	counts := map[string]int{}
+	prefix := ""
+	for i, l := range strings.Split(text, "\n") {
+		if m := arrayPattern.FindStringSubmatch(l); m != nil {
+			prefix = fmt.Sprintf("%s[%d]", m[1], counts[m[1]])
+			counts[m[1]]++
+			x[prefix] = i + 1
+			continue
+		}
+		if m := tablePattern.FindStringSubmatch(l); m != nil {
+			prefix = m[1]
+			x[prefix] = i + 1
+			continue
+		}
+		if m := keyPattern.FindStringSubmatch(l); m != nil {
+			x[join(prefix, m[1])] = i + 1
+		}
+	}
+	return x
+}
+
+func join(prefix, key string) string {
+	if prefix == "" {
+		return key
+	}
+	return prefix + "." + key
+}
--- /dev/null
+++ b/fleet/estimate/doc.go
@@ -0,0 +1,2 @@
+// Package estimate learns how long the requests of a service take.
+package estimate
--- /dev/null
+++ b/fleet/member/version.go
@@ -0,0 +1,22 @@
+package member
+
+import "github.com/tarragonbank/tarragonbank/fleet/schema"
+
+// Version orders the rows of one entry: a restarted entry has a higher incarnation.
+type Version struct {
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// Before says whether the version is older than the other.
+func (v Version) Before(o Version) bool {
+	if v.Incarnation != o.Incarnation {
+		return v.Incarnation < o.Incarnation
+	}
+	return v.Sequence < o.Sequence
+}
+
+// VersionOf is the version of a row.
+func VersionOf(r *schema.Row) Version {
+	return Version{Incarnation: r.Incarnation, Sequence: r.Sequence}
+}
--- /dev/null
+++ b/fleet/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome names what became of a request.
+package outcome
--- /dev/null
+++ b/fleet/outcome/outcome.go
@@ -0,0 +1,18 @@
+package outcome
+
+// Outcome is what is known of a request once it is answered.
+type Outcome int
+
+// The outcomes that an answer can state.
+//
+//go:generate enumer -type=Outcome -transform=title-lower
+const (
+	Unknown Outcome = iota
+	Ran
+	NotRun
+)
+
+// Settled says whether the caller knows if the request ran.
+func (o Outcome) Settled() bool {
+	return o != Unknown
+}
--- /dev/null
+++ b/fleet/pool/doc.go
@@ -0,0 +1,2 @@
+// Package pool describes the sets of VMs that serve the same services.
+package pool
--- /dev/null
+++ b/fleet/priority/doc.go
@@ -0,0 +1,2 @@
+// Package priority orders requests by urgency.
+package priority
--- /dev/null
+++ b/fleet/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds the requests that are sent again.
+package retry
--- /dev/null
+++ b/fleet/share/doc.go
@@ -0,0 +1,2 @@
+// Package share divides the slots of a pool among the entries that send to it.
+package share
--- /dev/null
+++ b/fleet/store/doc.go
@@ -0,0 +1,2 @@
+// Package store holds the terms of the platform's key-value store.
+package store
--- /dev/null
+++ b/fleet/suite/doc.go
@@ -0,0 +1,2 @@
+// Package suite runs the specs of a package with a fixed seed.
+package suite
--- /dev/null
+++ b/fleet/team/doc.go
@@ -0,0 +1,2 @@
+// Package team describes the groups of callers that have quotas.
+package team
--- /dev/null
+++ b/fleet/vm/vm.go
@@ -0,0 +1,40 @@
+package vm
+
+import (
+	"net/netip"
+
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const bytesPerGB = 1 << 30
+
+// VM is one backend server VM of the inventory.
+type VM struct {
+	Name         string
+	DataCentre   string
+	Rack         string
+	Address      netip.AddrPort
+	Pool         string
+	Processors   int
+	MemoryBytes  int64
+	Accelerators int
+	Slots        int
+	Connections  int
+}
+
+// New converts a VM of the schema, whose address has been checked.
+func New(m *schema.Vm) VM {
+	a, _ := netip.ParseAddrPort(m.Address)
+	return VM{
+		Name:         m.Name,
+		DataCentre:   m.DataCentre,
+		Rack:         m.Rack,
+		Address:      a,
+		Pool:         m.Pool,
+		Processors:   int(m.Processors),
+		MemoryBytes:  m.MemoryGb * bytesPerGB,
+		Accelerators: int(m.Accelerators),
+		Slots:        int(m.Slots),
+		Connections:  int(m.Connections),
+	}
+}
