Keep a flooded pool busy: divide slots by damped demand, leave a VM that refuses alone

Now demand is averaged over 2 s and published when it changes by a quarter, a VM that refuses is left alone for 10 ms and more, and its request goes back to the head of the queue. Admission leaves half as much again of the wait, and a class that others flood is forecast by its floor alone.

--- /dev/null
+++ b/bench/experiment/leaving.go
@@ -0,0 +1,64 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/bench/backend"
+	"github.com/tarragonbank/tarragonbank/bench/load"
+	"github.com/tarragonbank/tarragonbank/bench/platform"
+)
+
+const (
+	leavingPart  = 0.5
+	leavingWait  = 6 * time.Second
+	leavingQuiet = 3 * time.Second
+)
+
+func init() {
+	register("leaving", "servers leave by the platform's list, by what they say, and by both", leaving)
+}
+
+func leaving(ctx context.Context, e Environment, r *Report) error {
+	kinds := []load.Kind{}
+	for _, s := range horncraftServices {
+		k := steady(s, leavingPart)
+		k.Idempotent = false
+		kinds = append(kinds, k)
+	}
+	x, err := start(ctx, horncraft(e), calm, kinds, nil)
+	if err != nil {
+		return err
+	}
+	pause(ctx, e.scaled(3*time.Second))
+	listed := func(n string) {
+		x.site.Platform.SetMachine(platform.Machine{Name: n, Leaving: true})
+	}
+	said := func(n string) { x.site.Servers[n].SetMode(backend.Leaving) }
+	for _, c := range []struct {
+		name   string
+		server string
+		leave  []func(string)
+	}{
+		{"listed", x.site.Pool("cups")[0], []func(string){listed}},
+		{"said", x.site.Pool("carving")[0], []func(string){said}},
+		{"both", x.site.Pool("export")[0], []func(string){listed, said}},
+	} {
+		at := time.Now()
+		for _, f := range c.leave {
+			f(c.server)
+		}
+		pause(ctx, e.scaled(leavingWait))
+		s := x.site.Servers[c.server]
+		quiet := max(s.LastTaken().Sub(at), 0)
+		r.ms(c.name+"QuietMs", quiet)
+		r.figure(c.name+"Refused", s.Refused())
+		r.expect(quiet <= leavingQuiet, "a server that left by %s still took work after %s", c.name, quiet)
+	}
+	x.finish(r)
+	c := x.tally.All()
+	outcomes(r, "requests", c)
+	r.expect(c.Unknown == 0, "%d requests have an unknown outcome", c.Unknown)
+	r.expect(c.Broken == 0, "%d requests got no answer", c.Broken)
+	return nil
+}
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +68,9 @@
 	x.stop()
 	x.done.Wait()
 	defer x.site.Stop()
+	for _, y := range x.site.Entries {
+		r.expect(!y.Broken(), "%s ended by itself, see its log", y.Name)
+	}
 	for _, v := range x.tally.Violations() {
 		r.violate("%s", v)
 	}
@@ -91,6 +96,11 @@
 	r.figure(prefix+"Late", c.Late)
 	r.figure(prefix+"Errors", c.Errors)
 	r.figure(prefix+"Broken", c.Broken)
+	for _, n := range slices.Sorted(maps.Keys(c.Reasons)) {
+		if n != "" {
+			r.figure(prefix+"Reason"+title(n), c.Reasons[n])
+		}
+	}
 	r.ms(prefix+"P50Ms", c.Latency(50))
 	r.ms(prefix+"P99Ms", c.Latency(99))
 }
--- a/bench/load/balancer.go
+++ b/bench/load/balancer.go
@@ -45,7 +45,7 @@
 	t := time.NewTicker(pollPeriod)
 	defer t.Stop()
 	for {
-		for _, x := range b.targets {
+		for _, x := range b.list() {
 			go b.ask(x)
 		}
 		select {
@@ -56,6 +56,12 @@
 	}
 }
 
+func (b *Balancer) list() []Target {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return append([]Target(nil), b.targets...)
+}
+
 func (b *Balancer) ask(t Target) {
 	p, err := b.client.Get("http://" + t.Operator.String() + "/ready")
 	ok := err == nil && p.StatusCode == http.StatusOK
@@ -89,3 +95,14 @@
 	}
 	return b.targets[rand.IntN(len(b.targets))].Caller
 }
+
+// SetWeight changes an entry's part of the requests.
+func (b *Balancer) SetWeight(a netip.AddrPort, w float64) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	for i := range b.targets {
+		if b.targets[i].Caller == a {
+			b.targets[i].Weight = w
+		}
+	}
+}
--- a/bench/site/entry.go
+++ b/bench/site/entry.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,12 @@
 	command *exec.Cmd
 	done    chan struct{}
 	code    int
+	broken  atomic.Bool
+}
+
+// Broken says whether a process of the entry ever ended by itself on a broken invariant or a panic.
+func (e *Entry) Broken() bool {
+	return e.broken.Load()
 }
 
 // Start starts the process with settings of its own.
@@ -63,6 +70,7 @@
 	go func(done chan struct{}) {
 		_ = c.Wait()
 		e.code = c.ProcessState.ExitCode()
+		e.broken.Store(e.broken.Load() || e.code > 1)
 		close(done)
 	}(e.done)
 	return nil
--- a/entry/caller/send.go
+++ b/entry/caller/send.go
@@ -19,6 +19,7 @@
 
 const (
 	mostAttempts = 4
+	mostRefusals = 16
 )
 
 // failure is an attempt without a whole answer.
@@ -34,9 +35,14 @@
 	err    error
 }
 
+// refused says that the backend server itself did not run the request.
+func (r result) refused() bool {
+	return r.err == nil && r.answer.Refused
+}
+
 // outcome says what is known of the request after the attempt.
 func (r result) outcome() outcome.Outcome {
-	if r.err == nil && r.answer.Refused {
+	if r.refused() {
 		return outcome.NotRun
 	}
 	if r.err == nil {
@@ -79,19 +85,39 @@
 		} else if whole != nil {
 			r = result{answer: whole}
 		}
-		if n == mostAttempts || ctx.Err() != nil || !r.again(x.request.Idempotent) {
+		if n >= attempts(r) || ctx.Err() != nil || !r.again(x.request.Idempotent) {
 			return x.finish(ctx, r, sent)
 		}
-		time.Sleep(retry.Pause(n))
-		next, err := s.Retry(ctx)
+		next, err := x.next(ctx, s, r, n)
 		if err != nil {
 			return x.finish(ctx, r, sent)
 		}
-		x.server.metrics.Retry(x.service.Name)
 		s = next
 	}
 }
 
+// next waits for a slot for the next attempt. After a refusal the VM's pause bounds the attempts,
+// after a failure the retry budget does.
+func (x *exchange) next(ctx context.Context, s *dispatch.Slot, r result, n int) (*dispatch.Slot, error) {
+	if r.refused() {
+		return s.Again(ctx)
+	}
+	time.Sleep(retry.Pause(n))
+	next, err := s.Retry(ctx)
+	if err == nil {
+		x.server.metrics.Retry(x.service.Name)
+	}
+	return next, err
+}
+
+// attempts is how often a request may be sent, given how the last attempt ended.
+func attempts(r result) int {
+	if r.refused() {
+		return mostRefusals
+	}
+	return mostAttempts
+}
+
 func (x *exchange) attempt(ctx context.Context, s *dispatch.Slot, n int) result {
 	x.server.log.Add(s.Describe(x.id, n))
 	q := backend.Call{
@@ -107,7 +133,11 @@
 	a, err := x.server.backend.Do(ctx, q)
 	r := result{answer: a, err: err}
 	x.learn(s, r)
-	s.Done(err == nil && !a.Refused)
+	if r.refused() {
+		s.Refused()
+	} else {
+		s.Done(err == nil)
+	}
 	return r
 }
 
@@ -126,7 +156,7 @@
 	var stall *backend.StallError
 	var cancelled *backend.CancelledError
 	switch {
-	case r.err == nil && r.answer.Refused:
+	case r.refused():
 		return health.Refused, true
 	case r.err == nil && r.answer.Status < http.StatusInternalServerError:
 		return health.Answered, true
@@ -169,7 +199,7 @@
 		return x.unknown(ctx, r.err)
 	}
 	if r.err == nil {
-		return x.refuse(admission.Overloaded, "the backend servers refused the request", claimRetry)
+		return x.refuse(admission.BackendRefused, "the backend servers refused the request", claimRetry)
 	}
 	if ctx.Err() != nil {
 		return x.refuse(admission.DeadlinePassed, "no backend server was reached in time", claimRetry)
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -190,28 +190,36 @@
 	return l
 }
 
-// Demands is what the entry asks of each pool, in slots, rounded so that it changes seldom.
+// Demands is what the entry asks of each pool, in slots; small changes are left out.
 func (d *Dispatcher) Demands() map[string]int {
 	now := time.Now()
 	m := map[string]int{}
 	for _, t := range d.tables() {
 		t.lock.Lock()
-		n := t.admission.Demand(now)
-		t.lock.Unlock()
-		if n > 0 {
-			m[t.name] = roundUp(n)
+		t.demand = damped(t.demand, t.admission.Demand(now))
+		if t.demand > 0 {
+			m[t.name] = t.demand
 		}
+		t.lock.Unlock()
 	}
 	return m
 }
 
-// roundUp gives the next of 1 to 8 and then of steps of about a quarter.
-func roundUp(n int) int {
-	step := 1
-	for n > 8*step {
-		step *= 2
+const (
+	dampedPart  = 4
+	dampedSlots = 2
+)
+
+// damped keeps the old demand while the new one is within a quarter and two slots of it.
+func damped(old, n int) int {
+	d := n - old
+	if d < 0 {
+		d = -d
+	}
+	if d <= old/dampedPart+dampedSlots && (n > 0 || old == 0) {
+		return old
 	}
-	return (n + step - 1) / step * step
+	return n
 }
 
 // SaidLeaving lists the VMs that told this entry that they are leaving, sorted.
@@ -266,8 +274,9 @@
 
 func (d *Dispatcher) probe(ctx context.Context) {
 	for _, t := range d.tables() {
+		now := time.Now()
 		t.lock.Lock()
-		l := t.health.Due(time.Now())
+		l := t.health.Due(now)
 		t.lock.Unlock()
 		for _, n := range l {
 			go d.probeOne(ctx, t, n)
--- a/entry/dispatch/pool.go
+++ b/entry/dispatch/pool.go
@@ -31,6 +31,7 @@
 	leaving   map[string]bool
 	probePath string
 	grant     share.Grant
+	demand    int
 }
 
 func newTable(name string, p admission.Policy) *table {
--- a/entry/dispatch/slot.go
+++ b/entry/dispatch/slot.go
@@ -59,20 +59,44 @@
 	s.table.admission.Next(now)
 }
 
-// Retry waits for a slot on another VM, if the pool's retry budget allows one; the slot must be done with.
-func (s *Slot) Retry(ctx context.Context) (*Slot, error) {
-	s.table.lock.Lock()
-	if !s.table.retries.Spend() {
-		s.table.lock.Unlock()
-		return nil, &RefusedError{Reason: admission.Exhausted}
-	}
+// Refused frees the slot of a request that the VM had no room for, and leaves the VM alone for a while.
+func (s *Slot) Refused() {
+	now := time.Now()
+	t, n := s.table, s.VM.Name
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.admission.Done(now, s.ticket, false)
+	d := t.admission.Refused(n)
+	t.admission.Next(now)
+	time.AfterFunc(d, func() {
+		t.lock.Lock()
+		defer t.lock.Unlock()
+		t.admission.Cooled(n)
+		t.admission.Next(time.Now())
+	})
+}
+
+// Again waits for a slot on another VM; the slot must be done with.
+func (s *Slot) Again(ctx context.Context) (*Slot, error) {
 	now := time.Now()
+	s.table.lock.Lock()
 	t := s.table.admission.Again(now, s.ticket)
 	s.table.admission.Next(now)
 	s.table.lock.Unlock()
 	return s.dispatcher.wait(ctx, s.table, t, s.Service)
 }
 
+// Retry is Again, if the pool's retry budget allows one; it fails with a RefusedError.
+func (s *Slot) Retry(ctx context.Context) (*Slot, error) {
+	s.table.lock.Lock()
+	ok := s.table.retries.Spend()
+	s.table.lock.Unlock()
+	if !ok {
+		return nil, &RefusedError{Reason: admission.Exhausted}
+	}
+	return s.Again(ctx)
+}
+
 // Acquire admits the request and waits for its slot; it fails with a RefusedError.
 func (d *Dispatcher) Acquire(ctx context.Context, r request.Request, s service.Service) (*Slot, error) {
 	t := d.table(s.Pool)
--- a/fleet/admission/forecast.go
+++ b/fleet/admission/forecast.go
@@ -9,7 +9,7 @@
 
 // Margins of the forecast.
 const (
-	waitMargin  = 1.1
+	waitMargin  = 1.5
 	fixedMargin = 5 * time.Millisecond
 )
 
@@ -26,10 +26,6 @@
 	return w+f.Service+fixedMargin <= f.Left
 }
 
-func decay(d time.Duration) float64 {
-	return math.Exp(-float64(d) / float64(rateMemory))
-}
-
 // forecast predicts the wait from what is queued before the request and the rate that is left to it.
 func (p *Pool) forecast(now time.Time, s *serviceState, c priority.Priority, deadline time.Time) Forecast {
 	f := Forecast{Service: s.times.High(), Left: deadline.Sub(now)}
@@ -42,7 +38,14 @@
 		return f
 	}
 	capacity := slots / s.times.Mean().Seconds()
-	ahead := 1
+	f.Wait = s.wait(now, c, capacity)
+	return f
+}
+
+// wait predicts the time in the queue of a class when the service ends capacity requests a second.
+func (s *serviceState) wait(now time.Time, c priority.Priority, capacity float64) time.Duration {
+	own := s.classes[c].waiting + 1
+	ahead := own
 	urgent := 0.0
 	floors := 0.0
 	for i := range s.classes {
@@ -51,15 +54,15 @@
 		case q < c:
 			ahead += x.waiting
 			urgent += x.arrivals.at(now)
-		case q == c:
-			ahead += x.waiting
-		case x.waiting > 0:
+		case q > c && x.waiting > 0:
 			floors += q.Floor()
 		}
 	}
-	left := max(capacity*(1-floors)-urgent, capacity*c.Floor())
-	f.Wait = time.Duration(float64(ahead) / left * float64(time.Second))
-	return f
+	d := float64(own) / (capacity * c.Floor())
+	if left := capacity*(1-floors) - urgent; left > 0 {
+		d = min(d, float64(ahead)/left)
+	}
+	return time.Duration(d * float64(time.Second))
 }
 
 // effectiveSlots is how many of the entry's slots the service can count on.
--- a/fleet/admission/pool.go
+++ b/fleet/admission/pool.go
@@ -107,7 +107,7 @@
 	if s == nil {
 		return nil, Refusal{Reason: UnknownService}
 	}
-	s.offered.add(now)
+	s.offered.add(now, s.times.Mean())
 	if f := p.check(now, s, r); f.Reason != None {
 		return nil, f
 	}
@@ -145,7 +145,7 @@
 			return
 		}
 		t := s.pop()
-		if t.Request.Deadline.Sub(now) < s.times.Median() {
+		if t.Request.Deadline.Sub(now) < s.times.High() {
 			p.refuse(t, DeadlinePassed)
 			continue
 		}
@@ -210,6 +210,7 @@
 		d := now.Sub(t.started)
 		t.service.times.Observe(now, d)
 		v.observe(d)
+		v.pause = 0
 	}
 	if v.granted == 0 && v.busy == 0 {
 		delete(p.vms, v.name)
@@ -231,7 +232,7 @@
 func (p *Pool) Demand(now time.Time) int {
 	d := 0.0
 	for _, s := range p.services {
-		d += max(s.offered.at(now)*s.times.Mean().Seconds(), float64(s.busy))
+		d += max(s.offered.at(now), float64(s.busy))
 	}
 	return int(d + 0.5)
 }
@@ -265,7 +266,7 @@
 
 // LatestStart is the time after which a waiting request can no longer be answered by its deadline.
 func (t *Ticket) LatestStart() time.Time {
-	return t.Request.Deadline.Add(-t.service.times.Median())
+	return t.Request.Deadline.Add(-t.service.times.High())
 }
 
 // Forget drops the learned latency of a VM.
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/estimate"
@@ -34,7 +35,7 @@
 	classes [priority.Count]classState
 	busy    int
 	waiting int
-	offered rate
+	offered load
 }
 
 func newServiceState(s service.Service) *serviceState {
@@ -142,6 +143,27 @@
 	return p, true
 }
 
+// load is an average of the work that arrives, in slots, that forgets more slowly than a rate.
+type load struct {
+	value float64
+	last  time.Time
+}
+
+// loadMemory is the time over which the work that arrives is averaged.
+const loadMemory = 2 * time.Second
+
+func (l *load) add(now time.Time, work time.Duration) {
+	l.value = l.at(now) + work.Seconds()/loadMemory.Seconds()
+	l.last = now
+}
+
+func (l *load) at(now time.Time) float64 {
+	if l.last.IsZero() {
+		return 0
+	}
+	return l.value * math.Exp(-float64(max(now.Sub(l.last), 0))/float64(loadMemory))
+}
+
 // rate is an average of events a second that forgets with time.
 type rate struct {
 	value float64
@@ -161,5 +183,5 @@
 	if d <= 0 {
 		return r.value
 	}
-	return r.value * decay(d)
+	return r.value * math.Exp(-float64(d)/float64(rateMemory))
 }
--- a/fleet/admission/reason.go
+++ b/fleet/admission/reason.go
@@ -21,6 +21,7 @@
 	DuplicateKey
 	Unreachable
 	Exhausted
+	BackendRefused
 )
 
 // Temporary says whether the same request may succeed later.
--- a/fleet/admission/reason_enumer.go
+++ b/fleet/admission/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonenoCapacityoverloadeddeadlinePassedcallerLeftunknownServicebadRequestbodyTooLargenotReadyleavingstoreAwayduplicateKeyunreachableexhausted"
+const _ReasonName = "nonenoCapacityoverloadeddeadlinePassedcallerLeftunknownServicebadRequestbodyTooLargenotReadyleavingstoreAwayduplicateKeyunreachableexhaustedbackendRefused"
 
-var _ReasonIndex = [...]uint8{0, 4, 14, 24, 38, 48, 62, 72, 84, 92, 99, 108, 120, 131, 140}
+var _ReasonIndex = [...]uint8{0, 4, 14, 24, 38, 48, 62, 72, 84, 92, 99, 108, 120, 131, 140, 154}
 
-const _ReasonLowerName = "nonenocapacityoverloadeddeadlinepassedcallerleftunknownservicebadrequestbodytoolargenotreadyleavingstoreawayduplicatekeyunreachableexhausted"
+const _ReasonLowerName = "nonenocapacityoverloadeddeadlinepassedcallerleftunknownservicebadrequestbodytoolargenotreadyleavingstoreawayduplicatekeyunreachableexhaustedbackendrefused"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -38,9 +38,10 @@
 	_ = x[DuplicateKey-(11)]
 	_ = x[Unreachable-(12)]
 	_ = x[Exhausted-(13)]
+	_ = x[BackendRefused-(14)]
 }
 
-var _ReasonValues = []Reason{None, NoCapacity, Overloaded, DeadlinePassed, CallerLeft, UnknownService, BadRequest, BodyTooLarge, NotReady, Leaving, StoreAway, DuplicateKey, Unreachable, Exhausted}
+var _ReasonValues = []Reason{None, NoCapacity, Overloaded, DeadlinePassed, CallerLeft, UnknownService, BadRequest, BodyTooLarge, NotReady, Leaving, StoreAway, DuplicateKey, Unreachable, Exhausted, BackendRefused}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     None,
@@ -57,6 +58,7 @@
 	_ReasonName[108:120]: DuplicateKey,
 	_ReasonName[120:131]: Unreachable,
 	_ReasonName[131:140]: Exhausted,
+	_ReasonName[140:154]: BackendRefused,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -74,6 +76,7 @@
 	_ReasonLowerName[108:120]: DuplicateKey,
 	_ReasonLowerName[120:131]: Unreachable,
 	_ReasonLowerName[131:140]: Exhausted,
+	_ReasonLowerName[140:154]: BackendRefused,
 }
 
 var _ReasonNames = []string{
@@ -91,6 +94,7 @@
 	_ReasonName[108:120],
 	_ReasonName[120:131],
 	_ReasonName[131:140],
+	_ReasonName[140:154],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/fleet/admission/slot.go
+++ b/fleet/admission/slot.go
@@ -15,11 +15,19 @@
 	granted int
 	busy    int
 	usable  bool
+	cooling bool
+	pause   time.Duration
 	latency time.Duration
 }
 
+// Pauses after a refusal of a VM, doubled with each refusal in a row.
+const (
+	firstCooling   = 10 * time.Millisecond
+	longestCooling = time.Second
+)
+
 func (v *vmState) free() int {
-	if !v.usable {
+	if !v.usable || v.cooling {
 		return 0
 	}
 	return max(v.granted-v.busy, 0)
@@ -78,3 +86,26 @@
 	}
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].name < p.order[j].name })
 }
+
+// Refused notes that a VM had no free slot, and returns how long it is to be left alone;
+// the caller then calls Cooled.
+func (p *Pool) Refused(vm string) time.Duration {
+	v := p.vms[vm]
+	if v == nil {
+		return 0
+	}
+	if !v.cooling {
+		v.pause = min(max(2*v.pause, firstCooling), longestCooling)
+	}
+	v.cooling = true
+	p.recount()
+	return v.pause
+}
+
+// Cooled ends a VM's pause.
+func (p *Pool) Cooled(vm string) {
+	if v := p.vms[vm]; v != nil {
+		v.cooling = false
+		p.recount()
+	}
+}
--- a/fleet/share/divide.go
+++ b/fleet/share/divide.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"sort"
 
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
@@ -16,11 +17,10 @@
 		total += e.Demand
 	}
 	return divide(self, l, vms, func(e Entry) float64 {
-		even := 1 / float64(len(l))
 		if total == 0 {
-			return even
+			return 1 / float64(len(l))
 		}
-		return floorShare*even + (1-floorShare)*float64(e.Demand)/float64(total)
+		return floorShare/float64(len(l)) + (1-floorShare)*float64(e.Demand)/float64(total)
 	})
 }
 
@@ -38,25 +38,58 @@
 	return g
 }
 
-// divide gives each entry a contiguous range of the slots in an order all entries agree on.
+// divide gives each entry an even, contiguous range of the slots, in an order all entries agree on.
+// Entries entitled to less give up the end of their range to those entitled to more, so that
+// a change of demand moves few slots.
 func divide(self string, l []Entry, vms []vm.VM, weight func(Entry) float64) Grant {
+	if len(l) == 0 {
+		return Grant{}
+	}
 	entries := append([]Entry(nil), l...)
 	sort.Slice(entries, func(i, j int) bool { return entryBefore(entries[i], entries[j]) })
 	slots := slotOrder(vms)
-	n := float64(len(slots))
-	from := 0.0
-	for _, e := range entries {
-		to := from + weight(e)*n
+	base := apportion(len(slots), entries, func(Entry) float64 { return 1 / float64(len(entries)) })
+	target := apportion(len(slots), entries, weight)
+	surplus := []string{}
+	from := 0
+	own := []string{}
+	for i, e := range entries {
+		kept := min(base[i], target[i])
 		if e.Name == self {
-			return grant(slots[round(from, len(slots)):round(to, len(slots))])
+			own = append(own, slots[from:from+kept]...)
 		}
-		from = to
+		surplus = append(surplus, slots[from+kept:from+base[i]]...)
+		from += base[i]
 	}
-	return Grant{}
+	from = 0
+	for i, e := range entries {
+		more := max(target[i]-base[i], 0)
+		if e.Name == self {
+			own = append(own, surplus[from:from+more]...)
+		}
+		from += more
+	}
+	return grant(own)
 }
 
-func round(v float64, most int) int {
-	return min(int(v+0.5), most)
+// apportion splits n into whole parts by weight, the largest remainders first.
+func apportion(n int, l []Entry, weight func(Entry) float64) []int {
+	parts := make([]int, len(l))
+	order := make([]int, len(l))
+	remainders := make([]float64, len(l))
+	left := n
+	for i, e := range l {
+		whole, fraction := math.Modf(weight(e) * float64(n))
+		parts[i] = int(whole)
+		remainders[i] = fraction
+		order[i] = i
+		left -= parts[i]
+	}
+	sort.SliceStable(order, func(i, j int) bool { return remainders[order[i]] > remainders[order[j]] })
+	for i := range left {
+		parts[order[i%len(order)]]++
+	}
+	return parts
 }
 
 func grant(slots []string) Grant {
