--- a/bench/experiment/skew.go
+++ b/bench/experiment/skew.go
@@ -17,11 +17,11 @@
 )
 
 func init() {
-	register("skew", "entries that see equal and unequal load; baselines fixed and none", skew)
+	register("skew", "entries that see equal and unequal load; baselines demand, fixed and none", skew)
 }
 
 func skew(ctx context.Context, e Environment, r *Report) error {
-	policies := []string{"demand"}
+	policies := []string{"lending"}
 	if e.Baseline != "" {
 		policies = append(policies, e.Baseline)
 	}
--- a/entry/caller/send.go
+++ b/entry/caller/send.go
@@ -19,7 +19,7 @@
 
 const (
 	mostAttempts = 4
-	mostRefusals = 16
+	mostRefusals = 64
 )
 
 // failure is an attempt without a whole answer.
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -77,6 +77,7 @@
 		changed:    func() {},
 		pools:      map[string]*table{},
 		leaving:    map[string]bool{},
+		peers:      []Peer{{Name: self}},
 	}
 	for _, o := range opts {
 		o(d)
@@ -176,7 +177,7 @@
 				l = append(l, v)
 			}
 		}
-		t.grant = d.shares.Divide(d.self, d.entries(n), l)
+		t.division = d.shares.Divide(d.self, d.entries(n), l)
 		t.regrant(now)
 		t.lock.Unlock()
 	}
@@ -205,21 +206,20 @@
 	return m
 }
 
+// Changes of the demand that are published: a tenth and a slot up, a quarter and two slots down.
 const (
-	dampedPart  = 4
-	dampedSlots = 2
+	risePart  = 10
+	riseSlots = 1
+	fallPart  = 4
+	fallSlots = 2
 )
 
-// damped keeps the old demand while the new one is within a quarter and two slots of it.
+// damped keeps the old demand while the new one is near it.
 func damped(old, n int) int {
-	d := n - old
-	if d < 0 {
-		d = -d
+	if n > old+old/risePart+riseSlots || n < old-old/fallPart-fallSlots || n == 0 {
+		return n
 	}
-	if d <= old/dampedPart+dampedSlots && (n > 0 || old == 0) {
-		return old
-	}
-	return n
+	return old
 }
 
 // SaidLeaving lists the VMs that told this entry that they are leaving, sorted.
@@ -244,6 +244,8 @@
 	defer compare.Stop()
 	probe := time.NewTicker(probePeriod)
 	defer probe.Stop()
+	borrow := time.NewTicker(borrowPeriod)
+	defer borrow.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -252,6 +254,8 @@
 			d.compare()
 		case <-probe.C:
 			d.probe(ctx)
+		case now := <-borrow.C:
+			d.borrow(now)
 		}
 	}
 }
@@ -259,8 +263,20 @@
 const (
 	comparePeriod = 500 * time.Millisecond
 	probePeriod   = 100 * time.Millisecond
+	borrowPeriod  = 10 * time.Millisecond
 )
 
+// borrow has requests that have waited long enough try others' slots.
+func (d *Dispatcher) borrow(now time.Time) {
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		if t.division.Lend {
+			t.admission.Next(now)
+		}
+		t.lock.Unlock()
+	}
+}
+
 func (d *Dispatcher) compare() {
 	for _, t := range d.tables() {
 		t.lock.Lock()
@@ -309,6 +325,7 @@
 	Name    string            `json:"name"`
 	Load    admission.Load    `json:"load"`
 	Granted int               `json:"granted"`
+	Lend    bool              `json:"lend"`
 	Out     map[string]string `json:"out"`
 	VMs     []string          `json:"vms"`
 }
@@ -318,7 +335,7 @@
 	l := []PoolView{}
 	for _, t := range d.tables() {
 		t.lock.Lock()
-		v := PoolView{Name: t.name, Load: t.admission.Load(), Granted: t.grant.Slots(), Out: map[string]string{}}
+		v := PoolView{Name: t.name, Load: t.admission.Load(), Granted: t.division.Own.Slots(), Lend: t.division.Lend, Out: map[string]string{}}
 		v.VMs = slices.Sorted(maps.Keys(t.vms))
 		for n, s := range t.health.Out() {
 			v.Out[n] = s.String()
--- a/entry/dispatch/pool.go
+++ b/entry/dispatch/pool.go
@@ -30,7 +30,7 @@
 	retries   *retry.Budget
 	leaving   map[string]bool
 	probePath string
-	grant     share.Grant
+	division  share.Division
 	demand    int
 }
 
@@ -42,13 +42,12 @@
 		health:    health.New(1),
 		retries:   retry.New(),
 		leaving:   map[string]bool{},
-		grant:     share.Grant{},
 	}
 }
 
 // regrant recomputes which slots can be used; the lock is held.
 func (t *table) regrant(now time.Time) {
-	t.admission.SetGrant(t.grant, func(n string) bool { return !t.leaving[n] && t.health.Usable(n) })
+	t.admission.SetDivision(t.division, t.vms, func(n string) bool { return !t.leaving[n] && t.health.Usable(n) })
 	t.admission.Next(now)
 }
 
--- a/entry/dispatch/slot.go
+++ b/entry/dispatch/slot.go
@@ -66,7 +66,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.admission.Done(now, s.ticket, false)
-	d := t.admission.Refused(n)
+	d := t.admission.Refused(now, s.ticket)
 	t.admission.Next(now)
 	time.AfterFunc(d, func() {
 		t.lock.Lock()
--- a/fleet/admission/pool.go
+++ b/fleet/admission/pool.go
@@ -10,12 +10,17 @@
 	"github.com/tarragonbank/tarragonbank/fleet/service"
 	"github.com/tarragonbank/tarragonbank/fleet/share"
 	"github.com/tarragonbank/tarragonbank/fleet/team"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
 )
 
 const (
 	shortestRetry = 50 * time.Millisecond
 	longestRetry  = 10 * time.Second
 	openQuota     = 0.05
+	// patienceParts is how many times a request waits in its service time before it tries others' slots.
+	patienceParts = 8
+	// floodRounds is how many times over the entry's own slots a queue may fill before it is a flood.
+	floodRounds = 3
 )
 
 // Pool holds the requests that wait for, or run on, the VMs of one pool.
@@ -28,8 +33,13 @@
 	scratch  []*vmState
 	services map[string]*serviceState
 	teams    map[string]team.Team
+	returned []*Ticket
+	lend     bool
 	free     int
 	usable   int
+	// patience is the pause between tries of others' slots, doubled with each refusal in a row.
+	patience    time.Duration
+	borrowAfter time.Time
 }
 
 // Option changes a Pool at its making.
@@ -84,17 +94,19 @@
 	}
 }
 
-// SetGrant replaces the slots that the entry may use; requests that run keep theirs.
-func (p *Pool) SetGrant(g share.Grant, usable func(vm string) bool) {
-	for n := range g {
+// SetDivision replaces the slots that the entry may use; requests that run keep theirs.
+func (p *Pool) SetDivision(d share.Division, vms map[string]vm.VM, usable func(vm string) bool) {
+	p.lend = d.Lend
+	for n := range vms {
 		if p.vms[n] == nil {
 			p.vms[n] = &vmState{name: n}
 		}
 	}
 	for n, v := range p.vms {
-		v.granted = g[n]
+		v.slots = vms[n].Slots
+		v.granted = d.Own[n]
 		v.usable = usable(n)
-		if v.granted == 0 && v.busy == 0 {
+		if v.slots == 0 && v.busy == 0 {
 			delete(p.vms, n)
 		}
 	}
@@ -138,24 +150,78 @@
 }
 
 // Next gives free slots to waiting requests and gives up those that cannot be in time.
+// Requests that have waited for a part of their service time may try others' slots.
 func (p *Pool) Next(now time.Time) {
 	for p.free > 0 {
+		t := p.next(now)
+		if t == nil {
+			return
+		}
+		p.start(now, t, p.pick(t.avoid))
+	}
+	for p.mayBorrow(now) {
+		v := p.borrow("")
+		if v == nil {
+			return
+		}
+		t := p.next(now)
+		if t == nil {
+			return
+		}
+		t.borrowed = true
+		p.start(now, t, v)
+	}
+}
+
+// next takes the next request that can still be in time, those that were given back first.
+func (p *Pool) next(now time.Time) *Ticket {
+	if len(p.returned) > 0 {
+		t := p.returned[0]
+		p.returned = p.returned[1:]
+		return t
+	}
+	for {
 		s := p.nextService()
 		if s == nil {
-			return
+			return nil
 		}
 		t := s.pop()
-		if t.Request.Deadline.Sub(now) < s.times.High() {
-			p.refuse(t, DeadlinePassed)
-			continue
+		if t.Request.Deadline.Sub(now) >= s.times.High() {
+			return t
+		}
+		p.refuse(t, DeadlinePassed)
+	}
+}
+
+// mayBorrow says whether some request has waited long enough to try others' slots,
+// and the queue is not so long that it must be a flood, which others see too.
+func (p *Pool) mayBorrow(now time.Time) bool {
+	if !p.lend || now.Before(p.borrowAfter) || p.waiting() > floodRounds*p.usable {
+		return false
+	}
+	if len(p.returned) > 0 {
+		return true
+	}
+	for _, s := range p.services {
+		if s.waiting > 0 && now.Sub(s.longest()) >= s.times.Mean()/patienceParts {
+			return true
 		}
-		p.start(now, t, p.pick(p.random, t.avoid))
 	}
+	return false
+}
+
+func (p *Pool) waiting() int {
+	n := 0
+	for _, s := range p.services {
+		n += s.waiting
+	}
+	return n
 }
 
 func (p *Pool) start(now time.Time, t *Ticket, v *vmState) {
+	before := v.free()
 	v.busy++
-	p.free--
+	p.free += v.free() - before
 	t.service.busy++
 	t.team.busy++
 	t.started = now
@@ -191,6 +257,11 @@
 	if t.VM != "" || t.Refused != None {
 		return false
 	}
+	if i := slices.Index(p.returned, t); i >= 0 {
+		p.returned = slices.Delete(p.returned, i, i+1)
+		t.service.tidy(t)
+		return true
+	}
 	return t.service.remove(t)
 }
 
@@ -211,20 +282,21 @@
 		t.service.times.Observe(now, d)
 		v.observe(d)
 		v.pause = 0
+		if t.borrowed {
+			p.patience = 0
+		}
 	}
-	if v.granted == 0 && v.busy == 0 {
+	if v.slots == 0 && v.busy == 0 {
 		delete(p.vms, v.name)
 		p.recount()
 	}
 }
 
-// Again queues a request once more, at the head, away from the VM it was on.
+// Again has a request that was given a slot in vain wait before all others, for a VM other than the one it was on.
 func (p *Pool) Again(now time.Time, t *Ticket) *Ticket {
 	n := &Ticket{Request: t.Request, Ready: make(chan struct{}), admitted: now, service: t.service, avoid: t.VM}
-	t.service.push(n, p.quota(t.Request.Team))
-	q := n.team.queue
-	copy(q[1:], q[:len(q)-1])
-	q[0] = n
+	n.team = t.service.team(t.Request, p.quota(t.Request.Team))
+	p.returned = append(p.returned, n)
 	return n
 }
 
@@ -256,7 +328,7 @@
 
 // Load counts slots and requests.
 func (p *Pool) Load() Load {
-	l := Load{Free: p.free, Usable: p.usable}
+	l := Load{Free: p.free, Usable: p.usable, Waiting: len(p.returned)}
 	for _, s := range p.services {
 		l.Busy += s.busy
 		l.Waiting += s.waiting
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonbank/tarragonbank/fleet/estimate"
 	"github.com/tarragonbank/tarragonbank/fleet/priority"
+	"github.com/tarragonbank/tarragonbank/fleet/request"
 	"github.com/tarragonbank/tarragonbank/fleet/service"
 )
 
@@ -47,17 +48,22 @@
 }
 
 func (s *serviceState) push(t *Ticket, weight float64) {
-	c := &s.classes[t.Request.Priority]
-	m := c.teams[t.Request.Team]
+	t.team = s.team(t.Request, weight)
+	t.team.queue = append(t.team.queue, t)
+	s.classes[t.Request.Priority].waiting++
+	s.waiting++
+}
+
+// team is the state of the request's team in its class.
+func (s *serviceState) team(r request.Request, weight float64) *teamState {
+	c := &s.classes[r.Priority]
+	m := c.teams[r.Team]
 	if m == nil {
-		m = &teamState{name: t.Request.Team}
-		c.teams[t.Request.Team] = m
+		m = &teamState{name: r.Team}
+		c.teams[r.Team] = m
 	}
 	m.weight = weight
-	m.queue = append(m.queue, t)
-	t.team = m
-	c.waiting++
-	s.waiting++
+	return m
 }
 
 func (s *serviceState) remove(t *Ticket) bool {
@@ -104,6 +110,19 @@
 	return t
 }
 
+// longest is when the request that has waited longest was admitted.
+func (s *serviceState) longest() time.Time {
+	var f time.Time
+	for i := range s.classes {
+		for _, m := range s.classes[i].teams {
+			if len(m.queue) > 0 && (f.IsZero() || m.queue[0].admitted.Before(f)) {
+				f = m.queue[0].admitted
+			}
+		}
+	}
+	return f
+}
+
 func (m *teamState) before(o *teamState) bool {
 	a := float64(m.busy+1) / m.weight
 	b := float64(o.busy+1) / o.weight
--- a/fleet/admission/slot.go
+++ b/fleet/admission/slot.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math/rand/v2"
 	"sort"
 	"time"
 )
@@ -12,6 +11,7 @@
 // vmState is the slots of one VM that the entry may use.
 type vmState struct {
 	name    string
+	slots   int
 	granted int
 	busy    int
 	usable  bool
@@ -26,11 +26,21 @@
 	longestCooling = time.Second
 )
 
+// free is how many of the entry's own slots are free.
 func (v *vmState) free() int {
+	return v.room(v.granted)
+}
+
+// lent is how many slots are free as far as the entry knows, another's included.
+func (v *vmState) lent() int {
+	return v.room(v.slots)
+}
+
+func (v *vmState) room(n int) int {
 	if !v.usable || v.cooling {
 		return 0
 	}
-	return max(v.granted-v.busy, 0)
+	return max(n-v.busy, 0)
 }
 
 // score is lower for a VM that answers sooner.
@@ -46,27 +56,40 @@
 	v.latency += time.Duration(latencyWeight * float64(d-v.latency))
 }
 
-// pick takes the better of two random VMs with free slots.
-func (p *Pool) pick(r *rand.Rand, avoid string) *vmState {
-	l := p.candidates(avoid)
+// pick takes the better of two random VMs with free slots of the entry's own.
+func (p *Pool) pick(avoid string) *vmState {
+	return p.choose(avoid, (*vmState).free)
+}
+
+// borrow takes the better of two random VMs with slots that are another's and likely to be free.
+func (p *Pool) borrow(avoid string) *vmState {
+	return p.choose(avoid, (*vmState).lent)
+}
+
+func (p *Pool) choose(avoid string, room func(*vmState) int) *vmState {
+	l := p.candidates(avoid, room)
 	if len(l) == 0 {
-		l = p.candidates("")
+		l = p.candidates("", room)
 	}
 	if len(l) == 0 {
 		return nil
 	}
-	a := l[r.IntN(len(l))]
-	b := l[r.IntN(len(l))]
+	return p.better(l)
+}
+
+func (p *Pool) better(l []*vmState) *vmState {
+	a := l[p.random.IntN(len(l))]
+	b := l[p.random.IntN(len(l))]
 	if b.score() < a.score() {
 		return b
 	}
 	return a
 }
 
-func (p *Pool) candidates(avoid string) []*vmState {
+func (p *Pool) candidates(avoid string, room func(*vmState) int) []*vmState {
 	p.scratch = p.scratch[:0]
 	for _, v := range p.order {
-		if v.free() > 0 && v.name != avoid {
+		if room(v) > 0 && v.name != avoid {
 			p.scratch = append(p.scratch, v)
 		}
 	}
@@ -87,10 +110,14 @@
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].name < p.order[j].name })
 }
 
-// Refused notes that a VM had no free slot, and returns how long it is to be left alone;
+// Refused notes that a VM had no room for a request, and returns how long it is to be left alone;
 // the caller then calls Cooled.
-func (p *Pool) Refused(vm string) time.Duration {
-	v := p.vms[vm]
+func (p *Pool) Refused(now time.Time, t *Ticket) time.Duration {
+	if t.borrowed {
+		p.patience = min(max(2*p.patience, firstCooling), longestCooling)
+		p.borrowAfter = now.Add(p.patience)
+	}
+	v := p.vms[t.VM]
 	if v == nil {
 		return 0
 	}
--- a/fleet/admission/ticket.go
+++ b/fleet/admission/ticket.go
@@ -18,6 +18,7 @@
 	admitted time.Time
 	started  time.Time
 	avoid    string
+	borrowed bool
 	service  *serviceState
 	team     *teamState
 }
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -23,7 +23,7 @@
 	DefaultStallLimit       = time.Second
 	DefaultBodyLimit        = 1 << 20
 	DefaultAnswerLimit      = 8 << 20
-	DefaultSharePolicy      = "demand"
+	DefaultSharePolicy      = "lending"
 	DefaultAdmissionPolicy  = "deadline"
 	DefaultLogLevel         = "info"
 	limitCeiling            = 1 << 30
--- a/fleet/share/divide.go
+++ b/fleet/share/divide.go
@@ -10,20 +10,26 @@
 // floorShare is the part of a pool divided evenly whatever the demand.
 const floorShare = 0.25
 
-// byDemand divides a quarter evenly and the rest in proportion to demand.
+// byDemand gives each entry what it asks for and a part of the rest by the square root of that;
+// where the entries ask for more than there is, a quarter is divided evenly and the rest in proportion.
 func byDemand(self string, l []Entry, vms []vm.VM) Grant {
-	total := 0
+	asked, there := float64(demand(l)), float64(slots(vms))
+	roots := 0.0
 	for _, e := range l {
-		total += e.Demand
+		roots += root(e)
 	}
 	return divide(self, l, vms, func(e Entry) float64 {
-		if total == 0 {
-			return 1 / float64(len(l))
+		if asked <= there {
+			return (float64(e.Demand) + (there-asked)*root(e)/roots) / there
 		}
-		return floorShare/float64(len(l)) + (1-floorShare)*float64(e.Demand)/float64(total)
+		return floorShare/float64(len(l)) + (1-floorShare)*float64(e.Demand)/asked
 	})
 }
 
+func root(e Entry) float64 {
+	return math.Sqrt(float64(max(e.Demand, 1)))
+}
+
 // fixed divides evenly.
 func fixed(self string, l []Entry, vms []vm.VM) Grant {
 	return divide(self, l, vms, func(Entry) float64 { return 1 / float64(len(l)) })
@@ -42,34 +48,34 @@
 // Entries entitled to less give up the end of their range to those entitled to more, so that
 // a change of demand moves few slots.
 func divide(self string, l []Entry, vms []vm.VM, weight func(Entry) float64) Grant {
-	if len(l) == 0 {
+	if len(l) == 0 || len(vms) == 0 {
 		return Grant{}
 	}
 	entries := append([]Entry(nil), l...)
 	sort.Slice(entries, func(i, j int) bool { return entryBefore(entries[i], entries[j]) })
-	slots := slotOrder(vms)
-	base := apportion(len(slots), entries, func(Entry) float64 { return 1 / float64(len(entries)) })
-	target := apportion(len(slots), entries, weight)
+	order := slotOrder(vms)
+	base := apportion(len(order), entries, func(Entry) float64 { return 1 / float64(len(entries)) })
+	target := apportion(len(order), entries, weight)
 	surplus := []string{}
 	from := 0
-	own := []string{}
+	mine := []string{}
 	for i, e := range entries {
 		kept := min(base[i], target[i])
 		if e.Name == self {
-			own = append(own, slots[from:from+kept]...)
+			mine = append(mine, order[from:from+kept]...)
 		}
-		surplus = append(surplus, slots[from+kept:from+base[i]]...)
+		surplus = append(surplus, order[from+kept:from+base[i]]...)
 		from += base[i]
 	}
 	from = 0
 	for i, e := range entries {
 		more := max(target[i]-base[i], 0)
 		if e.Name == self {
-			own = append(own, surplus[from:from+more]...)
+			mine = append(mine, surplus[from:from+more]...)
 		}
 		from += more
 	}
-	return grant(own)
+	return grant(mine)
 }
 
 // apportion splits n into whole parts by weight, the largest remainders first.
--- a/fleet/share/policy.go
+++ b/fleet/share/policy.go
@@ -29,19 +29,62 @@
 	return n
 }
 
+// Division is one entry's part of a pool.
+type Division struct {
+	// Own are the slots that are the entry's.
+	Own Grant
+	// Lend says that the entry may also try slots that are another's, which are likely to be free.
+	Lend bool
+}
+
 // Policy divides the slots of VMs among entries.
 type Policy interface {
-	Divide(self string, l []Entry, vms []vm.VM) Grant
+	Divide(self string, l []Entry, vms []vm.VM) Division
 }
 
 // PolicyFunc is a Policy made of a function.
-type PolicyFunc func(self string, l []Entry, vms []vm.VM) Grant
+type PolicyFunc func(self string, l []Entry, vms []vm.VM) Division
 
 // Divide calls the function.
-func (f PolicyFunc) Divide(self string, l []Entry, vms []vm.VM) Grant {
+func (f PolicyFunc) Divide(self string, l []Entry, vms []vm.VM) Division {
 	return f(self, l, vms)
 }
 
+// own makes a policy of a function that gives an entry its own slots and lends none.
+func own(f func(self string, l []Entry, vms []vm.VM) Grant) Policy {
+	return PolicyFunc(func(self string, l []Entry, vms []vm.VM) Division {
+		return Division{Own: f(self, l, vms)}
+	})
+}
+
+// lendUpTo is the demand, in parts of the slots, up to which slots are lent; published demand errs upwards.
+const lendUpTo = 1.2
+
+// lending wraps a policy and lends slots while the entries together do not ask for more than there are.
+func lending(p Policy) Policy {
+	return PolicyFunc(func(self string, l []Entry, vms []vm.VM) Division {
+		d := p.Divide(self, l, vms)
+		d.Lend = float64(demand(l)) < lendUpTo*float64(slots(vms))
+		return d
+	})
+}
+
+func demand(l []Entry) int {
+	n := 0
+	for _, e := range l {
+		n += e.Demand
+	}
+	return n
+}
+
+func slots(l []vm.VM) int {
+	n := 0
+	for _, v := range l {
+		n += v.Slots
+	}
+	return n
+}
+
 // UnknownPolicyError reports a policy name that is not registered.
 type UnknownPolicyError struct {
 	Name     string
@@ -54,9 +97,10 @@
 }
 
 var policies = map[string]Policy{
-	"demand": PolicyFunc(byDemand),
-	"fixed":  PolicyFunc(fixed),
-	"none":   PolicyFunc(none),
+	"demand":  own(byDemand),
+	"fixed":   own(fixed),
+	"lending": lending(own(byDemand)),
+	"none":    own(none),
 }
 
 // Get finds a policy by name; it fails with an UnknownPolicyError.
