Divide only the VMs that can be reached; experiments of spreading; tests

A VM that takes connections and closes them without a byte counts as unreachable, and what cannot be reached is left out of the division.

--- a/bench/cmd/tarragonbench/main.go
+++ b/bench/cmd/tarragonbench/main.go
@@ -40,6 +40,7 @@
 	x.String(&e.Baseline, "b", "baseline", "compare with a named baseline")
 	x.String(&e.Deploy, "d", "deploy", "the folder of the inventory and rules")
 	x.Float64(&e.Length, "x", "length", "scales the duration")
+	x.Bool(&e.Untimed, "u", "untimed", "leave out the targets of time and amount")
 	flaggy.AttachSubcommand(x, 1)
 	flaggy.Parse()
 	switch {
--- /dev/null
+++ b/bench/experiment/race.go
@@ -0,0 +1,140 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/bench/platform"
+	"github.com/tarragonbank/tarragonbank/bench/site"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const (
+	raceLength    = 15 * time.Second
+	raceOperators = 3
+	raceLost      = 0.15
+	raceTries     = 6
+)
+
+func init() {
+	register("race", "operators change the configuration at once, on stale bases, while answers are lost", race)
+}
+
+// ledger is what operators were told of their changes.
+type ledger struct {
+	lock     sync.Mutex
+	accepted map[string]uint64
+	refused  int
+	open     int
+}
+
+func race(ctx context.Context, e Environment, r *Report) error {
+	s, err := site.New(ctx, horncraft(e))
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	w := watchRevisions(ctx, s)
+	s.Platform.SetFaults(platform.Faults{LostAnswers: raceLost})
+	l := &ledger{accepted: map[string]uint64{}}
+	until := time.Now().Add(e.scaled(raceLength))
+	inventory, rules, err := s.Texts()
+	if err != nil {
+		return err
+	}
+	var operators sync.WaitGroup
+	for n := range raceOperators {
+		operators.Add(1)
+		go func() {
+			defer operators.Done()
+			for i := 0; time.Now().Before(until) && ctx.Err() == nil; i++ {
+				l.change(ctx, s, n, i, inventory, rules)
+			}
+		}()
+	}
+	operators.Wait()
+	s.Platform.SetFaults(platform.Faults{})
+	h := chain(s)
+	if err := everywhere(ctx, s, h[0].Revision); err != nil {
+		r.violate("an accepted change did not get everywhere: %s", err)
+	}
+	w.report(r)
+	l.check(r, h)
+	return nil
+}
+
+// change asks for one change, again with the same mark while it is not known whether it was accepted.
+func (l *ledger) change(ctx context.Context, s *site.Site, operator, i int, inventory, rules string) {
+	y := s.Entries[(operator*2+i)%len(s.Entries)]
+	v, err := y.Status(ctx)
+	if err != nil {
+		return
+	}
+	mark := fmt.Sprintf("operator-%d-%d", operator, i)
+	text := fmt.Sprintf("%s\n[[teams]]\nname = \"team-%d-%d\"\nquota = 0.0\n", rules, operator, i)
+	for range raceTries {
+		n, err := s.Send(ctx, y, inventory, text, []site.Option{site.WithBase(v.Revision), site.WithMark(mark)})
+		if l.settled(mark, n, err) {
+			return
+		}
+	}
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.open++
+}
+
+func (l *ledger) settled(mark string, n uint64, err error) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	var f *site.RefusedError
+	switch {
+	case err == nil:
+		l.accepted[mark] = n
+		return true
+	case errors.As(err, &f) && f.Kind == "base":
+		l.refused++
+		return true
+	default:
+		return false
+	}
+}
+
+// chain reads all heads from the store, the newest first.
+func chain(s *site.Site) []*schema.Head {
+	l := []*schema.Head{}
+	b, ok := s.Platform.Value(config.HeadKey)
+	for ok {
+		h := &schema.Head{}
+		if proto.Unmarshal(b, h) != nil {
+			break
+		}
+		l = append(l, h)
+		b, ok = s.Platform.Value(config.SectionKey(config.AsDigest(h.Previous)))
+	}
+	return l
+}
+
+// check compares what operators were told with the chain of heads.
+func (l *ledger) check(r *Report, h []*schema.Head) {
+	r.figure("accepted", len(l.accepted))
+	r.figure("refusedAsStale", l.refused)
+	r.figure("unsettled", l.open)
+	r.figure("lastRevision", h[0].Revision)
+	marks := map[string]uint64{}
+	for _, x := range h {
+		_, twice := marks[x.Mark]
+		r.expect(!twice, "change %s took effect twice", x.Mark)
+		marks[x.Mark] = x.Revision
+	}
+	for m, n := range l.accepted {
+		r.expect(marks[m] == n, "change %s was accepted as revision %d and is kept as %d", m, n, marks[m])
+	}
+	r.expect(uint64(len(h)) == h[0].Revision, "%d heads lead to revision %d", len(h), h[0].Revision)
+	r.expect(len(h)-1 <= len(l.accepted)+l.open, "%d changes took effect, %d were accepted and %d are open", len(h)-1, len(l.accepted), l.open)
+}
--- a/bench/experiment/registry.go
+++ b/bench/experiment/registry.go
@@ -18,6 +18,8 @@
 	Baseline string
 	// Length scales the experiment's duration, 1 for the standard run.
 	Length float64
+	// Untimed leaves out the targets of time and amount and keeps what must always hold.
+	Untimed bool
 }
 
 // scaled is a duration of the standard run at the environment's length.
--- /dev/null
+++ b/bench/experiment/scale.go
@@ -0,0 +1,104 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/bench/site"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const (
+	scaleQuiet   = 8 * time.Second
+	scaleChanges = 10
+	dataCentres  = 6
+	letterVMs    = 1300
+	letterPools  = 210
+)
+
+func init() {
+	register("scale", "as many entries and VMs as the machine carries, for the slopes", scale)
+}
+
+// size is one point of the measurement.
+type size struct {
+	entries int
+	vms     int
+	pools   int
+}
+
+func scale(ctx context.Context, e Environment, r *Report) error {
+	l := []size{{7, 50, 5}, {14, 50, 5}, {28, 50, 5}, {42, 50, 5}, {7, 650, 105}, {7, letterVMs, letterPools}, {42, letterVMs, letterPools}}
+	for _, x := range l {
+		if err := scaleOnce(ctx, e, r, x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func scaleOnce(ctx context.Context, e Environment, r *Report, z size) error {
+	p := horncraft(e)
+	p.Out = fmt.Sprintf("%s-%d-%d", e.Out, z.entries, z.vms)
+	p.Entries = z.entries
+	p.Source = synthetic(z)
+	s, err := site.New(ctx, p)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	pause(ctx, 3*time.Second)
+	name := fmt.Sprintf("entries%dVms%d", z.entries, z.vms)
+	u, err := quietCost(ctx, s, e.scaled(scaleQuiet))
+	if err != nil {
+		return err
+	}
+	u.report(r, name)
+	before, err := spent(ctx, s)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	times, err := changes(ctx, s, scaleChanges)
+	if err != nil {
+		return err
+	}
+	after, err := spent(ctx, s)
+	if err != nil {
+		return err
+	}
+	n := float64(z.entries)
+	quiet := u.bytes * time.Since(started).Seconds()
+	r.figure(name+"BytesPerChange", round(((after.bytes-before.bytes)/n-quiet)/scaleChanges))
+	r.ms(name+"InForceWorstMs", worst(times))
+	return nil
+}
+
+func worst(l []time.Duration) time.Duration {
+	w := l[0]
+	for _, d := range l {
+		w = max(w, d)
+	}
+	return w
+}
+
+// synthetic makes an inventory of the size over the letter's data centres, 4 VMs to a rack.
+func synthetic(z size) *config.Source {
+	s := &config.Source{Inventory: &schema.Inventory{}, Rules: &schema.Rules{}}
+	for i := range z.pools {
+		n := fmt.Sprintf("pool-%03d", i)
+		s.Rules.Pools = append(s.Rules.Pools, &schema.Pool{Name: n, MaxDown: 1})
+		s.Rules.Services = append(s.Rules.Services, &schema.Service{Name: n, Prefix: "/" + n + "/", Pool: n})
+	}
+	for i := range z.vms {
+		d := i / 4 % dataCentres
+		s.Inventory.Vms = append(s.Inventory.Vms, &schema.Vm{
+			Name: fmt.Sprintf("vm-%04d", i), DataCentre: fmt.Sprintf("dc-%d", d), Rack: fmt.Sprintf("dc-%d-r%d", d, i/4/dataCentres),
+			Address: fmt.Sprintf("127.250.%d.%d:80", i/200, 1+i%200), Pool: fmt.Sprintf("pool-%03d", i%z.pools),
+			Processors: 64, MemoryGb: 128, Accelerators: 2, Slots: 8, Connections: 64,
+		})
+	}
+	return s
+}
--- a/bench/site/entry.go
+++ b/bench/site/entry.go
@@ -40,6 +40,12 @@
 	done    chan struct{}
 	code    int
 	broken  atomic.Bool
+	run     atomic.Int64
+}
+
+// Run counts the processes that the entry has had.
+func (e *Entry) Run() int64 {
+	return e.run.Load()
 }
 
 // Broken says whether a process of the entry ever ended by itself on a broken invariant or a panic.
@@ -66,6 +72,7 @@
 		return trace.Wrap(err, "starting %s", e.Name)
 	}
 	e.command = c
+	e.run.Add(1)
 	e.done = make(chan struct{})
 	go func(done chan struct{}) {
 		_ = c.Wait()
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -36,6 +36,8 @@
 	Proxies bool
 	// PeerProxies puts a proxy before the peers' side of each entry.
 	PeerProxies bool
+	// Source replaces the inventory and rules in Deploy, without backend servers.
+	Source *config.Source
 	// Settings are more lines for the settings of every entry.
 	Settings string
 }
@@ -163,6 +165,10 @@
 
 // startServers starts a backend server for each VM of the inventory.
 func (s *Site) startServers() error {
+	if s.Plan.Source != nil {
+		s.Source = *s.Plan.Source
+		return nil
+	}
 	if err := s.readSource(); err != nil {
 		return err
 	}
--- a/entry/backend/client.go
+++ b/entry/backend/client.go
@@ -129,6 +129,7 @@
 	if err != nil {
 		return nil, failure(ctx, q, x, err)
 	}
+	x.heard = true
 	_ = x.SetReadDeadline(time.Time{})
 	b, err := io.ReadAll(io.LimitReader(p.Body, c.answerLimit+1))
 	if err != nil {
@@ -223,6 +224,6 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &StallError{VM: q.VM.Name, Fresh: x.fresh}
 	default:
-		return &BrokenError{VM: q.VM.Name, Detail: err.Error()}
+		return &BrokenError{VM: q.VM.Name, Detail: err.Error(), Mute: x.fresh && !x.heard}
 	}
 }
--- a/entry/backend/connection.go
+++ b/entry/backend/connection.go
@@ -15,7 +15,9 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	used   time.Time
-	fresh  bool
+	// fresh says that no request has been answered on the connection, heard that an answer has begun.
+	fresh bool
+	heard bool
 }
 
 func newConnection(c net.Conn, now time.Time) *connection {
--- a/entry/backend/error.go
+++ b/entry/backend/error.go
@@ -39,6 +39,8 @@
 type BrokenError struct {
 	VM     string
 	Detail string
+	// Mute says that the connection was new and ended without a byte of an answer.
+	Mute bool
 }
 
 // Error describes the failure in one line.
--- a/entry/caller/send.go
+++ b/entry/caller/send.go
@@ -155,6 +155,7 @@
 	var dial *backend.DialError
 	var stall *backend.StallError
 	var cancelled *backend.CancelledError
+	var broken *backend.BrokenError
 	switch {
 	case r.refused():
 		return health.Refused, true
@@ -162,7 +163,7 @@
 		return health.Answered, true
 	case r.err == nil:
 		return health.Failed, true
-	case errors.As(r.err, &dial):
+	case errors.As(r.err, &dial), errors.As(r.err, &broken) && broken.Mute:
 		return health.DialFailed, true
 	case errors.As(r.err, &stall):
 		return health.FreshStalled, stall.Fresh
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -108,7 +108,7 @@
 	for n, p := range s.Pools {
 		t := d.pools[n]
 		if t == nil {
-			t = newTable(n, d.admission)
+			t = newTable(n, d.self, d.shares, d.admission)
 			d.pools[n] = t
 		}
 		t.setRules(p, services(s, n), s)
@@ -171,14 +171,8 @@
 	for n, t := range d.pools {
 		t.lock.Lock()
 		t.leaving = d.leaving
-		l := []vm.VM{}
-		for _, v := range t.rules.VMs {
-			if !d.leaving[v.Name] {
-				l = append(l, v)
-			}
-		}
-		t.division = d.shares.Divide(d.self, d.entries(n), l)
-		t.regrant(now)
+		t.entries = d.entries(n)
+		t.divide(now)
 		t.lock.Unlock()
 	}
 }
@@ -311,7 +305,7 @@
 	c, changed := t.health.Probed(now, n, ok)
 	if changed {
 		t.admission.Forget(n)
-		t.regrant(now)
+		t.divide(now)
 	}
 	t.lock.Unlock()
 	if changed {
--- a/entry/dispatch/pool.go
+++ b/entry/dispatch/pool.go
@@ -30,13 +30,18 @@
 	retries   *retry.Budget
 	leaving   map[string]bool
 	probePath string
+	self      string
+	shares    share.Policy
+	entries   []share.Entry
 	division  share.Division
 	demand    int
 }
 
-func newTable(name string, p admission.Policy) *table {
+func newTable(name, self string, s share.Policy, p admission.Policy) *table {
 	return &table{
 		name:      name,
+		self:      self,
+		shares:    s,
 		vms:       map[string]vm.VM{},
 		admission: admission.New(name, admission.WithPolicy(p)),
 		health:    health.New(1),
@@ -45,6 +50,19 @@
 	}
 }
 
+// divide works out the entry's part of the VMs that can be reached; the lock is held.
+// What one entry cannot reach, others of its data centre mostly cannot either.
+func (t *table) divide(now time.Time) {
+	l := []vm.VM{}
+	for _, v := range t.rules.VMs {
+		if !t.leaving[v.Name] && t.health.State(v.Name) != health.Unreachable {
+			l = append(l, v)
+		}
+	}
+	t.division = t.shares.Divide(t.self, t.entries, l)
+	t.regrant(now)
+}
+
 // regrant recomputes which slots can be used; the lock is held.
 func (t *table) regrant(now time.Time) {
 	t.admission.SetDivision(t.division, t.vms, func(n string) bool { return !t.leaving[n] && t.health.Usable(n) })
@@ -57,7 +75,7 @@
 		return decision.Record{}, false
 	}
 	if !c.Withheld {
-		t.regrant(now)
+		t.divide(now)
 	}
 	return t.describe(now, c), true
 }
--- /dev/null
+++ b/entry/operator/change_test.go
@@ -0,0 +1,196 @@
+package operator_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/gravitational/trace"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/entry/operator"
+	"github.com/tarragonbank/tarragonbank/entry/view"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestOperator(t *testing.T) {
+	suite.Run(t, "operator")
+}
+
+// memory is a small store whose head writes can go wrong.
+type memory struct {
+	lock     sync.Mutex
+	items    map[string]store.Item
+	revision store.Revision
+	// lose has the next head write take effect without an answer.
+	lose bool
+	// delay keeps the next head write, unanswered, until late is called.
+	delay bool
+	late  func()
+}
+
+func newMemory() *memory {
+	return &memory{items: map[string]store.Item{}}
+}
+
+func (m *memory) Get(_ context.Context, k string) (store.Item, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	i, ok := m.items[k]
+	if !ok {
+		return i, trace.Wrap(&store.AbsentError{Key: k})
+	}
+	return i, nil
+}
+
+func (m *memory) Swap(_ context.Context, k string, expect store.Revision, v []byte) (store.Revision, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if k == config.HeadKey && m.delay {
+		m.delay = false
+		m.late = func() { _, _ = m.swap(k, expect, v) }
+		return 0, trace.Wrap(&store.UnavailableError{Call: "write"})
+	}
+	r, err := m.swap(k, expect, v)
+	if err == nil && k == config.HeadKey && m.lose {
+		m.lose = false
+		return 0, trace.Wrap(&store.UnavailableError{Call: "write"})
+	}
+	return r, err
+}
+
+func (m *memory) swap(k string, expect store.Revision, v []byte) (store.Revision, error) {
+	if m.items[k].Revision != expect {
+		return 0, trace.Wrap(&store.ConflictError{Key: k, Expected: expect})
+	}
+	m.revision++
+	m.items[k] = store.Item{Key: k, Value: v, Revision: m.revision}
+	return m.revision, nil
+}
+
+func (m *memory) Delete(_ context.Context, k string, expect store.Revision) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.items[k].Revision != expect {
+		return trace.Wrap(&store.ConflictError{Key: k, Expected: expect})
+	}
+	delete(m.items, k)
+	return nil
+}
+
+func (m *memory) List(_ context.Context, prefix string) ([]store.Item, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	l := []store.Item{}
+	for k, i := range m.items {
+		if strings.HasPrefix(k, prefix) {
+			l = append(l, store.Item{Key: k, Revision: i.Revision})
+		}
+	}
+	return l, nil
+}
+
+func change(base uint64, mark string, maxDown int32) operator.Change {
+	s, err := config.Split(config.Source{
+		Inventory: &schema.Inventory{},
+		Rules:     &schema.Rules{Pools: []*schema.Pool{{Name: "cups", MaxDown: maxDown}}},
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return operator.Change{Base: base, Mark: mark, Sections: s}
+}
+
+var _ = ginkgo.Describe("Publish", func() {
+	var m *memory
+	var v *view.View
+	var p *operator.Publisher
+	ctx := context.Background()
+
+	publish := func(c operator.Change) any {
+		h, err := p.Publish(ctx, c)
+		if err != nil {
+			return trace.Unwrap(err).Error()
+		}
+		return int(h.Revision)
+	}
+
+	ginkgo.BeforeEach(func() {
+		m = newMemory()
+		v = view.New()
+		p = operator.NewPublisher(m, v)
+		gomega.Expect(publish(change(0, "first", 0))).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("counts revisions up and puts them in force here at once", func() {
+		gomega.Expect([]any{publish(change(1, "b", 1)), publish(change(2, "c", 2)), v.Current().Revision()}).To(gomega.Equal([]any{2, 3, uint64(3)}))
+	})
+
+	ginkgo.It("refuses a change of what is no longer in force", func() {
+		publish(change(1, "b", 1))
+		gomega.Expect(publish(change(1, "c", 2))).To(gomega.Equal("the change is based on revision 1, but revision 2 is in force"))
+	})
+
+	ginkgo.It("changes once when the same change is asked for twice, also after others", func() {
+		first := publish(change(1, "b", 1))
+		publish(change(2, "c", 2))
+		gomega.Expect([]any{first, publish(change(1, "b", 1)), v.Current().Revision()}).To(gomega.Equal([]any{2, 2, uint64(3)}))
+	})
+
+	ginkgo.It("settles a lost answer by reading back", func() {
+		m.lose = true
+		gomega.Expect([]any{publish(change(1, "b", 1)), v.Current().Revision()}).To(gomega.Equal([]any{2, uint64(2)}))
+	})
+
+	ginkgo.It("keeps a write that was thought lost from taking effect later", func() {
+		m.delay = true
+		first := publish(change(1, "b", 1))
+		second := publish(change(2, "c", 2))
+		m.late()
+		third := publish(change(3, "d", 3))
+		gomega.Expect([]any{first, second, third}).To(gomega.Equal([]any{2, 3, 4}))
+	})
+
+	ginkgo.It("does not build on a store that answers from before", func() {
+		old := m.items[config.HeadKey]
+		publish(change(1, "b", 1))
+		m.items[config.HeadKey] = old
+		gomega.Expect(publish(change(1, "c", 2))).To(gomega.Equal("the store has revision 1, below revision 2, which is in force"))
+	})
+
+	ginkgo.It("lets one of two racing operators win", func() {
+		done := make(chan any, 2)
+		for _, k := range []string{"b", "c"} {
+			other := operator.NewPublisher(m, view.New())
+			go func() {
+				_, err := other.Publish(ctx, change(1, k, int32(len(k))))
+				done <- err == nil
+			}()
+		}
+		gomega.Expect([]any{<-done, <-done}).To(gomega.ConsistOf(true, false))
+	})
+
+	ginkgo.It("collects sections only when no kept configuration names them", func() {
+		for i := range 30 {
+			publish(change(uint64(i+1), "", int32(i%7+1)))
+		}
+		kept, err := p.Kept(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		n, err := p.Collect(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		again, err := p.Kept(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		missing := 0
+		for _, h := range again {
+			for _, r := range h.Sections {
+				if _, ok := m.items[config.SectionKey(config.AsDigest(r.Digest))]; !ok {
+					missing++
+				}
+			}
+		}
+		gomega.Expect([]any{n > 0, len(kept), len(again), missing}).To(gomega.Equal([]any{true, 20, 20, 0}))
+	})
+})
--- /dev/null
+++ b/entry/peer/peer_test.go
@@ -0,0 +1,248 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/peer"
+	"github.com/tarragonbank/tarragonbank/entry/view"
+	"github.com/tarragonbank/tarragonbank/fleet/claim"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/settings"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestPeer(t *testing.T) {
+	suite.Run(t, "peer")
+}
+
+const (
+	interval = 20 * time.Millisecond
+	patience = 10 * time.Second
+)
+
+// quiet takes decisions and counts and forgets them.
+type quiet struct{}
+
+func (quiet) Add(decision.Record)    {}
+func (quiet) Count(string, int, int) {}
+
+// entry is one node with what it has in force.
+type entry struct {
+	seed     settings.Seed
+	view     *view.View
+	node     *peer.Node
+	listener net.Listener
+	stop     context.CancelFunc
+}
+
+func listen(name string) *entry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	a := netip.MustParseAddrPort(l.Addr().String())
+	return &entry{seed: settings.Seed{Name: name, DataCentre: "dc-1", Address: a}, view: view.New(), listener: l}
+}
+
+// run starts the node with the seeds.
+func (e *entry) run(seeds []settings.Seed, o ...peer.Option) {
+	s := &settings.Settings{Name: e.seed.Name, DataCentre: "dc-1", Exchange: interval, Seeds: seeds}
+	body := func() *schema.RowBody {
+		return &schema.RowBody{DataCentre: "dc-1", Address: e.seed.Address.String(), Revision: e.view.Current().Revision()}
+	}
+	e.node = peer.New(s, e.view, body, quiet{}, quiet{}, o...)
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.node.Run(ctx, e.listener)
+	}()
+	ginkgo.DeferCleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+func start(n int, o ...peer.Option) []*entry {
+	l := []*entry{}
+	seeds := []settings.Seed{}
+	for i := range n {
+		e := listen("entry-" + string(rune('a'+i)))
+		l = append(l, e)
+		seeds = append(seeds, e.seed)
+	}
+	for _, e := range l {
+		e.run(seeds, o...)
+	}
+	return l
+}
+
+func (e *entry) adopt(revision uint64) {
+	s, err := config.Split(config.Source{
+		Inventory: &schema.Inventory{},
+		Rules:     &schema.Rules{Pools: []*schema.Pool{{Name: "cups", MaxDown: int32(revision)}}},
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(e.view.Adopt(time.Now(), &schema.Head{Revision: revision, Sections: s.Refs()}, s.ByDigest())).To(gomega.Succeed())
+}
+
+func revisions(l []*entry) func() []uint64 {
+	return func() []uint64 {
+		r := []uint64{}
+		for _, e := range l {
+			r = append(r, e.view.Current().Revision())
+		}
+		return r
+	}
+}
+
+var _ = ginkgo.Describe("nodes", func() {
+	ginkgo.It("learn a configuration from each other, also later ones", func() {
+		l := start(3)
+		l[0].adopt(1)
+		gomega.Eventually(revisions(l), patience).Should(gomega.Equal([]uint64{1, 1, 1}))
+		l[2].adopt(5)
+		gomega.Eventually(revisions(l), patience).Should(gomega.Equal([]uint64{5, 5, 5}))
+	})
+
+	ginkgo.It("find all others through one seed", func() {
+		a, b, c := listen("entry-a"), listen("entry-b"), listen("entry-c")
+		a.run(nil)
+		b.run([]settings.Seed{a.seed})
+		c.run([]settings.Seed{a.seed})
+		a.adopt(3)
+		gomega.Eventually(revisions([]*entry{a, b, c}), patience).Should(gomega.Equal([]uint64{3, 3, 3}))
+	})
+
+	ginkgo.It("give up a node that is gone", func() {
+		l := start(2)
+		count := func() int { return len(l[0].node.Sharing()) }
+		gomega.Eventually(count, patience).Should(gomega.Equal(2))
+		l[1].stop()
+		gomega.Eventually(count, patience).Should(gomega.Equal(1))
+	})
+
+	ginkgo.It("take claims for each other and ask the store where the peer is gone", func() {
+		l := start(2)
+		gomega.Eventually(func() int { return len(l[0].node.Sharing()) }, patience).Should(gomega.Equal(2))
+		decided := map[string]int{}
+		claims := []*peer.Claims{}
+		for _, e := range l {
+			claims = append(claims, peer.NewClaims(e.node, decider(func() { decided[e.seed.Name]++ })))
+		}
+		for i := range 4 * claim.Buckets {
+			_, err := claims[0].Decide(context.Background(), []claim.Operation{{Claim: claim.Claim{Key: claim.Key{7: byte(i)}, Token: 1}}})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		both := len(decided)
+		l[1].stop()
+		_, err := claims[0].Decide(context.Background(), []claim.Operation{{Claim: claim.Claim{Token: 1}}})
+		gomega.Expect([]any{both, err}).To(gomega.Equal([]any{2, nil}))
+	})
+})
+
+// decider grants everything and counts.
+type decider func()
+
+func (d decider) Decide(_ context.Context, l []claim.Operation) ([]claim.Verdict, error) {
+	d()
+	return make([]claim.Verdict, len(l)), nil
+}
+
+// authority makes certificates in a folder.
+type authority struct {
+	folder string
+	key    *ecdsa.PrivateKey
+	cert   *x509.Certificate
+	raw    []byte
+}
+
+func newAuthority(folder string) *authority {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	b, err := x509.CreateCertificate(rand.Reader, t, t, k.Public(), k)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return &authority{folder: folder, key: k, cert: t, raw: b}
+}
+
+// issue writes a certificate signed by the authority and names its files, trusting the given authority.
+func (a *authority) issue(name string, trusted *authority) settings.TLS {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	t := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour)}
+	b, err := x509.CreateCertificate(rand.Reader, t, a.cert, k.Public(), a.key)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	d, err := x509.MarshalECPrivateKey(k)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return settings.TLS{
+		Certificate: a.write(name+".crt", "CERTIFICATE", b),
+		Key:         a.write(name+".key", "EC PRIVATE KEY", d),
+		Authority:   a.write(name+".ca", "CERTIFICATE", trusted.raw),
+	}
+}
+
+func (a *authority) write(name, kind string, b []byte) string {
+	f := filepath.Join(a.folder, name)
+	gomega.Expect(os.WriteFile(f, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600)).To(gomega.Succeed())
+	return f
+}
+
+func secured(t settings.TLS) peer.Option {
+	c, s, err := peer.NewTLS(t)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return peer.WithTLS(c, s)
+}
+
+var _ = ginkgo.Describe("nodes with certificates", func() {
+	ginkgo.It("speak to those of their authority and to no others", func() {
+		ours, theirs := newAuthority(ginkgo.GinkgoT().TempDir()), newAuthority(ginkgo.GinkgoT().TempDir())
+		a, b, c := listen("entry-a"), listen("entry-b"), listen("entry-c")
+		seeds := []settings.Seed{a.seed, b.seed, c.seed}
+		a.run(seeds, secured(ours.issue("a", ours)))
+		b.run(seeds, secured(ours.issue("b", ours)))
+		c.run(seeds, secured(theirs.issue("c", ours)))
+		a.adopt(2)
+		gomega.Eventually(revisions([]*entry{a, b}), patience).Should(gomega.Equal([]uint64{2, 2}))
+		gomega.Consistently(revisions([]*entry{c}), 10*interval).Should(gomega.Equal([]uint64{0}))
+	})
+
+	ginkgo.It("are refused with files that hold no certificate", func() {
+		_, _, err := peer.NewTLS(settings.TLS{Certificate: "none.crt", Key: "none.key"})
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("certificate file none.crt: open none.crt: no such file or directory")))
+	})
+})
+
+func FuzzReadFrame(f *testing.F) {
+	var b bytes.Buffer
+	_, _ = peer.WriteFrame(&b, &schema.Envelope{Body: &schema.Envelope_HeadRequest{HeadRequest: &schema.HeadRequest{Have: 7}}})
+	f.Add(b.Bytes())
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		m, n, err := peer.ReadFrame(bytes.NewReader(in))
+		if err == nil && (m == nil || n > len(in)) {
+			t.Fatalf("%d of %d bytes", n, len(in))
+		}
+	})
+}
--- /dev/null
+++ b/entry/platform/platform_test.go
@@ -0,0 +1,168 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/entry/platform"
+	"github.com/tarragonbank/tarragonbank/fleet/claim"
+	"github.com/tarragonbank/tarragonbank/fleet/outcome"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestPlatform(t *testing.T) {
+	suite.Run(t, "platform")
+}
+
+// memory is a small store over HTTP whose writes can go wrong.
+type memory struct {
+	lock     sync.Mutex
+	values   map[string][]byte
+	versions map[string]uint64
+	version  uint64
+	writes   int
+	// lose has every n-th write take effect without an answer, 0 for none.
+	lose int
+	away bool
+}
+
+func newMemory() (*memory, *platform.Client) {
+	m := &memory{values: map[string][]byte{}, versions: map[string]uint64{}}
+	s := httptest.NewServer(m)
+	ginkgo.DeferCleanup(s.Close)
+	return m, platform.New(netip.MustParseAddrPort(s.Listener.Addr().String()))
+}
+
+func (m *memory) set(f func()) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	f()
+}
+
+func (m *memory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	k := r.URL.EscapedPath()
+	switch {
+	case m.away:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Method == http.MethodGet && m.versions[k] == 0:
+		w.WriteHeader(http.StatusNotFound)
+	case r.Method == http.MethodGet:
+		m.answer(w, k, m.values[k])
+	case strconv.FormatUint(m.versions[k], 10) != r.URL.Query().Get("expect"):
+		w.WriteHeader(http.StatusConflict)
+	default:
+		m.write(w, r, k)
+	}
+}
+
+func (m *memory) write(w http.ResponseWriter, r *http.Request, k string) {
+	m.version++
+	m.writes++
+	m.versions[k] = m.version
+	m.values[k], _ = io.ReadAll(r.Body)
+	if m.lose > 0 && m.writes%m.lose == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	m.answer(w, k, nil)
+}
+
+func (m *memory) answer(w http.ResponseWriter, k string, b []byte) {
+	w.Header().Set("Store-Revision", strconv.FormatUint(m.versions[k], 10))
+	_, _ = w.Write(b)
+}
+
+func take(key string, token uint64) []claim.Operation {
+	return []claim.Operation{{Claim: claim.Claim{Key: claim.NewKey("export", key), Token: token}}}
+}
+
+// grants asks several deciders for each of n keys at once and counts how often a key was granted.
+func grants(n int, deciders ...*platform.Claims) map[int]int {
+	var lock sync.Mutex
+	var w sync.WaitGroup
+	counts := map[int]int{}
+	for i := range n {
+		granted := 0
+		var one sync.WaitGroup
+		for j, d := range deciders {
+			one.Add(1)
+			w.Add(1)
+			go func() {
+				defer w.Done()
+				defer one.Done()
+				v, err := d.Decide(context.Background(), take(strconv.Itoa(i), uint64(j+1)))
+				lock.Lock()
+				defer lock.Unlock()
+				if err == nil && v[0].Granted {
+					granted++
+				}
+			}()
+		}
+		w.Add(1)
+		go func() {
+			defer w.Done()
+			one.Wait()
+			lock.Lock()
+			defer lock.Unlock()
+			counts[granted]++
+		}()
+	}
+	w.Wait()
+	return counts
+}
+
+var _ = ginkgo.Describe("Claims", func() {
+	ctx := context.Background()
+
+	ginkgo.It("grant each key once through two entries", func() {
+		_, c := newMemory()
+		gomega.Expect(grants(200, platform.NewClaims(c), platform.NewClaims(c))).To(gomega.Equal(map[int]int{1: 200}))
+	})
+
+	ginkgo.It("grant each key once though every third answer is lost", func() {
+		m, c := newMemory()
+		m.set(func() { m.lose = 3 })
+		gomega.Expect(grants(100, platform.NewClaims(c), platform.NewClaims(c))).To(gomega.Equal(map[int]int{1: 100}))
+	})
+
+	ginkgo.It("write many claims at once", func() {
+		m, c := newMemory()
+		grants(400, platform.NewClaims(c))
+		m.set(func() { gomega.Expect(m.writes).To(gomega.BeNumerically("<", 100)) })
+	})
+
+	ginkgo.It("fail while the store is away", func() {
+		m, c := newMemory()
+		m.set(func() { m.away = true })
+		_, err := platform.NewClaims(c).Decide(ctx, take("a", 1))
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("the store did not answer get")))
+	})
+
+	ginkgo.It("tell another entry the outcome once it is settled", func() {
+		_, c := newMemory()
+		a, b := platform.NewClaims(c), platform.NewClaims(c)
+		_, err := a.Decide(ctx, take("a", 1))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		o := take("a", 1)
+		o[0].Settle = true
+		o[0].Outcome = outcome.Ran
+		_, _ = a.Decide(ctx, o)
+		a.Close()
+		gomega.Eventually(func() claim.Verdict {
+			v, err := b.Decide(ctx, take("a", 2))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return v[0]
+		}, 5*time.Second).Should(gomega.Equal(claim.Verdict{Outcome: outcome.Ran}))
+	})
+})
--- a/entry/tarragond/publish.go
+++ b/entry/tarragond/publish.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/config"
 	"github.com/tarragonbank/tarragonbank/fleet/member"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/settings"
 )
 
 type snapshot = config.Snapshot
@@ -53,7 +54,7 @@
 
 // watching says whether the entry should wait on the platform.
 func (e *Entry) watching() bool {
-	return e.node.Watcher() || e.view.Current() == nil
+	return e.settings.WatchPolicy != settings.OnePerDataCentre || e.node.Watcher() || e.view.Current() == nil
 }
 
 // spread tells the peers and the dispatcher what the platform's list shows.
--- a/entry/tarragond/tarragond.go
+++ b/entry/tarragond/tarragond.go
@@ -82,7 +82,7 @@
 	if err := e.join(); err != nil {
 		return nil, err
 	}
-	e.watcher = platform.NewWatcher(client, e.view, e.log, s.List, e.watching, e.spread)
+	e.watcher = platform.NewWatcher(client, e.view, e.log, s.List, e.watching, e.spread, e.watchOptions()...)
 	e.claims = platform.NewClaims(client)
 	shared := peer.NewClaims(e.node, e.claims)
 	e.caller = caller.New(s.Name, e.view, e.dispatcher, e.backend, shared, e.log, e.metrics, s.BodyLimit)
@@ -106,6 +106,13 @@
 	return nil
 }
 
+func (e *Entry) watchOptions() []platform.WatcherOption {
+	if e.settings.WatchPolicy != settings.Poll {
+		return nil
+	}
+	return []platform.WatcherOption{platform.WithPolling()}
+}
+
 func (e *Entry) profiling() []operator.Option {
 	if !e.settings.Profiling {
 		return nil
--- /dev/null
+++ b/fleet/member/member_test.go
@@ -0,0 +1,120 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/member"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestMember(t *testing.T) {
+	suite.Run(t, "member")
+}
+
+const interval = time.Second
+
+var now = time.Unix(1_800_000_000, 0)
+
+func body(dc string) *schema.RowBody {
+	return &schema.RowBody{DataCentre: dc, Address: "10.0.0.1:7443"}
+}
+
+func row(name string, incarnation, sequence uint64) *schema.Row {
+	return &schema.Row{Name: name, Incarnation: incarnation, Sequence: sequence, BodySequence: 1, Body: body("dc-1")}
+}
+
+func table() *member.Table {
+	return member.New(now, "b", 5, body("dc-1"), interval)
+}
+
+func states(t *member.Table) map[string]member.State {
+	m := map[string]member.State{}
+	for _, x := range t.Members() {
+		m[x.Name()] = x.State
+	}
+	return m
+}
+
+var _ = ginkgo.DescribeTable("Merge takes",
+	func(held, offered *schema.Row, want bool) {
+		t := table()
+		t.Merge(now, held)
+		taken, _ := t.Merge(now, offered)
+		gomega.Expect(taken).To(gomega.Equal(want))
+	},
+	ginkgo.Entry("a later sequence", row("a", 1, 2), row("a", 1, 3), true),
+	ginkgo.Entry("not the same again", row("a", 1, 2), row("a", 1, 2), false),
+	ginkgo.Entry("not an earlier one that was delayed", row("a", 1, 9), row("a", 1, 3), false),
+	ginkgo.Entry("a restarted entry's first row", row("a", 1, 900), row("a", 2, 1), true),
+	ginkgo.Entry("not the row of the process before the restart", row("a", 2, 1), row("a", 1, 900), false),
+)
+
+var _ = ginkgo.Describe("a table", func() {
+	ginkgo.It("asks for the body that a short row leaves out", func() {
+		t := table()
+		short := row("a", 1, 2)
+		short.Body = nil
+		_, unknown := t.Merge(now, short)
+		gomega.Expect(unknown).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("doubts a silent member before it gives it up, and takes it back", func() {
+		t := table()
+		t.Merge(now, row("a", 1, 1))
+		seen := []member.State{}
+		for _, d := range []time.Duration{3, 5, 9} {
+			t.Tick(now.Add(d * interval))
+			seen = append(seen, states(t)["a"])
+		}
+		t.Merge(now.Add(10*interval), row("a", 1, 2))
+		seen = append(seen, states(t)["a"])
+		gomega.Expect(seen).To(gomega.Equal([]member.State{member.Live, member.Suspect, member.Dead, member.Live}))
+	})
+
+	ginkgo.It("outbids a row of an earlier process under its own name", func() {
+		t := table()
+		t.Merge(now, row("b", 9, 9))
+		gomega.Expect(member.VersionOf(t.Own())).To(gomega.Equal(member.Version{Incarnation: 10, Sequence: 1}))
+	})
+
+	ginkgo.It("leaves out members that are leaving when work is divided", func() {
+		t := table()
+		r := row("a", 1, 1)
+		r.Body.Leaving = true
+		t.Merge(now, r)
+		gomega.Expect(t.Sharing()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("has the first live member of a data centre watch, and the next when that falls silent", func() {
+		t := table()
+		t.Merge(now, row("a", 1, 1))
+		first := t.Watcher()
+		t.Tick(now.Add(5 * interval))
+		gomega.Expect([]bool{first, t.Watcher()}).To(gomega.Equal([]bool{false, true}))
+	})
+
+	ginkgo.It("sends a body once and then only that it is there", func() {
+		t := table()
+		s := member.NewSent()
+		none := func(string) bool { return false }
+		first := t.Rows(s, none)
+		again := t.Rows(s, none)
+		t.Beat(now, body("dc-1"))
+		beat := t.Rows(s, none)
+		t.Beat(now, body("dc-2"))
+		changed := t.Rows(s, none)
+		gomega.Expect([]any{len(first), len(again), beat[0].Body == nil, changed[0].Body != nil}).To(gomega.Equal([]any{1, 0, true, true}))
+	})
+
+	ginkgo.It("relays what the peer does not hear itself", func() {
+		t := table()
+		t.Merge(now, row("a", 1, 1))
+		l := t.Rows(member.NewSent(), func(n string) bool { return n == "a" })
+		gomega.Expect(l).To(gomega.HaveLen(2))
+	})
+})
--- a/fleet/retry/budget.go
+++ b/fleet/retry/budget.go
@@ -5,39 +5,45 @@
 	"time"
 )
 
+// Amounts of a budget, in tenths of a retry.
+const (
+	earned     = 1
+	price      = 10
+	mostTenths = 100
+)
+
 const (
-	earned      = 0.1
-	mostTokens  = 10.0
 	firstPause  = 2 * time.Millisecond
 	longestWait = 100 * time.Millisecond
+	mostDoubled = 8
 )
 
 // Budget allows one retry for every ten requests that succeeded, and ten at once at most.
 type Budget struct {
-	tokens float64
+	tenths int
 }
 
 // New makes a budget that allows one retry.
 func New() *Budget {
-	return &Budget{tokens: 1}
+	return &Budget{tenths: price}
 }
 
 // Earn counts a request that succeeded.
 func (b *Budget) Earn() {
-	b.tokens = min(b.tokens+earned, mostTokens)
+	b.tenths = min(b.tenths+earned, mostTenths)
 }
 
 // Spend takes one retry and says whether it was there.
 func (b *Budget) Spend() bool {
-	if b.tokens < 1 {
+	if b.tenths < price {
 		return false
 	}
-	b.tokens--
+	b.tenths -= price
 	return true
 }
 
 // Pause is the jittered wait before the attempt, counted from 1 for the first retry.
 func Pause(attempt int) time.Duration {
-	d := min(firstPause<<min(attempt, 8), longestWait)
+	d := min(firstPause<<min(attempt, mostDoubled), longestWait)
 	return d/2 + rand.N(d/2)
 }
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,6 +54,7 @@
 	AnswerLimit     int64
 	SharePolicy     string
 	AdmissionPolicy string
+	WatchPolicy     WatchPolicy
 	TLS             TLS
 }
 
@@ -115,6 +117,7 @@
 		AnswerLimit:     r.limit("answerLimitBytes", m.AnswerLimitBytes, DefaultAnswerLimit),
 		SharePolicy:     fallback(m.SharePolicy, DefaultSharePolicy),
 		AdmissionPolicy: fallback(m.AdmissionPolicy, DefaultAdmissionPolicy),
+		WatchPolicy:     r.watch("watchPolicy", m.WatchPolicy),
 		TLS:             r.tls(m.Tls),
 	}
 	return s, trace.Wrap(r.err)
@@ -186,6 +189,17 @@
 	return v
 }
 
+func (r *reader) watch(key, v string) WatchPolicy {
+	if v == "" {
+		return OnePerDataCentre
+	}
+	p, err := WatchPolicyString(v)
+	if err != nil {
+		r.fail(key, "one of "+strings.Join(WatchPolicyStrings(), ", "), v)
+	}
+	return p
+}
+
 func (r *reader) seeds(l []*schema.Seed) []Seed {
 	s := make([]Seed, 0, len(l))
 	for i, p := range l {
