--- a/bench/backend/server.go
+++ b/bench/backend/server.go
@@ -31,15 +31,17 @@
 
 // Server is one backend server.
 type Server struct {
-	Name    string
-	ledger  *Ledger
-	work    time.Duration
-	slots   chan struct{}
-	mode    atomic.Int32
-	last    atomic.Value
-	taken   atomic.Int64
-	refused atomic.Int64
-	address netip.AddrPort
+	Name        string
+	ledger      *Ledger
+	work        time.Duration
+	slots       chan struct{}
+	mode        atomic.Int32
+	last        atomic.Value
+	taken       atomic.Int64
+	refused     atomic.Int64
+	lost        atomic.Bool
+	interrupted atomic.Int64
+	address     netip.AddrPort
 
 	lock   sync.Mutex
 	random *rand.Rand
@@ -74,9 +76,30 @@
 func (s *Server) Stop() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.interrupted.Add(int64(len(s.slots)))
 	_ = s.server.Close()
 }
 
+// Address is where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	return s.address
+}
+
+// Lose has the server not come back from a reboot.
+func (s *Server) Lose() {
+	s.lost.Store(true)
+}
+
+// Lost says that the server does not come back.
+func (s *Server) Lost() bool {
+	return s.lost.Load()
+}
+
+// Interrupted is how many requests were cut by a stop.
+func (s *Server) Interrupted() int64 {
+	return s.interrupted.Load()
+}
+
 // Restart serves again on the same address.
 func (s *Server) Restart() error {
 	return s.Start(s.address)
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -75,6 +75,11 @@
 	return len(r.violations) == 0
 }
 
+// Violations lists the promises that were broken.
+func (r *Report) Violations() []string {
+	return r.violations
+}
+
 // Write prints a table and, as the last line, one JSON object.
 func (r *Report) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
--- a/bench/platform/platform.go
+++ b/bench/platform/platform.go
@@ -34,6 +34,8 @@
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
 	Leaving bool           `json:"leaving"`
+	// Boot identifies the VM's last start, empty while it is down.
+	Boot string `json:"boot"`
 }
 
 // Calls counts the calls that were served.
@@ -61,6 +63,8 @@
 	machines map[string]Machine
 	lagging  []listed
 	random   *rand.Rand
+	onReboot func(name string)
+	reboots  map[string]int
 }
 
 // listed is the list as it was at a time.
@@ -75,6 +79,7 @@
 		memory:   newMemory(),
 		lag:      lag,
 		machines: map[string]Machine{},
+		reboots:  map[string]int{},
 		random:   rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -92,6 +97,7 @@
 	m.HandleFunc("GET /v1/keys", p.keys)
 	m.HandleFunc("GET /v1/watch", p.watch)
 	m.HandleFunc("GET /v1/machines", p.list)
+	m.HandleFunc("POST /v1/machines/{name}/reboot", p.reboot)
 	p.server = &http.Server{Handler: p.faulty(m)}
 	go func() { _ = p.server.Serve(l) }()
 	return nil
@@ -109,6 +115,39 @@
 	p.faults = f
 }
 
+// SetReboot has the function called for each VM that is rebooted.
+func (p *Platform) SetReboot(f func(name string)) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.onReboot = f
+}
+
+// Reboots counts the reboots of a VM.
+func (p *Platform) Reboots(name string) int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.reboots[name]
+}
+
+// reboot starts a VM anew if it is still at the boot.
+func (p *Platform) reboot(w http.ResponseWriter, r *http.Request) {
+	n := r.PathValue("name")
+	p.lock.Lock()
+	m, ok := p.machines[n]
+	f := p.onReboot
+	if !ok || m.Boot == "" || m.Boot != r.URL.Query().Get("boot") || f == nil {
+		p.lock.Unlock()
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	m.Boot = ""
+	p.machines[n] = m
+	p.reboots[n]++
+	p.record()
+	p.lock.Unlock()
+	go f(n)
+}
+
 // Calls counts the calls so far.
 func (p *Platform) Calls() Calls {
 	p.lock.Lock()
@@ -138,7 +177,11 @@
 		l = append(l, m)
 	}
 	sort.Slice(l, func(i, j int) bool { return l[i].Name < l[j].Name })
-	p.lagging = append(p.lagging, listed{at: time.Now(), list: l})
+	now := time.Now()
+	p.lagging = append(p.lagging, listed{at: now, list: l})
+	for len(p.lagging) > 1 && now.Sub(p.lagging[1].at) >= p.lag {
+		p.lagging = p.lagging[1:]
+	}
 }
 
 func (p *Platform) lagged() []Machine {
--- a/bench/site/entry.go
+++ b/bench/site/entry.go
@@ -65,6 +65,7 @@
 	}
 	defer w.Close()
 	c := exec.Command(filepath.Join(e.site.Plan.Binaries, "tarragond"), "--settings", f)
+	c.Env = append(os.Environ(), e.site.Plan.Environment...)
 	c.Stdout = w
 	c.Stderr = w
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -38,6 +39,8 @@
 	PeerProxies bool
 	// Source replaces the inventory and rules in Deploy, without backend servers.
 	Source *config.Source
+	// Environment is added to that of every entry.
+	Environment []string
 	// Settings are more lines for the settings of every entry.
 	Settings string
 }
@@ -188,11 +191,35 @@
 			}
 		}
 		m.Address = a.String()
-		s.Platform.SetMachine(platform.Machine{Name: m.Name, Address: a})
+		s.Platform.SetMachine(platform.Machine{Name: m.Name, Address: a, Boot: "1"})
 	}
+	s.Platform.SetReboot(s.reboot)
 	return nil
 }
 
+// rebootTime is how long a VM takes to come back.
+const rebootTime = 1500 * time.Millisecond
+
+// reboot stops a VM's server and starts it again, unless the VM is not to come back.
+func (s *Site) reboot(name string) {
+	x := s.Servers[name]
+	x.Stop()
+	time.Sleep(rebootTime)
+	if x.Lost() {
+		return
+	}
+	if x.Restart() == nil {
+		s.Platform.SetMachine(platform.Machine{Name: name, Address: x.Address(), Boot: strconv.Itoa(1 + s.Platform.Reboots(name))})
+	}
+}
+
+// Lose has a VM stop, and leave the platform's list, as when its rack fails.
+func (s *Site) Lose(name string) {
+	s.Servers[name].Lose()
+	s.Servers[name].Stop()
+	s.Platform.RemoveMachine(name)
+}
+
 func (s *Site) readSource() error {
 	i, err := os.ReadFile(filepath.Join(s.Plan.Deploy, "inventory.toml"))
 	if err != nil {
--- a/ctl/cmd/tarragonctl/main.go
+++ b/ctl/cmd/tarragonctl/main.go
@@ -31,6 +31,10 @@
 	flaggy.SetName("tarragonctl")
 	flaggy.SetDescription("lets operators see and change the fleet")
 	flaggy.String(&entry, "e", "entry", "the operators' URL of an entry (or "+environmentEntry+")")
+	authority, certificate, key := "", "", ""
+	flaggy.String(&authority, "", "authority", "the authority's certificate, for an entry that speaks TLS")
+	flaggy.String(&certificate, "", "certificate", "the operator's certificate, instead of a token")
+	flaggy.String(&key, "", "key", "the key of the operator's certificate")
 	flaggy.Bool(&o.JSON, "j", "json", "print JSON")
 	words := attach(&o)
 	flaggy.Parse()
@@ -38,7 +42,15 @@
 	if w == "" {
 		flaggy.ShowHelpAndExit("")
 	}
-	c := tarragonctl.New(strings.TrimSuffix(entry, "/"), os.Getenv(environmentToken))
+	l := []tarragonctl.Option{}
+	if authority != "" {
+		t, err := tarragonctl.LoadTLS(authority, certificate, key)
+		if err != nil {
+			return err
+		}
+		l = append(l, tarragonctl.WithTLS(t))
+	}
+	c := tarragonctl.New(strings.TrimSuffix(entry, "/"), os.Getenv(environmentToken), l...)
 	return tarragonctl.Run(context.Background(), w, c, o, os.Stdout)
 }
 
@@ -86,6 +98,9 @@
 		s.String(&o.Note, "n", "note", "why")
 	case "config rollback":
 		s.Int(&o.Revision, "r", "revision", "the revision to return to")
+	case "maintenance pause", "maintenance resume", "maintenance halt", "vm drain", "vm undrain":
+		s.AddPositionalValue(&o.Name, "NAME", 1, true, "the pool or VM")
+		return
 	default:
 		return
 	}
--- a/ctl/tarragonctl/client.go
+++ b/ctl/tarragonctl/client.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,9 +34,42 @@
 	http  *http.Client
 }
 
-// New makes a client; the token is needed for changes.
-func New(base, token string) *Client {
-	return &Client{base: base, token: token, http: &http.Client{Timeout: callTimeout}}
+// Option changes a Client at its making.
+type Option func(*Client)
+
+// WithTLS speaks over TLS.
+func WithTLS(t *tls.Config) Option {
+	return func(c *Client) { c.http.Transport = &http.Transport{TLSClientConfig: t} }
+}
+
+// New makes a client; changes need the token or a certificate.
+func New(base, token string, l ...Option) *Client {
+	c := &Client{base: base, token: token, http: &http.Client{Timeout: callTimeout}}
+	for _, o := range l {
+		o(c)
+	}
+	return c
+}
+
+// LoadTLS reads the authority's certificate and, where given, the operator's own.
+func LoadTLS(authority, certificate, key string) (*tls.Config, error) {
+	b, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	t := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: x509.NewCertPool()}
+	if !t.RootCAs.AppendCertsFromPEM(b) {
+		return nil, trace.BadParameter("%s holds no certificate", authority)
+	}
+	if certificate == "" {
+		return t, nil
+	}
+	c, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, trace.BadParameter("certificate %s: %s", certificate, err)
+	}
+	t.Certificates = []tls.Certificate{c}
+	return t, nil
 }
 
 // Get reads JSON; it fails with a RefusedError where the entry refuses.
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -29,7 +30,9 @@
 	Mark      string
 	Base      int
 	Revision  int
-	JSON      bool
+	// Name is the pool or VM that the command is about.
+	Name string
+	JSON bool
 }
 
 // commands are all commands by their words.
@@ -43,6 +46,13 @@
 	{"config apply", "have the inventory and rules accepted", apply},
 	{"config history", "the configurations that are kept", history},
 	{"config rollback", "have an older configuration accepted as a new revision", rollback},
+	{"maintenance show", "each pool's maintenance, and what it waits for", waves},
+	{"maintenance pause", "pause a pool's wave; what is drained goes back", steer("pause")},
+	{"maintenance resume", "let a pool's wave begin again with one VM", steer("resume")},
+	{"maintenance halt", "stop a pool's wave until it is resumed", steer("halt")},
+	{"vm list", "each VM's pool and phase", vms},
+	{"vm drain", "take a VM out of service, within its pool's budget", hold("drain")},
+	{"vm undrain", "give a VM back that was drained", hold("undrain")},
 	{"config collect", "delete sections that no kept configuration names", collect},
 }
 
@@ -194,3 +204,23 @@
 	e.SetIndent("", "  ")
 	return trace.Wrap(e.Encode(v), "writing the result")
 }
+
+func waves(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/maintenance", "pool", "vms", "maxDown", "width", "phases", "oldest", "waits")
+}
+
+func vms(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/vms", "name", "pool", "home", "rack", "phase", "since", "maintained")
+}
+
+func steer(verb string) func(context.Context, *Client, Options, io.Writer) error {
+	return func(ctx context.Context, c *Client, o Options, w io.Writer) error {
+		return changed(ctx, c, w, "/v1/maintenance/"+url.PathEscape(o.Name)+"/"+verb, object{})
+	}
+}
+
+func hold(verb string) func(context.Context, *Client, Options, io.Writer) error {
+	return func(ctx context.Context, c *Client, o Options, w io.Writer) error {
+		return changed(ctx, c, w, "/v1/vms/"+url.PathEscape(o.Name)+"/"+verb, object{})
+	}
+}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -19,7 +19,11 @@
 	"github.com/tarragonbank/tarragonbank/fleet/service"
 )
 
-const notReadyRetry = time.Second
+const (
+	notReadyRetry = time.Second
+	// writeSlack is how long after its deadline a caller may take to accept its answer.
+	writeSlack = 5 * time.Second
+)
 
 // Backend sends a request once.
 type Backend interface {
@@ -117,6 +121,7 @@
 	}
 	q.ID = x.id
 	x.request = q
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(q.Deadline.Add(writeSlack))
 	if !x.readBody() {
 		return
 	}
--- /dev/null
+++ b/entry/controller/controller.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+const (
+	period      = time.Second
+	rebootAgain = 15 * time.Second
+)
+
+// Recorder has the store accept actions, if the configuration they rest on is still in force.
+type Recorder interface {
+	Record(ctx context.Context, c *config.Snapshot, l []maintenance.Action, author string) error
+}
+
+// Rebooter reboots a VM if it is still at the boot.
+type Rebooter interface {
+	Reboot(ctx context.Context, name, boot string) error
+}
+
+// Logger takes decisions without blocking.
+type Logger interface {
+	Add(r decision.Record)
+}
+
+// Sighter says what is known of the site, or that too little is.
+type Sighter interface {
+	Sight(ctx context.Context) (*config.Snapshot, maintenance.Site, bool)
+}
+
+// Controller decides and acts for the whole site while it holds the lease.
+type Controller struct {
+	name     string
+	lease    lease
+	sighter  Sighter
+	recorder Recorder
+	rebooter Rebooter
+	log      Logger
+	asked    map[string]time.Time
+}
+
+// New makes a controller.
+func New(name string, s Store, x Sighter, r Recorder, b Rebooter, l Logger) *Controller {
+	return &Controller{
+		name: name, lease: lease{store: s, holder: name}, sighter: x, recorder: r, rebooter: b, log: l,
+		asked: map[string]time.Time{},
+	}
+}
+
+// Run acts while active says so, until the context ends.
+func (c *Controller) Run(ctx context.Context, active func() bool) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if active() {
+				c.step(ctx)
+			}
+		}
+	}
+}
+
+func (c *Controller) step(ctx context.Context) {
+	if !c.lease.held(ctx) {
+		return
+	}
+	s, site, ok := c.sighter.Sight(ctx)
+	if !ok {
+		return
+	}
+	c.rebootAgain(ctx, s, site)
+	l := maintenance.Decide(time.Now(), site)
+	if len(l) == 0 {
+		return
+	}
+	if err := c.recorder.Record(ctx, s, l, c.name); err != nil {
+		c.note(decision.Record{Reason: "not recorded: " + err.Error()})
+		return
+	}
+	for _, a := range l {
+		c.note(decision.Record{VM: a.VM, Pool: a.Pool, Reason: describe(a)})
+		if a.Reboot() {
+			c.reboot(ctx, a.VM, a.State.Boot)
+		}
+	}
+}
+
+func describe(a maintenance.Action) string {
+	if a.VM == "" {
+		return a.Reason
+	}
+	return a.State.Phase.String() + ": " + a.Reason
+}
+
+// rebootAgain asks again for reboots that were recorded and have not begun, as after a lost call.
+func (c *Controller) rebootAgain(ctx context.Context, s *config.Snapshot, site maintenance.Site) {
+	for n, x := range s.States {
+		if x.Phase != vm.Rebooting {
+			delete(c.asked, n)
+			continue
+		}
+		if site.Sights[n].Boot == x.Boot && time.Since(c.asked[n]) > rebootAgain {
+			c.reboot(ctx, n, x.Boot)
+		}
+	}
+}
+
+func (c *Controller) reboot(ctx context.Context, name, boot string) {
+	c.asked[name] = time.Now()
+	if err := c.rebooter.Reboot(ctx, name, boot); err != nil {
+		c.note(decision.Record{VM: name, Reason: "reboot was not answered: " + err.Error()})
+	}
+}
+
+func (c *Controller) note(r decision.Record) {
+	r.Time = time.Now()
+	r.Kind = decision.Maintenance
+	c.log.Add(r)
+}
--- a/entry/decision/kind_enumer.go
+++ b/entry/decision/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecycle"
+const _KindName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecyclemaintenance"
 
-var _KindIndex = [...]uint8{0, 5, 11, 16, 22, 28, 33, 39, 49, 54, 63}
+var _KindIndex = [...]uint8{0, 5, 11, 16, 22, 28, 33, 39, 49, 54, 63, 74}
 
-const _KindLowerName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecycle"
+const _KindLowerName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecyclemaintenance"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -34,9 +34,10 @@
 	_ = x[Membership-(7)]
 	_ = x[Claim-(8)]
 	_ = x[Lifecycle-(9)]
+	_ = x[Maintenance-(10)]
 }
 
-var _KindValues = []Kind{Route, Refuse, Retry, Answer, Health, Grant, Config, Membership, Claim, Lifecycle}
+var _KindValues = []Kind{Route, Refuse, Retry, Answer, Health, Grant, Config, Membership, Claim, Lifecycle, Maintenance}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:5]:   Route,
@@ -49,6 +50,7 @@
 	_KindName[39:49]: Membership,
 	_KindName[49:54]: Claim,
 	_KindName[54:63]: Lifecycle,
+	_KindName[63:74]: Maintenance,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -62,6 +64,7 @@
 	_KindLowerName[39:49]: Membership,
 	_KindLowerName[49:54]: Claim,
 	_KindLowerName[54:63]: Lifecycle,
+	_KindLowerName[63:74]: Maintenance,
 }
 
 var _KindNames = []string{
@@ -75,6 +78,7 @@
 	_KindName[39:49],
 	_KindName[49:54],
 	_KindName[54:63],
+	_KindName[63:74],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -34,6 +34,7 @@
 	Membership
 	Claim
 	Lifecycle
+	Maintenance
 )
 
 // Record is one decision and its reason.
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -137,8 +138,16 @@
 	defer t.lock.Unlock()
 	t.rules = p
 	t.vms = map[string]vm.VM{}
+	t.barred = map[string]bool{}
+	t.movable = map[string]bool{}
+	t.held = map[string]time.Time{}
 	for _, v := range p.VMs {
 		t.vms[v.Name] = v
+		t.barred[v.Name] = !s.Serves(v)
+		t.movable[v.Name] = s.Pools[v.Home].Spare
+		if m := s.States[v.Name].Moved; !m.IsZero() {
+			t.held[v.Name] = m.Add(MovedHold)
+		}
 	}
 	t.probePath = service.DefaultHealthPath
 	if len(l) > 0 {
@@ -160,11 +169,28 @@
 func (d *Dispatcher) SetPeers(l []Peer, leaving map[string]bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	if reflect.DeepEqual(d.peers, l) && maps.Equal(d.leaving, leaving) {
+		return
+	}
 	d.peers = l
 	d.leaving = leaving
 	d.divide()
 }
 
+// SetIsolated says whether the entry hears neither peers nor the platform. What it knows of VMs
+// that may change pool then no longer holds, and it leaves them alone.
+func (d *Dispatcher) SetIsolated(b bool) {
+	now := time.Now()
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		if t.isolated != b {
+			t.isolated = b
+			t.divide(now)
+		}
+		t.lock.Unlock()
+	}
+}
+
 // divide works out the entry's slots in every pool; the lock is held.
 func (d *Dispatcher) divide() {
 	now := time.Now()
@@ -254,6 +280,10 @@
 	}
 }
 
+// MovedHold is how long after its move a VM is left alone by its new pool. An entry that has not
+// heard of the move stops using it sooner.
+const MovedHold = 5 * time.Second
+
 const (
 	comparePeriod = 500 * time.Millisecond
 	probePeriod   = 100 * time.Millisecond
@@ -262,19 +292,24 @@
 
 // borrow has requests that have waited long enough try others' slots.
 func (d *Dispatcher) borrow(now time.Time) {
-	for _, t := range d.tables() {
-		t.lock.Lock()
-		if t.division.Lend {
-			t.admission.Next(now)
+	d.lock.RLock()
+	defer d.lock.RUnlock()
+	for _, t := range d.pools {
+		if !t.queued.Load() {
+			continue
 		}
+		t.lock.Lock()
+		t.next(now)
 		t.lock.Unlock()
 	}
 }
 
 func (d *Dispatcher) compare() {
 	for _, t := range d.tables() {
+		now := time.Now()
 		t.lock.Lock()
-		l := t.compareLatency(time.Now())
+		t.release(now)
+		l := t.compareLatency(now)
 		t.lock.Unlock()
 		for _, r := range l {
 			d.log.Add(r)
@@ -314,6 +349,19 @@
 	}
 }
 
+// Unwell lists the VMs that this entry's requests found not to be well.
+func (d *Dispatcher) Unwell() map[string]bool {
+	m := map[string]bool{}
+	for _, t := range d.tables() {
+		t.lock.Lock()
+		for n := range t.health.Out() {
+			m[n] = true
+		}
+		t.lock.Unlock()
+	}
+	return m
+}
+
 // PoolView is one pool as the entry sees it.
 type PoolView struct {
 	Name    string            `json:"name"`
@@ -321,6 +369,7 @@
 	Granted int               `json:"granted"`
 	Lend    bool              `json:"lend"`
 	Out     map[string]string `json:"out"`
+	Barred  []string          `json:"barred"`
 	VMs     []string          `json:"vms"`
 }
 
@@ -334,6 +383,11 @@
 		for n, s := range t.health.Out() {
 			v.Out[n] = s.String()
 		}
+		for _, n := range v.VMs {
+			if t.barred[n] {
+				v.Barred = append(v.Barred, n)
+			}
+		}
 		for n := range t.leaving {
 			if _, ok := t.vms[n]; ok {
 				v.Out[n] = health.Leaving.String()
--- a/entry/dispatch/pool.go
+++ b/entry/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
@@ -33,8 +34,16 @@
 	self      string
 	shares    share.Policy
 	entries   []share.Entry
-	division  share.Division
-	demand    int
+	// barred are the VMs whose phase lets them have no work, movable those that may change pool,
+	// held those that have, until the time.
+	barred   map[string]bool
+	movable  map[string]bool
+	held     map[string]time.Time
+	isolated bool
+	division share.Division
+	demand   int
+	// queued says, without the lock, that requests wait.
+	queued atomic.Bool
 }
 
 func newTable(name, self string, s share.Policy, p admission.Policy) *table {
@@ -50,12 +59,18 @@
 	}
 }
 
+// next gives free slots to waiting requests; the lock is held.
+func (t *table) next(now time.Time) {
+	t.admission.Next(now)
+	t.queued.Store(t.admission.Load().Waiting > 0)
+}
+
 // divide works out the entry's part of the VMs that can be reached; the lock is held.
 // What one entry cannot reach, others of its data centre mostly cannot either.
 func (t *table) divide(now time.Time) {
 	l := []vm.VM{}
 	for _, v := range t.rules.VMs {
-		if !t.leaving[v.Name] && t.health.State(v.Name) != health.Unreachable {
+		if t.usable(now, v.Name) && t.health.State(v.Name) != health.Unreachable {
 			l = append(l, v)
 		}
 	}
@@ -63,10 +78,25 @@
 	t.regrant(now)
 }
 
+// usable says whether what is known beside the VM's health lets it have work; the lock is held.
+func (t *table) usable(now time.Time, n string) bool {
+	return !t.leaving[n] && !t.barred[n] && !now.Before(t.held[n]) && !(t.isolated && t.movable[n])
+}
+
+// release gives VMs that have moved work once they have been left alone for long enough; the lock is held.
+func (t *table) release(now time.Time) {
+	for n, u := range t.held {
+		if !now.Before(u) {
+			delete(t.held, n)
+			t.divide(now)
+		}
+	}
+}
+
 // regrant recomputes which slots can be used; the lock is held.
 func (t *table) regrant(now time.Time) {
-	t.admission.SetDivision(t.division, t.vms, func(n string) bool { return !t.leaving[n] && t.health.Usable(n) })
-	t.admission.Next(now)
+	t.admission.SetDivision(t.division, t.vms, func(n string) bool { return t.usable(now, n) && t.health.Usable(n) })
+	t.next(now)
 }
 
 func (t *table) observe(now time.Time, vm string, e health.Event) (decision.Record, bool) {
--- a/entry/dispatch/slot.go
+++ b/entry/dispatch/slot.go
@@ -56,7 +56,7 @@
 	if served {
 		s.table.retries.Earn()
 	}
-	s.table.admission.Next(now)
+	s.table.next(now)
 }
 
 // Refused frees the slot of a request that the VM had no room for, and leaves the VM alone for a while.
@@ -67,12 +67,12 @@
 	defer t.lock.Unlock()
 	t.admission.Done(now, s.ticket, false)
 	d := t.admission.Refused(now, s.ticket)
-	t.admission.Next(now)
+	t.next(now)
 	time.AfterFunc(d, func() {
 		t.lock.Lock()
 		defer t.lock.Unlock()
 		t.admission.Cooled(n)
-		t.admission.Next(time.Now())
+		t.next(time.Now())
 	})
 }
 
@@ -81,7 +81,7 @@
 	now := time.Now()
 	s.table.lock.Lock()
 	t := s.table.admission.Again(now, s.ticket)
-	s.table.admission.Next(now)
+	s.table.next(now)
 	s.table.lock.Unlock()
 	return s.dispatcher.wait(ctx, s.table, t, s.Service)
 }
@@ -107,7 +107,7 @@
 	t.lock.Lock()
 	k, f := t.admission.Offer(now, r)
 	if f.Reason == admission.None {
-		t.admission.Next(now)
+		t.next(now)
 	}
 	t.lock.Unlock()
 	if f.Reason != admission.None {
--- a/entry/operator/change.go
+++ b/entry/operator/change.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,6 +45,8 @@
 	Sections config.Sections
 	// Refs are used where Sections is nil, to return to an older configuration.
 	Refs []*schema.SectionRef
+	// Stateful says that the change is the controller's: it replaces some of its sections and no others.
+	Stateful bool
 }
 
 // BaseError reports a change of a configuration that is no longer in force.
@@ -131,7 +135,7 @@
 	if f := p.view.Current().Revision(); old.Revision < f {
 		return nil, trace.Wrap(&BehindError{Store: old.Revision, InForce: f})
 	}
-	if old.Revision != c.Base {
+	if !based(c, old) {
 		return p.accepted(ctx, old, c)
 	}
 	h, err := p.prepare(ctx, c, i, old)
@@ -148,6 +152,15 @@
 	return h, nil
 }
 
+// based says whether the change was made of what is in force. What the controller has changed
+// since does not stand in an operator's way.
+func based(c Change, now *schema.Head) bool {
+	if c.Stateful {
+		return now.Revision == c.Base
+	}
+	return c.Base >= now.OperatorRevision && c.Base <= now.Revision
+}
+
 // accepted finds the change among the kept heads; it fails with a BaseError.
 func (p *Publisher) accepted(ctx context.Context, now *schema.Head, c Change) (*schema.Head, error) {
 	l, err := p.History(ctx, now)
@@ -182,11 +195,12 @@
 // prepare writes what the new head names, which is harmless to repeat.
 func (p *Publisher) prepare(ctx context.Context, c Change, i store.Item, old *schema.Head) (*schema.Head, error) {
 	h := &schema.Head{
-		Revision: old.Revision + 1, Sections: c.Refs, Mark: c.Mark,
+		Revision: old.Revision + 1, Sections: c.refs(old), Mark: c.Mark,
 		AcceptedUnixMs: time.Now().UnixMilli(), Author: c.Author, Note: c.Note,
+		OperatorRevision: old.Revision + 1,
 	}
-	if c.Sections != nil {
-		h.Sections = c.Sections.Refs()
+	if c.Stateful {
+		h.OperatorRevision = old.OperatorRevision
 	}
 	have := map[config.Digest]bool{}
 	for _, r := range old.Sections {
@@ -200,12 +214,38 @@
 			return nil, err
 		}
 	}
-	if i.Revision > 0 {
-		d := config.Sum(i.Value)
-		h.Previous = d[:]
-		return h, p.keep(ctx, d, i.Value)
+	if i.Revision == 0 {
+		return h, nil
 	}
-	return h, nil
+	if old.OperatorRevision != old.Revision {
+		h.Previous = old.Previous
+		return h, nil
+	}
+	d := config.Sum(i.Value)
+	h.Previous = d[:]
+	return h, p.keep(ctx, d, i.Value)
+}
+
+// refs are the sections of the new head: those of the change, and the old ones that it leaves alone.
+func (c Change) refs(old *schema.Head) []*schema.SectionRef {
+	l := c.Refs
+	if c.Sections != nil {
+		l = c.Sections.Refs()
+	}
+	kept := []*schema.SectionRef{}
+	for _, r := range l {
+		if c.Stateful || !config.Stateful(r.Name) {
+			kept = append(kept, r)
+		}
+	}
+	for _, r := range old.Sections {
+		_, replaced := c.Sections[r.Name]
+		if config.Stateful(r.Name) && !replaced || c.Stateful && !replaced {
+			kept = append(kept, r)
+		}
+	}
+	slices.SortFunc(kept, func(a, b *schema.SectionRef) int { return strings.Compare(a.Name, b.Name) })
+	return slices.CompactFunc(kept, func(a, b *schema.SectionRef) bool { return a.Name == b.Name })
 }
 
 // keep writes immutable content, also where it is there already, so that its age is that of the change.
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/pprof"
@@ -12,18 +13,24 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/dispatch"
 	"github.com/tarragonbank/tarragonbank/entry/view"
 	"github.com/tarragonbank/tarragonbank/fleet/config"
 	"github.com/tarragonbank/tarragonbank/fleet/document"
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
 	"github.com/tarragonbank/tarragonbank/fleet/member"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
-const changeLimit = 8 << 20
+const (
+	changeLimit = 8 << 20
+	// mostChanges is how many changes operators may ask of one entry in a second.
+	mostChanges = 100
+)
 
 // Entry is what the operators' side shows of the entry.
 type Entry interface {
@@ -32,6 +39,8 @@
 	Members() []member.Member
 	Pools() []dispatch.PoolView
 	Decisions() []decision.Record
+	// Site is what decisions on maintenance rest on.
+	Site(c *config.Snapshot) maintenance.Site
 }
 
 // Status is the entry's own state.
@@ -59,6 +68,7 @@
 	token     string
 	metrics   http.Handler
 	mux       *http.ServeMux
+	changes   *rate.Limiter
 }
 
 // Option changes a Server at its making.
@@ -75,7 +85,10 @@
 
 // New makes a server; changes need the token, and an empty one refuses them all.
 func New(e Entry, v *view.View, p *Publisher, token string, metrics http.Handler, l ...Option) *Server {
-	s := &Server{entry: e, view: v, publisher: p, token: token, metrics: metrics, mux: http.NewServeMux()}
+	s := &Server{
+		entry: e, view: v, publisher: p, token: token, metrics: metrics, mux: http.NewServeMux(),
+		changes: rate.NewLimiter(mostChanges, mostChanges),
+	}
 	s.mux.HandleFunc("GET /live", s.live)
 	s.mux.HandleFunc("GET /ready", s.ready)
 	s.mux.Handle("GET /metrics", metrics)
@@ -88,6 +101,10 @@
 	s.mux.HandleFunc("POST /v1/config", s.authorised(s.apply))
 	s.mux.HandleFunc("POST /v1/config/rollback", s.authorised(s.rollback))
 	s.mux.HandleFunc("POST /v1/config/collect", s.authorised(s.collect))
+	s.mux.HandleFunc("GET /v1/vms", s.vms)
+	s.mux.HandleFunc("GET /v1/maintenance", s.waves)
+	s.mux.HandleFunc("POST /v1/maintenance/{pool}/{verb}", s.authorised(s.steer))
+	s.mux.HandleFunc("POST /v1/vms/{vm}/{verb}", s.authorised(s.hold))
 	for _, o := range l {
 		o(s)
 	}
@@ -320,15 +337,36 @@
 
 func (s *Server) authorised(f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		t := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if s.token == "" || subtle.ConstantTimeCompare([]byte(t), []byte(s.token)) != 1 {
+		if !certified(r) && !s.tokened(r) {
 			refuse(w, trace.Wrap(&TokenError{}))
 			return
 		}
+		if !s.changes.Allow() {
+			refuse(w, trace.Wrap(&RateError{}))
+			return
+		}
 		f(w, r)
 	}
 }
 
+// RateError reports more changes than an entry takes.
+type RateError struct{}
+
+// Error describes the failure in one line.
+func (*RateError) Error() string {
+	return fmt.Sprintf("an entry takes at most %d changes a second", mostChanges)
+}
+
+// certified says that the operator showed a certificate that the authority signed.
+func certified(r *http.Request) bool {
+	return r.TLS != nil && len(r.TLS.VerifiedChains) > 0
+}
+
+func (s *Server) tokened(r *http.Request) bool {
+	t := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return s.token != "" && subtle.ConstantTimeCompare([]byte(t), []byte(s.token)) == 1
+}
+
 func read(w http.ResponseWriter, r *http.Request, v any) bool {
 	d := json.NewDecoder(io.LimitReader(r.Body, changeLimit))
 	d.DisallowUnknownFields()
@@ -357,6 +395,9 @@
 	var gone *GoneError
 	var token *TokenError
 	var away *store.UnavailableError
+	var often *RateError
+	var verb *VerbError
+	var budget *BudgetError
 	switch {
 	case isDocument(err):
 		return http.StatusUnprocessableEntity, "document"
@@ -366,6 +407,12 @@
 		return http.StatusServiceUnavailable, "behind"
 	case errors.As(err, &unsettled):
 		return http.StatusGatewayTimeout, "unsettled"
+	case errors.As(err, &verb):
+		return http.StatusNotFound, "verb"
+	case errors.As(err, &budget):
+		return http.StatusConflict, "budget"
+	case errors.As(err, &often):
+		return http.StatusTooManyRequests, "rate"
 	case errors.As(err, &gone):
 		return http.StatusNotFound, "gone"
 	case errors.As(err, &token):
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,6 +34,8 @@
 	stream  net.Conn
 	sent    *member.Sent
 	failed  time.Time
+	// relays asks for the rows of others in the next message.
+	relays atomic.Bool
 }
 
 func yamuxConfig() *yamux.Config {
--- a/entry/peer/node.go
+++ b/entry/peer/node.go
@@ -20,8 +20,12 @@
 	// meshSize is the number of entries up to which each speaks to all others.
 	meshSize = 8
 	// fanOut is the number of peers spoken to at each interval above meshSize.
-	fanOut          = 6
+	fanOut = 2
+	// newsFanOut is the number of peers told at once of what is new above meshSize.
+	newsFanOut      = 8
 	longestInterval = 3 * time.Second
+	// relayPatience is how many times longer heartbeats may take through others.
+	relayPatience = 3
 )
 
 // Counter counts control messages by kind in bytes.
@@ -138,11 +142,12 @@
 		case <-ctx.Done():
 			return
 		case <-n.hurry:
+			n.beat(ctx, newsFanOut)
 		case <-t.C:
 			d := n.interval()
 			t.Reset(d*9/10 + rand.N(d/5))
+			n.beat(ctx, fanOut)
 		}
-		n.beat(ctx)
 	}
 }
 
@@ -150,26 +155,32 @@
 func (n *Node) interval() time.Duration {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	d := n.base
-	if c := len(n.table.Sharing()); c > meshSize {
-		d = min(d*time.Duration(c)/meshSize, max(longestInterval, d))
+	c := len(n.table.Sharing())
+	if c <= meshSize {
+		n.table.SetInterval(n.base, 1)
+		return n.base
 	}
-	n.table.SetInterval(d)
+	d := min(n.base*time.Duration(c)/(meshSize-1), max(longestInterval, n.base))
+	n.table.SetInterval(d, relayPatience)
 	return d
 }
 
-func (n *Node) beat(ctx context.Context) {
+// beat publishes the entry's row and speaks to some peers; rows of others go with the regular beats only.
+func (n *Node) beat(ctx context.Context, fan int) {
 	b := n.body()
 	now := time.Now()
 	n.lock.Lock()
 	n.table.Beat(now, b)
 	l := n.table.Tick(now)
-	links := n.choose(ctx)
+	links := n.choose(ctx, fan)
 	n.lock.Unlock()
 	for _, m := range l {
 		n.log.Add(decision.Record{Time: now, Kind: decision.Membership, Reason: m.Name() + " is " + m.State.String()})
 	}
 	for _, x := range links {
+		if fan == fanOut {
+			x.relays.Store(true)
+		}
 		signal(x.kick)
 	}
 	if len(l) > 0 {
@@ -178,7 +189,7 @@
 }
 
 // choose picks the peers to speak to; the lock is held.
-func (n *Node) choose(ctx context.Context) []*link {
+func (n *Node) choose(ctx context.Context, fan int) []*link {
 	names := map[string]bool{}
 	for _, s := range n.seeds {
 		names[s.Name] = true
@@ -197,7 +208,7 @@
 		return l
 	}
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	return l[:fanOut]
+	return l[:fan]
 }
 
 func (n *Node) link(ctx context.Context, name string) *link {
@@ -244,7 +255,7 @@
 func (n *Node) exchange(l *link) *schema.Envelope {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	wide := len(n.table.Sharing()) > meshSize
+	wide := len(n.table.Sharing()) > meshSize && l.relays.Swap(false)
 	relay := func(name string) bool {
 		if name == l.name {
 			return false
--- a/entry/peer/serve.go
+++ b/entry/peer/serve.go
@@ -6,13 +6,19 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"golang.org/x/time/rate"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/member"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
-const acceptPause = 50 * time.Millisecond
+const (
+	acceptPause = 50 * time.Millisecond
+	// mostMessages is how many messages a peer may send in a second.
+	mostMessages = 2000
+)
 
 func (n *Node) accept(ctx context.Context, l net.Listener) {
 	defer n.closing.Done()
@@ -38,13 +44,14 @@
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
 	defer s.Close()
+	limit := rate.NewLimiter(mostMessages, mostMessages)
 	for {
 		t, err := s.Accept()
 		if err != nil {
 			n.refused(c, err)
 			return
 		}
-		go n.serveStream(ctx, t)
+		go n.serveStream(ctx, t, limit)
 	}
 }
 
@@ -59,9 +66,10 @@
 	})
 }
 
-func (n *Node) serveStream(ctx context.Context, t net.Conn) {
+// serveStream reads no faster than the peer may send.
+func (n *Node) serveStream(ctx context.Context, t net.Conn, limit *rate.Limiter) {
 	defer t.Close()
-	for ctx.Err() == nil {
+	for limit.Wait(ctx) == nil {
 		m, k, err := ReadFrame(t)
 		if err != nil {
 			return
@@ -136,11 +144,12 @@
 		l.sent.Want(x.Unknown)
 	}
 	for _, r := range x.Rows {
-		taken, unknown := n.table.Merge(now, r)
-		if unknown {
+		switch n.table.Merge(now, r) {
+		case member.Unknown:
 			n.unknown[x.From] = append(n.unknown[x.From], r.Name)
+		case member.Body:
+			changed = true
 		}
-		changed = changed || taken && r.Body != nil
 	}
 	newer := len(n.table.Newer(n.view.Current().Revision())) > 0
 	n.lock.Unlock()
--- a/entry/peer/tls.go
+++ b/entry/peer/tls.go
@@ -57,6 +57,31 @@
 	return client, server, nil
 }
 
+// NewOperatorTLS makes the operators' configuration: their certificates are asked for, and must be the authority's where given.
+// It fails with a CertificateError.
+func NewOperatorTLS(f settings.TLS) (*tls.Config, error) {
+	k := &keys{files: f}
+	if err := k.load(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			c := k.certificate()
+			return &tls.Config{
+				MinVersion: tls.VersionTLS13, ClientAuth: tls.VerifyClientCertIfGiven,
+				ClientCAs: k.authorities(), Certificates: []tls.Certificate{*c},
+			}, nil
+		},
+	}, nil
+}
+
+func (k *keys) authorities() *x509.CertPool {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	return k.roots
+}
+
 func (k *keys) load() error {
 	c, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
 	if err != nil {
@@ -89,9 +114,7 @@
 // verify accepts a peer whose certificate the authority signed, whatever name it carries.
 func (k *keys) verify(s tls.ConnectionState) error {
 	k.certificate()
-	k.lock.Lock()
-	o := x509.VerifyOptions{Roots: k.roots, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
-	k.lock.Unlock()
+	o := x509.VerifyOptions{Roots: k.authorities(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
 	if len(s.PeerCertificates) == 0 {
 		return trace.Wrap(&CertificateError{File: "of the peer", Detail: "there is none"})
 	}
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -28,6 +28,7 @@
 	prefixParam   = "prefix"
 	afterParam    = "after"
 	waitParam     = "waitMs"
+	bootParam     = "boot"
 	revisionField = "Store-Revision"
 )
 
@@ -161,6 +162,21 @@
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
 	Leaving bool           `json:"leaving"`
+	// Boot identifies the VM's last start, empty while it is down.
+	Boot string `json:"boot"`
+}
+
+// Reboot has the platform reboot a VM if it is still at the boot; asking twice reboots once.
+// It fails with an UnavailableError, after which the VM may be rebooting.
+func (c *Client) Reboot(ctx context.Context, name, boot string) error {
+	a, err := c.call(ctx, "reboot", http.MethodPost, "/v1/machines/"+url.PathEscape(name)+"/reboot?"+url.Values{bootParam: {boot}}.Encode(), nil, callTimeout)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK && a.status != http.StatusConflict {
+		return a.unavailable("reboot")
+	}
+	return nil
 }
 
 // Machines reads the lagging list of VMs; it fails with an UnavailableError.
--- a/entry/platform/watcher.go
+++ b/entry/platform/watcher.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	watchWait  = 3 * time.Second
+	watchWait  = 5 * time.Second
 	idlePause  = 250 * time.Millisecond
 	errorPause = 500 * time.Millisecond
 	freshFor   = 6 * time.Second
@@ -40,9 +40,18 @@
 	list    time.Duration
 	poll    bool
 
-	lock    sync.Mutex
-	heard   time.Time
-	leaving []string
+	lock     sync.Mutex
+	heard    time.Time
+	listed   time.Time
+	machines []Machine
+	leaving  []string
+}
+
+// Machines is the platform's list as last read, and when that was.
+func (w *Watcher) Machines() ([]Machine, time.Time) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.machines, w.listed
 }
 
 // WatcherOption changes a Watcher at its making.
@@ -203,6 +212,8 @@
 	slices.Sort(l)
 	w.lock.Lock()
 	w.heard = time.Now()
+	w.listed = w.heard
+	w.machines = m
 	news := !slices.Equal(l, w.leaving)
 	w.leaving = l
 	w.lock.Unlock()
--- /dev/null
+++ b/entry/tarragond/sight.go
@@ -0,0 +1,118 @@
+package tarragond
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/platform"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
+	"github.com/tarragonbank/tarragonbank/fleet/service"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+const (
+	// listFresh is how old the platform's list may be for decisions to rest on it.
+	listFresh = 5 * time.Second
+	// demandMemory is the time over which demand is averaged before VMs move for it.
+	demandMemory = 30 * time.Second
+	// isolatedAfter is how long an entry hears nobody before it takes itself as cut off.
+	isolatedAfter = 3 * time.Second
+)
+
+// Sight is what is known of the site; without a fresh list of VMs it is too little.
+func (e *Entry) Sight(ctx context.Context) (*config.Snapshot, maintenance.Site, bool) {
+	c := e.view.Current()
+	_, at := e.watcher.Machines()
+	if c == nil || time.Since(at) > listFresh {
+		return nil, maintenance.Site{}, false
+	}
+	s := e.Site(c)
+	e.probeReturning(ctx, c, s)
+	return c, s, true
+}
+
+// Site joins the configuration with the platform's list, what requests saw, and demand.
+func (e *Entry) Site(c *config.Snapshot) maintenance.Site {
+	s := c.Site()
+	s.Sights = map[string]maintenance.Sight{}
+	unwell := e.dispatcher.Unwell()
+	l, at := e.watcher.Machines()
+	if time.Since(at) > listFresh {
+		l, _ = e.platform.Machines(context.Background())
+	}
+	for _, m := range l {
+		s.Sights[m.Name] = sight(m, unwell[m.Name])
+	}
+	s.Demand = e.demand.average(time.Now(), e.sumDemand())
+	return s
+}
+
+func sight(m platform.Machine, unwell bool) maintenance.Sight {
+	return maintenance.Sight{Live: m.Boot != "" && !m.Leaving, Answers: !unwell, Boot: m.Boot}
+}
+
+// probeReturning asks VMs that come back from a reboot themselves, since no request goes to them.
+func (e *Entry) probeReturning(ctx context.Context, c *config.Snapshot, s maintenance.Site) {
+	for n, x := range c.States {
+		if x.Phase != vm.Rebooting && x.Phase != vm.Failed || !s.Sights[n].Live || s.Sights[n].Boot == x.Boot {
+			continue
+		}
+		v := s.Sights[n]
+		v.Answers = e.backend.Probe(ctx, c.VMs[n], service.DefaultHealthPath)
+		s.Sights[n] = v
+	}
+}
+
+// sumDemand adds up what all entries ask of each pool.
+func (e *Entry) sumDemand() map[string]int {
+	m := map[string]int{}
+	for _, x := range e.node.Sharing() {
+		for _, d := range x.Row.Body.Demands {
+			m[d.Pool] += int(d.Demand)
+		}
+	}
+	return m
+}
+
+// average forgets old demand slowly, so that short floods move no VM.
+type average struct {
+	lock   sync.Mutex
+	last   time.Time
+	values map[string]float64
+}
+
+func (a *average) average(now time.Time, m map[string]int) map[string]int {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	part := min(now.Sub(a.last).Seconds()/demandMemory.Seconds(), 1)
+	a.last = now
+	if a.values == nil {
+		a.values = map[string]float64{}
+	}
+	for n, d := range m {
+		a.values[n] += part * (float64(d) - a.values[n])
+	}
+	r := map[string]int{}
+	for n, v := range a.values {
+		if _, ok := m[n]; !ok {
+			a.values[n] = v * (1 - part)
+		}
+		r[n] = int(a.values[n] + 0.5)
+	}
+	return r
+}
+
+// isolated says whether the entry has heard neither a peer nor the platform for some time.
+func (e *Entry) isolated(now time.Time) bool {
+	if now.Sub(e.watcher.Heard()) < isolatedAfter {
+		return false
+	}
+	for _, m := range e.node.Members() {
+		if m.Name() != e.settings.Name && now.Sub(m.Heard) < isolatedAfter {
+			return false
+		}
+	}
+	return true
+}
--- a/entry/tarragond/tarragond.go
+++ b/entry/tarragond/tarragond.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/backend"
 	"github.com/tarragonbank/tarragonbank/entry/caller"
+	"github.com/tarragonbank/tarragonbank/entry/controller"
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/dispatch"
 	"github.com/tarragonbank/tarragonbank/entry/metrics"
@@ -54,9 +56,13 @@
 	dispatcher *dispatch.Dispatcher
 	node       *peer.Node
 	watcher    *platform.Watcher
+	platform   *platform.Client
 	claims     *platform.Claims
 	caller     *caller.Server
 	operator   *operator.Server
+	controller *controller.Controller
+	demand     average
+	secure     *tls.Config
 	lock       sync.Mutex
 	leaving    bool
 }
@@ -79,14 +85,22 @@
 		dispatch.WithStallLimit(s.StallLimit),
 		dispatch.WithChanged(func() { e.node.Hurry() }))
 	client := platform.New(s.Platform, platform.WithOutgoing(s.Outgoing), platform.WithCounter(e.metrics))
+	e.platform = client
 	if err := e.join(); err != nil {
 		return nil, err
 	}
+	if s.TLS.Enabled() {
+		if e.secure, err = peer.NewOperatorTLS(s.TLS); err != nil {
+			return nil, err
+		}
+	}
 	e.watcher = platform.NewWatcher(client, e.view, e.log, s.List, e.watching, e.spread, e.watchOptions()...)
 	e.claims = platform.NewClaims(client)
 	shared := peer.NewClaims(e.node, e.claims)
 	e.caller = caller.New(s.Name, e.view, e.dispatcher, e.backend, shared, e.log, e.metrics, s.BodyLimit)
-	e.operator = operator.New(e, e.view, operator.NewPublisher(client, e.view), s.OperatorToken, e.metrics.Handler(), e.profiling()...)
+	publisher := operator.NewPublisher(client, e.view)
+	e.controller = controller.New(s.Name, client, e, publisher, client, e.log)
+	e.operator = operator.New(e, e.view, publisher, s.OperatorToken, e.metrics.Handler(), e.profiling()...)
 	e.view.Subscribe(e.dispatcher.SetConfig)
 	e.view.Subscribe(func(*snapshot) { e.node.Hurry() })
 	return e, nil
@@ -133,6 +147,7 @@
 		e.watcher.Run,
 		e.dispatcher.Run,
 		e.tick,
+		func(c context.Context) { e.controller.Run(c, e.watching) },
 		func(c context.Context) { e.node.Run(c, l.peer) },
 	} {
 		parts.Add(1)
@@ -216,6 +231,9 @@
 		}
 		*x.listener = n
 	}
+	if e.secure != nil {
+		l.operator = tls.NewListener(l.operator, e.secure)
+	}
 	return l, nil
 }
 
@@ -246,6 +264,7 @@
 		case now := <-t.C:
 			e.backend.Sweep(now)
 			e.share()
+			e.dispatcher.SetIsolated(e.isolated(now))
 			e.metrics.Gauge("config_revision", float64(e.view.Current().Revision()))
 			e.metrics.Gauge("requests_in_flight", float64(e.caller.InFlight()))
 			e.metrics.Gauge("decisions_dropped", float64(e.log.Dropped()))
--- a/fleet/config/section.go
+++ b/fleet/config/section.go
@@ -14,6 +14,9 @@
 	sectionPool  = "pool/"
 	sectionVMs   = "vms/"
 	sectionTeams = "teams"
+	sectionRules = "maintenance"
+	sectionWaves = "state/waves"
+	sectionState = "state/"
 )
 
 // Sections are the encoded parts of a configuration by name.
@@ -42,6 +45,13 @@
 	if len(s.Rules.Teams) > 0 {
 		get(sectionTeams).Teams = s.Rules.Teams
 	}
+	if s.Rules.Maintenance != nil {
+		get(sectionRules).Maintenance = s.Rules.Maintenance
+	}
+	return encode(m)
+}
+
+func encode(m map[string]*schema.Section) (Sections, error) {
 	r := Sections{}
 	for n, x := range m {
 		b, err := proto.MarshalOptions{Deterministic: true}.Marshal(x)
--- a/fleet/config/snapshot.go
+++ b/fleet/config/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
 	"github.com/tarragonbank/tarragonbank/fleet/pool"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/service"
@@ -22,6 +23,9 @@
 	Services []service.Service
 	Teams    map[string]team.Team
 	VMs      map[string]vm.VM
+	States   map[string]vm.State
+	Waves    map[string]maintenance.Wave
+	Rules    maintenance.Rules
 }
 
 // Compile reads the sections that the head names; it fails with a MissingSectionError or a CorruptError.
@@ -32,6 +36,9 @@
 		Pools:   map[string]pool.Pool{},
 		Teams:   map[string]team.Team{},
 		VMs:     map[string]vm.VM{},
+		States:  map[string]vm.State{},
+		Waves:   map[string]maintenance.Wave{},
+		Rules:   maintenance.NewRules(nil),
 	}
 	pools := []*schema.Pool{}
 	for _, r := range h.Sections {
@@ -76,11 +83,28 @@
 	for _, m := range x.Teams {
 		s.Teams[m.Name] = team.New(m)
 	}
+	for _, m := range x.VmStates {
+		s.States[m.Name] = vm.NewState(m)
+	}
+	for _, m := range x.PoolStates {
+		s.Waves[m.Name] = maintenance.NewWave(m)
+	}
+	if x.Maintenance != nil {
+		s.Rules = maintenance.NewRules(x.Maintenance)
+	}
 }
 
 func (s *Snapshot) fillPools(l []*schema.Pool) {
 	members := map[string][]vm.VM{}
-	for _, v := range s.VMs {
+	known := map[string]bool{}
+	for _, m := range l {
+		known[m.Name] = true
+	}
+	for n, v := range s.VMs {
+		if p := s.States[n].Pool; known[p] {
+			v.Pool = p
+			s.VMs[n] = v
+		}
 		members[v.Pool] = append(members[v.Pool], v)
 	}
 	for _, m := range l {
--- /dev/null
+++ b/fleet/maintenance/action.go
@@ -0,0 +1,73 @@
+package maintenance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+// Action is one decision: a VM's next state, or a pool's next wave, and why.
+type Action struct {
+	VM     string
+	State  vm.State
+	Pool   string
+	Wave   Wave
+	Reason string
+}
+
+// Reboot says that the VM is to be rebooted once the action is recorded.
+func (a Action) Reboot() bool {
+	return a.VM != "" && a.State.Phase == vm.Rebooting
+}
+
+// OverdrawnError reports an action that would take a pool below its budget.
+type OverdrawnError struct {
+	Pool string
+	VM   string
+	Down int
+	Most int
+}
+
+// Error describes the failure in one line.
+func (e *OverdrawnError) Error() string {
+	return fmt.Sprintf("taking %s down would leave %d VMs of pool %s down, at most %d are allowed", e.VM, e.Down, e.Pool, e.Most)
+}
+
+// decider collects actions and applies each to the site, so that later ones see it.
+type decider struct {
+	*Site
+	now     time.Time
+	actions []Action
+}
+
+// set records a VM's next state. It panics where the action would overdraw the pool's budget.
+func (d *decider) set(name string, next vm.State, reason string, a ...any) {
+	before := d.States[name]
+	if next.Phase != before.Phase {
+		next.Since = d.now
+	}
+	p := d.poolOf(name)
+	wasDown := d.down(name)
+	d.States[name] = next
+	if !wasDown && d.down(name) && d.Down(p) > d.Pools[p].MaxDown {
+		panic((&OverdrawnError{Pool: p, VM: name, Down: d.Down(p), Most: d.Pools[p].MaxDown}).Error())
+	}
+	d.actions = append(d.actions, Action{VM: name, State: next, Reason: fmt.Sprintf(reason, a...)})
+}
+
+func (d *decider) setWave(p string, w Wave, reason string) {
+	d.Waves[p] = w
+	d.actions = append(d.actions, Action{Pool: p, Wave: w, Reason: reason})
+}
+
+func (d *decider) poolOf(name string) string {
+	for n, p := range d.Pools {
+		for _, v := range p.VMs {
+			if v.Name == name {
+				return n
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/fleet/maintenance/maintenance_test.go
@@ -0,0 +1,208 @@
+package maintenance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
+	"github.com/tarragonbank/tarragonbank/fleet/pool"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+func TestMaintenance(t *testing.T) {
+	suite.Run(t, "maintenance")
+}
+
+var now = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+var hurried = maintenance.Rules{
+	Period: time.Hour, Drain: 10 * time.Second, RebootLimit: time.Minute, Halt: 10 * time.Minute, Stay: time.Minute,
+}
+
+var good = maintenance.Sight{Live: true, Answers: true, Boot: "1"}
+
+// site makes pools of four VMs, two to a rack, all well and long due.
+func site(maxDown int, pools ...string) maintenance.Site {
+	s := maintenance.Site{
+		Rules: hurried, Pools: map[string]pool.Pool{}, Waves: map[string]maintenance.Wave{},
+		States: map[string]vm.State{}, Sights: map[string]maintenance.Sight{}, Demand: map[string]int{},
+	}
+	for _, n := range pools {
+		p := pool.Pool{Name: n, MaxDown: maxDown, Spare: n == "spare"}
+		for i := range 4 {
+			v := vm.VM{Name: fmt.Sprintf("%s-%d", n, i), Rack: fmt.Sprintf("%s-r%d", n, i/2), Pool: n, Home: n, Slots: 8}
+			p.VMs = append(p.VMs, v)
+			s.States[v.Name] = vm.State{Maintained: now.Add(-24 * time.Hour)}
+			s.Sights[v.Name] = good
+		}
+		s.Pools[n] = p
+	}
+	return s
+}
+
+// apply records actions as the store would.
+func apply(s maintenance.Site, l []maintenance.Action) []string {
+	r := []string{}
+	for _, a := range l {
+		if a.VM == "" {
+			s.Waves[a.Pool] = a.Wave
+			r = append(r, fmt.Sprintf("%s: %s", a.Pool, a.Reason))
+			continue
+		}
+		s.States[a.VM] = a.State
+		r = append(r, fmt.Sprintf("%s %s", a.VM, a.State.Phase))
+	}
+	return r
+}
+
+func phases(s maintenance.Site, p string) map[vm.Phase]int {
+	m := map[vm.Phase]int{}
+	for _, v := range s.Pools[p].VMs {
+		m[s.States[v.Name].Phase]++
+	}
+	return m
+}
+
+var _ = ginkgo.Describe("a wave", func() {
+	ginkgo.It("begins with one VM and widens when it comes back, within the budget", func() {
+		s := site(2, "cups")
+		apply(s, maintenance.Decide(now, s))
+		first := phases(s, "cups")[vm.Draining]
+		at := now.Add(20 * time.Second)
+		apply(s, maintenance.Decide(at, s))
+		for n, x := range s.States {
+			if x.Phase == vm.Rebooting {
+				s.Sights[n] = maintenance.Sight{Live: true, Answers: true, Boot: "2"}
+			}
+		}
+		at = at.Add(20 * time.Second)
+		apply(s, maintenance.Decide(at, s))
+		gomega.Expect([]int{first, phases(s, "cups")[vm.Draining], s.Waves["cups"].Width}).To(gomega.Equal([]int{1, 2, 2}))
+	})
+
+	ginkgo.It("halts when a VM does not come back, and brings back what was drained", func() {
+		s := site(3, "cups")
+		s.Waves["cups"] = maintenance.Wave{Width: 3}
+		s.States["cups-0"] = vm.State{Phase: vm.Rebooting, Since: now.Add(-2 * time.Minute), Boot: "1", Maintained: now}
+		s.Sights["cups-0"] = maintenance.Sight{}
+		s.States["cups-1"] = vm.State{Phase: vm.Draining, Since: now, Maintained: now}
+		l := apply(s, maintenance.Decide(now, s))
+		gomega.Expect(l).To(gomega.Equal([]string{"cups-0 failed", "cups: halted", "cups-1 inService"}))
+	})
+
+	ginkgo.It("says why it waits", func() {
+		s := site(1, "cups")
+		why := []string{}
+		ask := func() { why = append(why, maintenance.Explain(now, s, "cups")) }
+		ask()
+		s.Sights["cups-3"] = maintenance.Sight{Live: true}
+		ask()
+		s.Waves["cups"] = maintenance.Wave{Halted: now.Add(time.Minute), Reason: "cups-0 did not come back"}
+		ask()
+		s.Waves["cups"] = maintenance.Wave{Paused: true}
+		ask()
+		s.Sights["cups-3"] = good
+		s.Waves["cups"] = maintenance.Wave{}
+		s.Rules.QuietFrom, s.Rules.QuietTo = 11, 13
+		ask()
+		gomega.Expect(why).To(gomega.Equal([]string{
+			"", "the pool's budget is used up", "the wave is halted: cups-0 did not come back", "an operator paused the wave", "these are quiet hours",
+		}))
+	})
+
+	ginkgo.It("does not begin while failures use up the budget, and what is unknown counts as down", func() {
+		s := site(1, "cups")
+		delete(s.Sights, "cups-2")
+		gomega.Expect(apply(s, maintenance.Decide(now, s))).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("takes a new VM as maintained and not as due", func() {
+		s := site(1, "cups")
+		for n := range s.States {
+			s.States[n] = vm.State{}
+		}
+		apply(s, maintenance.Decide(now, s))
+		gomega.Expect(phases(s, "cups")).To(gomega.Equal(map[vm.Phase]int{vm.InService: 4}))
+	})
+})
+
+var _ = ginkgo.Describe("spare VMs", func() {
+	lent := func(s maintenance.Site) int {
+		n := 0
+		for _, x := range s.States {
+			if x.Pool != "" {
+				n++
+			}
+		}
+		return n
+	}
+
+	ginkgo.It("go one by one to a pool that needs them, and not all", func() {
+		s := site(1, "cups", "spare")
+		s.Rules.Period = 0
+		s.Demand["cups"] = 60
+		for i := range 6 {
+			l := maintenance.Decide(now.Add(time.Duration(i)*time.Second), s)
+			apply(s, l)
+			for _, a := range l {
+				relocate(s, a)
+			}
+		}
+		gomega.Expect(lent(s)).To(gomega.Equal(3))
+	})
+
+	ginkgo.It("come back only when they have stayed and are no longer needed", func() {
+		s := site(1, "cups", "spare")
+		s.Rules.Period = 0
+		s.Demand["cups"] = 30
+		l := maintenance.Decide(now, s)
+		apply(s, l)
+		for _, a := range l {
+			relocate(s, a)
+		}
+		s.Demand["cups"] = 5
+		soon := maintenance.Decide(now.Add(30*time.Second), s)
+		later := maintenance.Decide(now.Add(2*time.Minute), s)
+		gomega.Expect([]int{lent(s), len(soon), len(later)}).To(gomega.Equal([]int{1, 0, 1}))
+	})
+
+	ginkgo.It("do not move for a demand between the two bounds", func() {
+		s := site(1, "cups", "spare")
+		s.Rules.Period = 0
+		s.Demand["cups"] = 24
+		gomega.Expect(maintenance.Decide(now, s)).To(gomega.BeEmpty())
+	})
+})
+
+// relocate puts a VM that was moved under its new pool, as reading the record back does.
+func relocate(s maintenance.Site, a maintenance.Action) {
+	if a.VM == "" || a.State.Moved.IsZero() {
+		return
+	}
+	for n, p := range s.Pools {
+		kept := []vm.VM{}
+		for _, v := range p.VMs {
+			if v.Name != a.VM {
+				kept = append(kept, v)
+				continue
+			}
+			v.Pool = a.State.Pool
+			if v.Pool == "" {
+				v.Pool = v.Home
+			}
+			q := s.Pools[v.Pool]
+			q.VMs = append(append([]vm.VM{}, q.VMs...), v)
+			s.Pools[v.Pool] = q
+		}
+		p = s.Pools[n]
+		if len(kept) < len(p.VMs) && n != a.State.Pool {
+			p.VMs = kept
+			s.Pools[n] = p
+		}
+	}
+}
--- /dev/null
+++ b/fleet/maintenance/move.go
@@ -0,0 +1,130 @@
+package maintenance
+
+import (
+	"sort"
+
+	"github.com/tarragonbank/tarragonbank/fleet/pool"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+// Parts of a pool's slots between which no VM moves.
+const (
+	borrowAbove = 0.85
+	returnBelow = 0.60
+	// spareReserve is the VMs that the spare pool keeps beside its own need.
+	spareReserve = 1
+)
+
+// move lends VMs of the spare pool to pools that need them and takes back what is no longer needed.
+func (d *decider) move() {
+	spare, ok := d.spare()
+	if !ok {
+		return
+	}
+	for _, n := range d.poolNames() {
+		if n == spare.Name {
+			continue
+		}
+		d.takeBack(n, spare.Name)
+		d.lend(n, spare.Name)
+	}
+}
+
+func (d *decider) spare() (pool.Pool, bool) {
+	for _, n := range d.poolNames() {
+		if d.Pools[n].Spare {
+			return d.Pools[n], true
+		}
+	}
+	return pool.Pool{}, false
+}
+
+// serving counts the slots of the pool's VMs that serve, and those VMs.
+func (d *decider) serving(p pool.Pool) (slots, vms int) {
+	for _, v := range p.VMs {
+		if !d.down(v.Name) {
+			slots += v.Slots
+			vms++
+		}
+	}
+	return slots, vms
+}
+
+// lend moves one VM to a pool whose slots do not suffice, if the spare pool can do without.
+func (d *decider) lend(name, spare string) {
+	slots, _ := d.serving(d.Pools[name])
+	if float64(d.Demand[name]) <= borrowAbove*float64(slots) {
+		return
+	}
+	own, vms := d.serving(d.Pools[spare])
+	l := d.idle(spare)
+	if vms <= spareReserve || len(l) == 0 || float64(d.Demand[spare]) > borrowAbove*float64(own-l[0].Slots) {
+		return
+	}
+	if d.Down(spare) > d.Pools[spare].MaxDown {
+		return
+	}
+	d.relocate(l[0], spare, name, "pool "+name+" needs more slots than it has")
+}
+
+// idle lists the VMs of a pool that serve, those of the rack with the most first.
+func (d *decider) idle(name string) []vm.VM {
+	racks := map[string]int{}
+	l := []vm.VM{}
+	for _, v := range d.Pools[name].VMs {
+		if !d.down(v.Name) {
+			l = append(l, v)
+			racks[v.Rack]++
+		}
+	}
+	sort.SliceStable(l, func(i, j int) bool { return racks[l[i].Rack] > racks[l[j].Rack] })
+	return l
+}
+
+// takeBack returns one lent VM when the pool needs no more than it has without it.
+func (d *decider) takeBack(name, spare string) {
+	p := d.Pools[name]
+	slots, _ := d.serving(p)
+	for _, v := range p.VMs {
+		x := d.States[v.Name]
+		if x.Pool != name || !x.Phase.Serves() || d.now.Sub(x.Moved) < d.Rules.Stay {
+			continue
+		}
+		if float64(d.Demand[name]) >= returnBelow*float64(slots-v.Slots) {
+			continue
+		}
+		if !d.down(v.Name) && d.Down(name) > p.MaxDown {
+			continue
+		}
+		d.relocate(v, name, spare, "pool "+name+" no longer needs the VM")
+		return
+	}
+}
+
+// relocate moves a VM from one pool to another in one action.
+func (d *decider) relocate(v vm.VM, from, to, reason string) {
+	x := d.States[v.Name]
+	x.Pool = to
+	if v.Home == to {
+		x.Pool = ""
+	}
+	x.Moved = d.now
+	p := d.Pools[from]
+	p.VMs = without(p.VMs, v.Name)
+	d.Pools[from] = p
+	q := d.Pools[to]
+	v.Pool = to
+	q.VMs = append(append([]vm.VM{}, q.VMs...), v)
+	d.Pools[to] = q
+	d.set(v.Name, x, "%s", reason)
+}
+
+func without(l []vm.VM, name string) []vm.VM {
+	r := []vm.VM{}
+	for _, v := range l {
+		if v.Name != name {
+			r = append(r, v)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/fleet/maintenance/site.go
@@ -0,0 +1,158 @@
+package maintenance
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/pool"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+// Defaults of the rules that an operator may leave out.
+const (
+	DefaultPeriod      = 12 * 24 * time.Hour
+	DefaultDrain       = 10 * time.Second
+	DefaultRebootLimit = 5 * time.Minute
+	DefaultHalt        = time.Hour
+	DefaultStay        = 10 * time.Minute
+)
+
+// Rules say how VMs are maintained and lent.
+type Rules struct {
+	Period      time.Duration
+	Drain       time.Duration
+	RebootLimit time.Duration
+	Halt        time.Duration
+	Stay        time.Duration
+	QuietFrom   int
+	QuietTo     int
+}
+
+// NewRules converts rules of the schema and fills in defaults; without rules nothing is maintained.
+func NewRules(m *schema.Maintenance) Rules {
+	if m == nil {
+		return Rules{Stay: DefaultStay}
+	}
+	r := Rules{
+		Period: DefaultPeriod, Drain: DefaultDrain, RebootLimit: DefaultRebootLimit, Halt: DefaultHalt, Stay: DefaultStay,
+		QuietFrom: int(m.QuietFrom), QuietTo: int(m.QuietTo),
+	}
+	if m.Period != nil {
+		r.Period = m.Period.AsDuration()
+	}
+	if m.Drain != nil {
+		r.Drain = m.Drain.AsDuration()
+	}
+	if m.RebootLimit != nil {
+		r.RebootLimit = m.RebootLimit.AsDuration()
+	}
+	if m.Halt != nil {
+		r.Halt = m.Halt.AsDuration()
+	}
+	if m.Stay != nil {
+		r.Stay = m.Stay.AsDuration()
+	}
+	return r
+}
+
+// quiet says whether nothing new begins at the time.
+func (r Rules) quiet(t time.Time) bool {
+	h := t.UTC().Hour()
+	if r.QuietFrom <= r.QuietTo {
+		return h >= r.QuietFrom && h < r.QuietTo
+	}
+	return h >= r.QuietFrom || h < r.QuietTo
+}
+
+// Sight is what is seen of a VM now; the zero value is a VM of which nothing is known.
+type Sight struct {
+	// Live says that the platform lists the VM as running.
+	Live bool
+	// Answers says that entries reach it.
+	Answers bool
+	// Boot identifies the VM's last start.
+	Boot string
+}
+
+// Good says that the VM is known to be well; what is unknown counts as down.
+func (s Sight) Good() bool {
+	return s.Live && s.Answers
+}
+
+// Wave is how far a pool's maintenance has come.
+type Wave struct {
+	Width  int
+	Halted time.Time
+	Reason string
+	Paused bool
+}
+
+// NewWave converts a wave of the schema.
+func NewWave(m *schema.PoolState) Wave {
+	w := Wave{Width: int(m.Width), Reason: m.Reason, Paused: m.Paused}
+	if m.HaltedUntilUnixMs > 0 {
+		w.Halted = time.UnixMilli(m.HaltedUntilUnixMs)
+	}
+	return w
+}
+
+// Schema converts the wave back.
+func (w Wave) Schema(name string) *schema.PoolState {
+	m := &schema.PoolState{Name: name, Width: int32(w.Width), Reason: w.Reason, Paused: w.Paused}
+	if !w.Halted.IsZero() {
+		m.HaltedUntilUnixMs = w.Halted.UnixMilli()
+	}
+	return m
+}
+
+// Site is all that a decision rests on.
+type Site struct {
+	Rules  Rules
+	Pools  map[string]pool.Pool
+	Waves  map[string]Wave
+	States map[string]vm.State
+	Sights map[string]Sight
+	// Demand is the slots that each pool is asked for, averaged over some minutes.
+	Demand map[string]int
+}
+
+// Down counts the pool's VMs that do not serve, for whatever reason.
+func (s *Site) Down(pool string) int {
+	n := 0
+	for _, v := range s.Pools[pool].VMs {
+		if s.down(v.Name) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Site) down(name string) bool {
+	return !s.States[name].Phase.Serves() || !s.Sights[name].Good()
+}
+
+// Planned counts the pool's VMs that are down by our doing.
+func (s *Site) Planned(pool string) int {
+	n := 0
+	for _, v := range s.Pools[pool].VMs {
+		if s.planned(v.Name) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Site) planned(name string) bool {
+	switch s.States[name].Phase {
+	case vm.Draining, vm.Rebooting, vm.Held:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Site) poolNames() []string {
+	return slices.Sorted(maps.Keys(s.Pools))
+}
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -41,17 +41,16 @@
 }
 
 var _ = ginkgo.DescribeTable("Merge takes",
-	func(held, offered *schema.Row, want bool) {
+	func(held, offered *schema.Row, want member.News) {
 		t := table()
 		t.Merge(now, held)
-		taken, _ := t.Merge(now, offered)
-		gomega.Expect(taken).To(gomega.Equal(want))
+		gomega.Expect(t.Merge(now, offered)).To(gomega.Equal(want))
 	},
-	ginkgo.Entry("a later sequence", row("a", 1, 2), row("a", 1, 3), true),
-	ginkgo.Entry("not the same again", row("a", 1, 2), row("a", 1, 2), false),
-	ginkgo.Entry("not an earlier one that was delayed", row("a", 1, 9), row("a", 1, 3), false),
-	ginkgo.Entry("a restarted entry's first row", row("a", 1, 900), row("a", 2, 1), true),
-	ginkgo.Entry("not the row of the process before the restart", row("a", 2, 1), row("a", 1, 900), false),
+	ginkgo.Entry("a later sequence", row("a", 1, 2), row("a", 1, 3), member.Heartbeat),
+	ginkgo.Entry("not the same again", row("a", 1, 2), row("a", 1, 2), member.Nothing),
+	ginkgo.Entry("not an earlier one that was delayed", row("a", 1, 9), row("a", 1, 3), member.Nothing),
+	ginkgo.Entry("a restarted entry's first row", row("a", 1, 900), row("a", 2, 1), member.Body),
+	ginkgo.Entry("not the row of the process before the restart", row("a", 2, 1), row("a", 1, 900), member.Nothing),
 )
 
 var _ = ginkgo.Describe("a table", func() {
@@ -59,8 +58,7 @@
 		t := table()
 		short := row("a", 1, 2)
 		short.Body = nil
-		_, unknown := t.Merge(now, short)
-		gomega.Expect(unknown).To(gomega.BeTrue())
+		gomega.Expect(t.Merge(now, short)).To(gomega.Equal(member.Unknown))
 	})
 
 	ginkgo.It("doubts a silent member before it gives it up, and takes it back", func() {
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -39,20 +39,23 @@
 type Table struct {
 	self     string
 	interval time.Duration
+	patience int
 	rows     map[string]*Member
 }
 
 // New makes a table with the entry's own row.
 func New(now time.Time, name string, incarnation uint64, b *schema.RowBody, interval time.Duration) *Table {
 	r := &schema.Row{Name: name, Incarnation: incarnation, Sequence: 1, BodySequence: 1, Body: b}
-	t := &Table{self: name, interval: interval, rows: map[string]*Member{}}
+	t := &Table{self: name, interval: interval, patience: 1, rows: map[string]*Member{}}
 	t.rows[name] = &Member{Row: r, Heard: now}
 	return t
 }
 
-// SetInterval changes how often members are expected to be heard.
-func (t *Table) SetInterval(d time.Duration) {
+// SetInterval changes how often members are expected to be heard, and how many times more patient
+// than with direct heartbeats the table is with those that come through others.
+func (t *Table) SetInterval(d time.Duration, patience int) {
 	t.interval = d
+	t.patience = patience
 }
 
 // Own is the entry's own row.
@@ -73,36 +76,41 @@
 	return changed
 }
 
-// Merge takes a row if it is newer than the one held; it says whether the row's body is wanted first.
-func (t *Table) Merge(now time.Time, r *schema.Row) (taken, unknown bool) {
+// Merge takes a row if it is newer than the one held and says what it brought.
+func (t *Table) Merge(now time.Time, r *schema.Row) News {
 	if r.Name == t.self {
-		return t.defend(r), false
+		return t.defend(r)
 	}
 	m := t.rows[r.Name]
 	if m != nil && !VersionOf(m.Row).Before(VersionOf(r)) {
-		return false, false
+		return Nothing
 	}
-	if r.Body == nil {
-		if m == nil || m.Row.Incarnation != r.Incarnation || m.Row.BodySequence != r.BodySequence {
-			return false, true
-		}
+	n := Body
+	if m != nil && m.Row.Incarnation == r.Incarnation && m.Row.BodySequence == r.BodySequence {
 		r.Body = m.Row.Body
+		n = Heartbeat
+	}
+	if r.Body == nil {
+		return Unknown
+	}
+	if m != nil && m.State != stateOf(r) {
+		n = Body
 	}
 	t.rows[r.Name] = &Member{Row: r, Heard: now, State: stateOf(r)}
-	return true, false
+	return n
 }
 
 // defend outbids rows that others still hold of an earlier process under this name.
-func (t *Table) defend(r *schema.Row) bool {
+func (t *Table) defend(r *schema.Row) News {
 	o := t.Own()
 	if !VersionOf(o).Before(VersionOf(r)) {
-		return false
+		return Nothing
 	}
 	t.rows[t.self] = &Member{
 		Row:   &schema.Row{Name: o.Name, Incarnation: r.Incarnation + 1, Sequence: 1, BodySequence: 1, Body: o.Body},
 		Heard: t.rows[t.self].Heard,
 	}
-	return true
+	return Body
 }
 
 func stateOf(r *schema.Row) State {
@@ -133,6 +141,7 @@
 }
 
 func (t *Table) judge(s State, d time.Duration) State {
+	d /= time.Duration(t.patience)
 	switch {
 	case s == Left:
 		return Left
--- a/fleet/vm/vm.go
+++ b/fleet/vm/vm.go
@@ -10,11 +10,13 @@
 
 // VM is one backend server VM of the inventory.
 type VM struct {
-	Name         string
-	DataCentre   string
-	Rack         string
-	Address      netip.AddrPort
+	Name       string
+	DataCentre string
+	Rack       string
+	Address    netip.AddrPort
+	// Pool is where the VM serves now, Home the pool that the inventory gives it.
 	Pool         string
+	Home         string
 	Processors   int
 	MemoryBytes  int64
 	Accelerators int
@@ -31,6 +33,7 @@
 		Rack:         m.Rack,
 		Address:      a,
 		Pool:         m.Pool,
+		Home:         m.Pool,
 		Processors:   int(m.Processors),
 		MemoryBytes:  m.MemoryGb * bytesPerGB,
 		Accelerators: int(m.Accelerators),
