--- a/entry/tarragond/sight.go
+++ b/entry/tarragond/sight.go
@@ -87,10 +87,11 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	part := min(now.Sub(a.last).Seconds()/demandMemory.Seconds(), 1)
-	a.last = now
 	if a.values == nil {
 		a.values = map[string]float64{}
+		part = 0
 	}
+	a.last = now
 	for n, d := range m {
 		a.values[n] += part * (float64(d) - a.values[n])
 	}
