--- a/entry/peer/serve.go
+++ b/entry/peer/serve.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 	"golang.org/x/time/rate"
 
@@ -36,6 +38,10 @@
 }
 
 func (n *Node) serve(ctx context.Context, c net.Conn) {
+	if err := handshake(ctx, c); err != nil {
+		n.refuse(c, err)
+		return
+	}
 	s, err := yamux.Server(c, yamuxConfig())
 	if err != nil {
 		c.Close()
@@ -48,21 +54,29 @@
 	for {
 		t, err := s.Accept()
 		if err != nil {
-			n.refused(c, err)
 			return
 		}
 		go n.serveStream(ctx, t, limit)
 	}
 }
 
-// refused names a peer whose certificate was not accepted.
-func (n *Node) refused(c net.Conn, err error) {
-	if n.server == nil || !isCertificate(err) {
-		return
+// handshake completes the exchange of certificates, where there is one.
+func handshake(ctx context.Context, c net.Conn) error {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return nil
 	}
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	return trace.Wrap(t.HandshakeContext(ctx), "exchanging certificates")
+}
+
+// refuse names a peer whose certificate was not accepted, and closes its connection.
+func (n *Node) refuse(c net.Conn, err error) {
+	c.Close()
 	n.log.Add(decision.Record{
 		Time: time.Now(), Kind: decision.Membership,
-		Reason: "refused peer at " + c.RemoteAddr().String() + ": " + err.Error(),
+		Reason: "refused peer at " + c.RemoteAddr().String() + ": " + trace.Unwrap(err).Error(),
 	})
 }
 
--- a/entry/peer/tls.go
+++ b/entry/peer/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"os"
 	"sync"
 	"time"
@@ -13,8 +12,6 @@
 	"github.com/tarragonbank/tarragonbank/fleet/settings"
 )
 
-const reloadPeriod = 5 * time.Second
-
 // CertificateError reports key files that cannot be used.
 type CertificateError struct {
 	File   string
@@ -26,7 +23,7 @@
 	return "certificate file " + e.File + ": " + e.Detail
 }
 
-// keys are the entry's certificate and the authority's, read again when they are old.
+// keys are the entry's certificate and the authority's, read again when their files have changed.
 type keys struct {
 	files settings.TLS
 	lock  sync.Mutex
@@ -97,16 +94,27 @@
 	}
 	k.own = &c
 	k.roots = p
-	k.read = time.Now()
 	return nil
 }
 
-// certificate is the entry's certificate; a file that has become unreadable leaves the one at hand.
+// changed says when the newest of the files was written.
+func (k *keys) changed() time.Time {
+	var newest time.Time
+	for _, f := range []string{k.files.Certificate, k.files.Key, k.files.Authority} {
+		i, err := os.Stat(f)
+		if err == nil && i.ModTime().After(newest) {
+			newest = i.ModTime()
+		}
+	}
+	return newest
+}
+
+// certificate is the entry's certificate; files that have become unusable leave the one at hand.
 func (k *keys) certificate() *tls.Certificate {
 	k.lock.Lock()
 	defer k.lock.Unlock()
-	if time.Since(k.read) > reloadPeriod && k.load() != nil {
-		k.read = time.Now()
+	if t := k.changed(); !t.Equal(k.read) && k.load() == nil {
+		k.read = t
 	}
 	return k.own
 }
@@ -121,9 +129,3 @@
 	_, err := s.PeerCertificates[0].Verify(o)
 	return trace.Wrap(err, "verifying a peer")
 }
-
-func isCertificate(err error) bool {
-	var u x509.UnknownAuthorityError
-	var v x509.CertificateInvalidError
-	return errors.As(err, &u) || errors.As(err, &v)
-}
--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -78,6 +78,8 @@
 	ginkgo.Entry("a path that is none", `prefix = "/cups/"`, `prefix = "cups"`, `rules.toml:7: services[0].prefix: expected a path that begins with /, found "cups"`),
 	ginkgo.Entry("reserved shares above the pool", "reservedShare = 0.4", "reservedShare = 0.5", `rules.toml:15: services[1].reservedShare: expected at most 1 for all services of the pool, found "1.1"`),
 	ginkgo.Entry("a quota above one", "quota = 0.7", "quota = 1.7", `rules.toml:19: teams[0].quota: expected 0 to 1, found "1.7"`),
+	ginkgo.Entry("an hour that is none", "[[teams]]", "[maintenance]\nquietFrom = 24\n\n[[teams]]", `rules.toml:18: maintenance.quietFrom: expected an hour from 0 to 23, found "24"`),
+	ginkgo.Entry("a period of nothing", "[[teams]]", "[maintenance]\nperiod = \"0s\"\n\n[[teams]]", `rules.toml:18: maintenance.period: expected a duration above 0s, found "0s"`),
 	ginkgo.Entry("a service twice", `name = "quotes"`, `name = "cups"`, `rules.toml:12: services[1].name: expected a name used once, found "cups"`),
 )
 
--- a/fleet/config/source.go
+++ b/fleet/config/source.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/tarragonbank/tarragonbank/fleet/document"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -34,6 +35,7 @@
 	c.checkTeams(r, s.Rules)
 	c.checkVMs(i, s.Inventory)
 	c.checkBudgets(r, s.Rules)
+	c.checkMaintenance(r, s.Rules.Maintenance)
 	return s, trace.Wrap(c.err)
 }
 
@@ -124,6 +126,22 @@
 	}
 }
 
+func (c *checker) checkMaintenance(d *document.Document, m *schema.Maintenance) {
+	if m == nil {
+		return
+	}
+	for k, v := range map[string]*durationpb.Duration{
+		"period": m.Period, "drain": m.Drain, "rebootLimit": m.RebootLimit, "halt": m.Halt, "stay": m.Stay,
+	} {
+		c.expect(v == nil || v.AsDuration() > 0, d, "maintenance."+k, "a duration above 0s", v.AsDuration().String())
+	}
+	for k, v := range map[string]int32{"quietFrom": m.QuietFrom, "quietTo": m.QuietTo} {
+		c.expect(v >= 0 && v < hoursOfDay, d, "maintenance."+k, "an hour from 0 to 23", strconv.Itoa(int(v)))
+	}
+}
+
+const hoursOfDay = 24
+
 func share(v float64) bool {
 	const tolerance = 1e-9
 	return v >= 0 && v <= 1+tolerance
--- a/fleet/maintenance/decide.go
+++ b/fleet/maintenance/decide.go
@@ -38,6 +38,9 @@
 
 // meet takes a VM that is new as maintained now.
 func (d *decider) meet(p pool.Pool) {
+	if d.Rules.Period == 0 {
+		return
+	}
 	for _, v := range p.VMs {
 		x := d.States[v.Name]
 		if x.Maintained.IsZero() {
