--- a/bench/backend/server.go
+++ b/bench/backend/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,12 +32,14 @@
 
 // Server is one backend server.
 type Server struct {
-	Name        string
-	ledger      *Ledger
-	work        time.Duration
-	slots       chan struct{}
-	mode        atomic.Int32
-	last        atomic.Value
+	Name   string
+	ledger *Ledger
+	work   time.Duration
+	slots  chan struct{}
+	mode   atomic.Int32
+	last   atomic.Value
+	// paths holds when the server last began to run a request below each first part of a path.
+	paths       sync.Map
 	taken       atomic.Int64
 	refused     atomic.Int64
 	lost        atomic.Bool
@@ -80,11 +83,6 @@
 	_ = s.server.Close()
 }
 
-// Address is where the server listens.
-func (s *Server) Address() netip.AddrPort {
-	return s.address
-}
-
 // Lose has the server not come back from a reboot.
 func (s *Server) Lose() {
 	s.lost.Store(true)
@@ -120,6 +118,18 @@
 	return s.refused.Load()
 }
 
+// LastOf is when the server last began to run a request of the service whose paths begin with its name.
+func (s *Server) LastOf(service string) time.Time {
+	v, _ := s.paths.Load(service)
+	t, _ := v.(time.Time)
+	return t
+}
+
+func firstPart(path string) string {
+	p, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return p
+}
+
 // LastTaken is when the server last began to run a request.
 func (s *Server) LastTaken() time.Time {
 	t, _ := s.last.Load().(time.Time)
@@ -180,6 +190,7 @@
 	started := time.Now()
 	s.taken.Add(1)
 	s.last.Store(started)
+	s.paths.Store(firstPart(r.URL.Path), started)
 	s.ledger.run(id, r.Header.Get(request.HeaderKey))
 	d := s.duration(r, m)
 	t := time.NewTimer(d)
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -210,10 +210,21 @@
 		return
 	}
 	if x.Restart() == nil {
-		s.Platform.SetMachine(platform.Machine{Name: name, Address: x.Address(), Boot: strconv.Itoa(1 + s.Platform.Reboots(name))})
+		s.Platform.SetMachine(platform.Machine{Name: name, Address: s.AddressOf(name), Boot: strconv.Itoa(1 + s.Platform.Reboots(name))})
 	}
 }
 
+// AddressOf is where callers of the VM reach it, by the inventory.
+func (s *Site) AddressOf(name string) netip.AddrPort {
+	for _, v := range s.Source.Inventory.Vms {
+		if v.Name == name {
+			a, _ := netip.ParseAddrPort(v.Address)
+			return a
+		}
+	}
+	return netip.AddrPort{}
+}
+
 // Lose has a VM stop, and leave the platform's list, as when its rack fails.
 func (s *Site) Lose(name string) {
 	s.Servers[name].Lose()
--- a/ctl/cmd/tarragonctl/main.go
+++ b/ctl/cmd/tarragonctl/main.go
@@ -98,7 +98,7 @@
 		s.String(&o.Note, "n", "note", "why")
 	case "config rollback":
 		s.Int(&o.Revision, "r", "revision", "the revision to return to")
-	case "maintenance pause", "maintenance resume", "maintenance halt", "vm drain", "vm undrain":
+	case "maintenance pause", "maintenance resume", "maintenance halt", "vm drain", "vm undrain", "vm explain":
 		s.AddPositionalValue(&o.Name, "NAME", 1, true, "the pool or VM")
 		return
 	default:
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -51,6 +51,7 @@
 	{"maintenance resume", "let a pool's wave begin again with one VM", steer("resume")},
 	{"maintenance halt", "stop a pool's wave until it is resumed", steer("halt")},
 	{"vm list", "each VM's pool and phase", vms},
+	{"vm explain", "why a VM is where it is", explain},
 	{"vm drain", "take a VM out of service, within its pool's budget", hold("drain")},
 	{"vm undrain", "give a VM back that was drained", hold("undrain")},
 	{"config collect", "delete sections that no kept configuration names", collect},
@@ -92,11 +93,8 @@
 	if o.JSON {
 		return encode(w, v)
 	}
-	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	for _, k := range []string{"name", "dataCentre", "version", "ready", "reason", "revision", "accepted", "since", "watching", "platformHeard", "waiting", "inFlight", "logsDropped"} {
-		fmt.Fprintf(t, "%s\t%v\n", k, v[k])
-	}
-	return t.Flush()
+	return fields(w, v, "name", "dataCentre", "version", "ready", "reason", "revision", "accepted", "since",
+		"watching", "platformHeard", "waiting", "inFlight", "logsDropped")
 }
 
 func members(ctx context.Context, c *Client, o Options, w io.Writer) error {
@@ -213,6 +211,26 @@
 	return table(ctx, c, o, w, "/v1/vms", "name", "pool", "home", "rack", "phase", "since", "maintained")
 }
 
+func explain(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	var v object
+	if err := c.Get(ctx, "/v1/vms/"+url.PathEscape(o.Name), &v); err != nil {
+		return err
+	}
+	if o.JSON {
+		return encode(w, v)
+	}
+	return fields(w, v, "name", "pool", "home", "dataCentre", "rack", "phase", "since", "reason", "moved", "maintained", "seen", "waits")
+}
+
+// fields shows an object, a field a line.
+func fields(w io.Writer, v object, names ...string) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, k := range names {
+		fmt.Fprintf(t, "%s\t%v\n", k, v[k])
+	}
+	return t.Flush()
+}
+
 func steer(verb string) func(context.Context, *Client, Options, io.Writer) error {
 	return func(ctx context.Context, c *Client, o Options, w io.Writer) error {
 		return changed(ctx, c, w, "/v1/maintenance/"+url.PathEscape(o.Name)+"/"+verb, object{})
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -33,6 +33,8 @@
 // Sighter says what is known of the site, or that too little is.
 type Sighter interface {
 	Sight(ctx context.Context) (*config.Snapshot, maintenance.Site, bool)
+	// Learn takes the demand of now into the profile of the day.
+	Learn(s maintenance.Site)
 }
 
 // Controller decides and acts for the whole site while it holds the lease.
@@ -44,14 +46,27 @@
 	rebooter Rebooter
 	log      Logger
 	asked    map[string]time.Time
+	keeper   *keeper
+}
+
+// Option changes a Controller at its making.
+type Option func(*Controller)
+
+// WithProfile has what is learned of demand kept in the store for the next controller.
+func WithProfile(p Profile) Option {
+	return func(c *Controller) { c.keeper = &keeper{store: c.lease.store, profile: p} }
 }
 
 // New makes a controller.
-func New(name string, s Store, x Sighter, r Recorder, b Rebooter, l Logger) *Controller {
-	return &Controller{
+func New(name string, s Store, x Sighter, r Recorder, b Rebooter, l Logger, opts ...Option) *Controller {
+	c := &Controller{
 		name: name, lease: lease{store: s, holder: name}, sighter: x, recorder: r, rebooter: b, log: l,
 		asked: map[string]time.Time{},
 	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Run acts while active says so, until the context ends.
@@ -72,12 +87,17 @@
 
 func (c *Controller) step(ctx context.Context) {
 	if !c.lease.held(ctx) {
+		c.keeper.forget()
 		return
 	}
 	s, site, ok := c.sighter.Sight(ctx)
 	if !ok {
 		return
 	}
+	if c.keeper != nil {
+		c.sighter.Learn(site)
+		c.keeper.keep(ctx)
+	}
 	c.rebootAgain(ctx, s, site)
 	l := maintenance.Decide(time.Now(), site)
 	if len(l) == 0 {
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/admission"
 	"github.com/tarragonbank/tarragonbank/fleet/config"
 	"github.com/tarragonbank/tarragonbank/fleet/health"
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
 	"github.com/tarragonbank/tarragonbank/fleet/pool"
 	"github.com/tarragonbank/tarragonbank/fleet/service"
 	"github.com/tarragonbank/tarragonbank/fleet/share"
@@ -144,7 +145,7 @@
 	for _, v := range p.VMs {
 		t.vms[v.Name] = v
 		t.barred[v.Name] = !s.Serves(v)
-		t.movable[v.Name] = s.Pools[v.Home].Spare
+		t.movable[v.Name] = s.Pools[v.Home].Spare && !maintenance.Anchored(s.Pools[v.Home])[v.Name]
 		if m := s.States[v.Name].Moved; !m.IsZero() {
 			t.held[v.Name] = m.Add(MovedHold)
 		}
--- a/entry/operator/maintenance.go
+++ b/entry/operator/maintenance.go
@@ -32,6 +32,7 @@
 	Since      time.Time `json:"since"`
 	Moved      time.Time `json:"moved"`
 	Maintained time.Time `json:"maintained"`
+	Reason     string    `json:"reason"`
 }
 
 func (s *Server) vms(w http.ResponseWriter, _ *http.Request) {
@@ -42,15 +43,50 @@
 		return
 	}
 	for _, n := range slices.Sorted(maps.Keys(c.VMs)) {
-		v, x := c.VMs[n], c.States[n]
-		l = append(l, VMView{
-			Name: n, Pool: v.Pool, Home: v.Home, DataCentre: v.DataCentre, Rack: v.Rack,
-			Phase: x.Phase.String(), Since: x.Since, Moved: x.Moved, Maintained: x.Maintained,
-		})
+		l = append(l, vmView(c, n))
 	}
 	reply(w, http.StatusOK, l)
 }
 
+func vmView(c *config.Snapshot, n string) VMView {
+	v, x := c.VMs[n], c.States[n]
+	return VMView{
+		Name: n, Pool: v.Pool, Home: v.Home, DataCentre: v.DataCentre, Rack: v.Rack, Phase: x.Phase.String(),
+		Since: x.Since, Moved: x.Moved, Maintained: x.Maintained, Reason: x.Reason,
+	}
+}
+
+// Explanation is why a VM is where it is, and whether this entry uses it.
+type Explanation struct {
+	VMView
+	// Seen says what the platform's list and requests show of the VM.
+	Seen string `json:"seen"`
+	// Waits is why its pool's maintenance waits, empty where it does not.
+	Waits string `json:"waits"`
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	c, n := s.view.Current(), r.PathValue("vm")
+	if c == nil || c.VMs[n].Name == "" {
+		refuse(w, trace.Wrap(&VerbError{Verb: "explain", Name: n}))
+		return
+	}
+	site := s.entry.Site(c)
+	x := Explanation{VMView: vmView(c, n), Seen: seen(site.Sights[n]), Waits: maintenance.Explain(time.Now(), site, c.VMs[n].Pool)}
+	reply(w, http.StatusOK, x)
+}
+
+func seen(s maintenance.Sight) string {
+	switch {
+	case s.Good():
+		return "listed as running, and requests are answered"
+	case s.Live:
+		return "listed as running, but this entry finds it unwell"
+	default:
+		return "not listed as running, which counts as down"
+	}
+}
+
 // WaveView is how far a pool's maintenance has come.
 type WaveView struct {
 	Pool    string         `json:"pool"`
@@ -156,6 +192,7 @@
 			return maintenance.Action{}, trace.Wrap(&VerbError{Verb: verb, Name: n})
 		}
 		x.Since = time.Now()
+		x.Reason = "an operator asked to " + verb + " it"
 		return maintenance.Action{VM: n, State: x}, nil
 	})
 }
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -102,6 +102,7 @@
 	s.mux.HandleFunc("POST /v1/config/rollback", s.authorised(s.rollback))
 	s.mux.HandleFunc("POST /v1/config/collect", s.authorised(s.collect))
 	s.mux.HandleFunc("GET /v1/vms", s.vms)
+	s.mux.HandleFunc("GET /v1/vms/{vm}", s.explain)
 	s.mux.HandleFunc("GET /v1/maintenance", s.waves)
 	s.mux.HandleFunc("POST /v1/maintenance/{pool}/{verb}", s.authorised(s.steer))
 	s.mux.HandleFunc("POST /v1/vms/{vm}/{verb}", s.authorised(s.hold))
--- a/entry/tarragond/sight.go
+++ b/entry/tarragond/sight.go
@@ -17,6 +17,8 @@
 	listFresh = 5 * time.Second
 	// demandMemory is the time over which demand is averaged before VMs move for it.
 	demandMemory = 30 * time.Second
+	// forecastAhead is how long before it is needed a VM is lent, or kept.
+	forecastAhead = time.Hour
 	// isolatedAfter is how long an entry hears nobody before it takes itself as cut off.
 	isolatedAfter = 3 * time.Second
 )
@@ -43,14 +45,32 @@
 		l, _ = e.platform.Machines(context.Background())
 	}
 	for _, m := range l {
-		s.Sights[m.Name] = sight(m, unwell[m.Name])
+		x := sight(m, c.VMs[m.Name], unwell[m.Name])
+		if y, twice := s.Sights[m.Name]; twice {
+			x.Live = x.Live && y.Live
+		}
+		s.Sights[m.Name] = x
+	}
+	now := time.Now()
+	s.Demand = e.demand.average(now, e.sumDemand())
+	s.Expected = map[string]int{}
+	for n := range c.Pools {
+		s.Expected[n] = e.profile.Peak(now, n, forecastAhead)
 	}
-	s.Demand = e.demand.average(time.Now(), e.sumDemand())
 	return s
 }
 
-func sight(m platform.Machine, unwell bool) maintenance.Sight {
-	return maintenance.Sight{Live: m.Boot != "" && !m.Leaving, Answers: !unwell, Boot: m.Boot}
+// Learn takes the demand of now into the profile of the day.
+func (e *Entry) Learn(s maintenance.Site) {
+	now := time.Now()
+	for n, d := range s.Demand {
+		e.profile.Observe(now, n, d)
+	}
+}
+
+// sight is what one line of the list says of a VM; one at another address than the inventory's is not the VM.
+func sight(m platform.Machine, v vm.VM, unwell bool) maintenance.Sight {
+	return maintenance.Sight{Live: m.Boot != "" && !m.Leaving && m.Address == v.Address, Answers: !unwell, Boot: m.Boot}
 }
 
 // probeReturning asks VMs that come back from a reboot themselves, since no request goes to them.
--- a/entry/tarragond/tarragond.go
+++ b/entry/tarragond/tarragond.go
@@ -28,6 +28,7 @@
 	"github.com/tarragonbank/tarragonbank/entry/platform"
 	"github.com/tarragonbank/tarragonbank/entry/view"
 	"github.com/tarragonbank/tarragonbank/fleet/admission"
+	"github.com/tarragonbank/tarragonbank/fleet/forecast"
 	"github.com/tarragonbank/tarragonbank/fleet/settings"
 	"github.com/tarragonbank/tarragonbank/fleet/share"
 )
@@ -62,6 +63,7 @@
 	operator   *operator.Server
 	controller *controller.Controller
 	demand     average
+	profile    *forecast.Shared
 	secure     *tls.Config
 	lock       sync.Mutex
 	leaving    bool
@@ -98,8 +100,9 @@
 	e.claims = platform.NewClaims(client)
 	shared := peer.NewClaims(e.node, e.claims)
 	e.caller = caller.New(s.Name, e.view, e.dispatcher, e.backend, shared, e.log, e.metrics, s.BodyLimit)
+	e.profile = forecast.NewShared()
 	publisher := operator.NewPublisher(client, e.view)
-	e.controller = controller.New(s.Name, client, e, publisher, client, e.log)
+	e.controller = controller.New(s.Name, client, e, publisher, client, e.log, controller.WithProfile(e.profile))
 	e.operator = operator.New(e, e.view, publisher, s.OperatorToken, e.metrics.Handler(), e.profiling()...)
 	e.view.Subscribe(e.dispatcher.SetConfig)
 	e.view.Subscribe(func(*snapshot) { e.node.Hurry() })
--- a/fleet/admission/slot.go
+++ b/fleet/admission/slot.go
@@ -15,14 +15,16 @@
 	granted int
 	busy    int
 	usable  bool
-	cooling bool
-	pause   time.Duration
-	latency time.Duration
+	// cooling leaves the VM alone after a refusal, lentCooling only its slots that are another's.
+	cooling     bool
+	lentCooling bool
+	pause       time.Duration
+	latency     time.Duration
 }
 
 // Pauses after a refusal of a VM, doubled with each refusal in a row.
 const (
-	firstCooling   = 10 * time.Millisecond
+	firstCooling   = 5 * time.Millisecond
 	longestCooling = time.Second
 )
 
@@ -33,6 +35,9 @@
 
 // lent is how many slots are free as far as the entry knows, another's included.
 func (v *vmState) lent() int {
+	if v.lentCooling {
+		return 0
+	}
 	return v.room(v.slots)
 }
 
@@ -121,9 +126,13 @@
 	if v == nil {
 		return 0
 	}
-	if !v.cooling {
+	if !v.cooling && !v.lentCooling {
 		v.pause = min(max(2*v.pause, firstCooling), longestCooling)
 	}
+	if t.borrowed {
+		v.lentCooling = true
+		return v.pause
+	}
 	v.cooling = true
 	p.recount()
 	return v.pause
@@ -133,6 +142,7 @@
 func (p *Pool) Cooled(vm string) {
 	if v := p.vms[vm]; v != nil {
 		v.cooling = false
+		v.lentCooling = false
 		p.recount()
 	}
 }
--- a/fleet/maintenance/action.go
+++ b/fleet/maintenance/action.go
@@ -47,13 +47,14 @@
 	if next.Phase != before.Phase {
 		next.Since = d.now
 	}
+	next.Reason = fmt.Sprintf(reason, a...)
 	p := d.poolOf(name)
 	wasDown := d.down(name)
 	d.States[name] = next
 	if !wasDown && d.down(name) && d.Down(p) > d.Pools[p].MaxDown {
 		panic((&OverdrawnError{Pool: p, VM: name, Down: d.Down(p), Most: d.Pools[p].MaxDown}).Error())
 	}
-	d.actions = append(d.actions, Action{VM: name, State: next, Reason: fmt.Sprintf(reason, a...)})
+	d.actions = append(d.actions, Action{VM: name, State: next, Reason: next.Reason})
 }
 
 func (d *decider) setWave(p string, w Wave, reason string) {
--- a/fleet/maintenance/move.go
+++ b/fleet/maintenance/move.go
@@ -11,8 +11,6 @@
 const (
 	borrowAbove = 0.85
 	returnBelow = 0.60
-	// spareReserve is the VMs that the spare pool keeps beside its own need.
-	spareReserve = 1
 )
 
 // move lends VMs of the spare pool to pools that need them and takes back what is no longer needed.
@@ -39,26 +37,26 @@
 	return pool.Pool{}, false
 }
 
-// serving counts the slots of the pool's VMs that serve, and those VMs.
-func (d *decider) serving(p pool.Pool) (slots, vms int) {
+// serving counts the slots of the pool's VMs that serve.
+func (d *decider) serving(p pool.Pool) int {
+	n := 0
 	for _, v := range p.VMs {
 		if !d.down(v.Name) {
-			slots += v.Slots
-			vms++
+			n += v.Slots
 		}
 	}
-	return slots, vms
+	return n
 }
 
 // lend moves one VM to a pool whose slots do not suffice, if the spare pool can do without.
 func (d *decider) lend(name, spare string) {
-	slots, _ := d.serving(d.Pools[name])
-	if float64(d.Demand[name]) <= borrowAbove*float64(slots) {
+	slots := d.serving(d.Pools[name])
+	if float64(d.wanted(name)) <= borrowAbove*float64(slots) {
 		return
 	}
-	own, vms := d.serving(d.Pools[spare])
+	own := d.serving(d.Pools[spare])
 	l := d.idle(spare)
-	if vms <= spareReserve || len(l) == 0 || float64(d.Demand[spare]) > borrowAbove*float64(own-l[0].Slots) {
+	if len(l) == 0 || float64(d.wanted(spare)) > borrowAbove*float64(own-l[0].Slots) {
 		return
 	}
 	if d.Down(spare) > d.Pools[spare].MaxDown {
@@ -67,12 +65,30 @@
 	d.relocate(l[0], spare, name, "pool "+name+" needs more slots than it has")
 }
 
-// idle lists the VMs of a pool that serve, those of the rack with the most first.
+// Anchored names the VMs of a spare pool that are never lent: the first by name of each data centre.
+// An entry that hears nobody may go on using them.
+func Anchored(p pool.Pool) map[string]bool {
+	first := map[string]string{}
+	for _, v := range p.VMs {
+		n, ok := first[v.DataCentre]
+		if v.Home == p.Name && (!ok || v.Name < n) {
+			first[v.DataCentre] = v.Name
+		}
+	}
+	m := map[string]bool{}
+	for _, n := range first {
+		m[n] = true
+	}
+	return m
+}
+
+// idle lists the VMs of a pool that serve and may be lent, those of the rack with the most first.
 func (d *decider) idle(name string) []vm.VM {
 	racks := map[string]int{}
 	l := []vm.VM{}
+	anchored := Anchored(d.Pools[name])
 	for _, v := range d.Pools[name].VMs {
-		if !d.down(v.Name) {
+		if !d.down(v.Name) && !anchored[v.Name] {
 			l = append(l, v)
 			racks[v.Rack]++
 		}
@@ -84,13 +100,13 @@
 // takeBack returns one lent VM when the pool needs no more than it has without it.
 func (d *decider) takeBack(name, spare string) {
 	p := d.Pools[name]
-	slots, _ := d.serving(p)
+	slots := d.serving(p)
 	for _, v := range p.VMs {
 		x := d.States[v.Name]
 		if x.Pool != name || !x.Phase.Serves() || d.now.Sub(x.Moved) < d.Rules.Stay {
 			continue
 		}
-		if float64(d.Demand[name]) >= returnBelow*float64(slots-v.Slots) {
+		if float64(d.wanted(name)) >= returnBelow*float64(slots-v.Slots) {
 			continue
 		}
 		if !d.down(v.Name) && d.Down(name) > p.MaxDown {
--- a/fleet/maintenance/site.go
+++ b/fleet/maintenance/site.go
@@ -116,6 +116,13 @@
 	Sights map[string]Sight
 	// Demand is the slots that each pool is asked for, averaged over some minutes.
 	Demand map[string]int
+	// Expected is the most that each pool will be asked for soon.
+	Expected map[string]int
+}
+
+// wanted is what the pool is asked for now or soon, in slots.
+func (s *Site) wanted(pool string) int {
+	return max(s.Demand[pool], s.Expected[pool])
 }
 
 // Down counts the pool's VMs that do not serve, for whatever reason.
--- a/fleet/vm/phase.go
+++ b/fleet/vm/phase.go
@@ -33,6 +33,8 @@
 	Moved      time.Time
 	Maintained time.Time
 	Boot       string
+	// Reason is why the VM is where it is.
+	Reason string
 }
 
 // NewState converts a state of the schema.
@@ -44,6 +46,7 @@
 		Moved:      fromMillis(m.MovedUnixMs),
 		Maintained: fromMillis(m.MaintainedUnixMs),
 		Boot:       m.Boot,
+		Reason:     m.Reason,
 	}
 }
 
@@ -51,7 +54,7 @@
 func (s State) Schema(name string) *schema.VmState {
 	return &schema.VmState{
 		Name: name, Phase: schema.VmPhase(s.Phase), SinceUnixMs: millis(s.Since), Pool: s.Pool,
-		MovedUnixMs: millis(s.Moved), MaintainedUnixMs: millis(s.Maintained), Boot: s.Boot,
+		MovedUnixMs: millis(s.Moved), MaintainedUnixMs: millis(s.Maintained), Boot: s.Boot, Reason: s.Reason,
 	}
 }
 
