--- a/bench/experiment/badservers.go
+++ b/bench/experiment/badservers.go
@@ -63,11 +63,11 @@
 	out := x.outOf(ctx)
 	r.figure("outAfterMending", out)
 	x.finish(r)
-	repeatable, once := &load.Counts{Reasons: map[string]int64{}}, &load.Counts{Reasons: map[string]int64{}}
+	onceKinds := []string{}
 	for _, s := range horncraftServices {
-		add(repeatable, x.tally.Counts(bad, s))
-		add(once, x.tally.Counts(bad, s+"-once"))
+		onceKinds = append(onceKinds, s+"-once")
 	}
+	repeatable, once := x.tally.Kinds(bad, horncraftServices...), x.tally.Kinds(bad, onceKinds...)
 	all := x.tally.All()
 	outcomes(r, "bad", x.tally.Phase(bad))
 	r.share("repeatableGoodput", float64(repeatable.Good), float64(repeatable.Sent))
@@ -81,16 +81,6 @@
 	return nil
 }
 
-// add sums the plain counts.
-func add(a, b *load.Counts) {
-	a.Sent += b.Sent
-	a.Good += b.Good
-	a.Unknown += b.Unknown
-	a.Errors += b.Errors
-	a.Late += b.Late
-	a.NotRun += b.NotRun
-}
-
 // poolView is a pool as an entry sees it.
 type poolView struct {
 	Name string            `json:"name"`
--- a/bench/experiment/isolated.go
+++ b/bench/experiment/isolated.go
@@ -43,7 +43,7 @@
 	pause(ctx, e.scaled(isolatedWarm))
 	x.isolate(x.site.Entries[6].Caller.Addr())
 	pause(ctx, e.scaled(isolatedNeed)+movedHold)
-	var l []movedView
+	var l []vmView
 	if err := x.site.Entries[0].Ask(ctx, "/v1/vms", &l); err != nil {
 		return err
 	}
@@ -66,14 +66,6 @@
 	return nil
 }
 
-// movedView is a VM as an entry shows it.
-type movedView struct {
-	Name  string    `json:"name"`
-	Pool  string    `json:"pool"`
-	Home  string    `json:"home"`
-	Moved time.Time `json:"moved"`
-}
-
 // isolate cuts an entry from all peers and the platform, but not from backend servers.
 func (x *running) isolate(a netip.Addr) {
 	entries := map[string]netip.Addr{platformName: {}}
--- a/bench/experiment/moves.go
+++ b/bench/experiment/moves.go
@@ -19,9 +19,10 @@
 
 // vmView is a VM as an entry shows it.
 type vmView struct {
-	Name string `json:"name"`
-	Pool string `json:"pool"`
-	Home string `json:"home"`
+	Name  string    `json:"name"`
+	Pool  string    `json:"pool"`
+	Home  string    `json:"home"`
+	Moved time.Time `json:"moved"`
 }
 
 func moves(ctx context.Context, e Environment, r *Report) error {
--- a/bench/load/tally.go
+++ b/bench/load/tally.go
@@ -97,6 +97,17 @@
 	return t.get(phase, kind)
 }
 
+// Kinds sums the answers of some kinds of request in a phase.
+func (t *Tally) Kinds(phase string, kinds ...string) *Counts {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	c := newCounts()
+	for _, k := range kinds {
+		c.Add(t.get(phase, k))
+	}
+	return c
+}
+
 // Phase sums the answers of all kinds in a phase.
 func (t *Tally) Phase(phase string) *Counts {
 	t.lock.Lock()
--- /dev/null
+++ b/entry/operator/config.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// HeadView is one accepted configuration.
+type HeadView struct {
+	Revision uint64            `json:"revision"`
+	Accepted time.Time         `json:"accepted"`
+	Author   string            `json:"author"`
+	Note     string            `json:"note"`
+	Mark     string            `json:"mark"`
+	Sections map[string]string `json:"sections"`
+	Changed  []string          `json:"changed,omitempty"`
+}
+
+func headView(h *schema.Head) HeadView {
+	v := HeadView{
+		Revision: h.Revision, Accepted: time.UnixMilli(h.AcceptedUnixMs),
+		Author: h.Author, Note: h.Note, Mark: h.Mark, Sections: map[string]string{},
+	}
+	for _, r := range h.Sections {
+		v.Sections[r.Name] = config.AsDigest(r.Digest).String()
+	}
+	return v
+}
+
+func (s *Server) config(w http.ResponseWriter, _ *http.Request) {
+	c := s.view.Current()
+	if c == nil {
+		reply(w, http.StatusOK, HeadView{})
+		return
+	}
+	reply(w, http.StatusOK, headView(c.Head))
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	l, err := s.publisher.Kept(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	v := []HeadView{}
+	for i, h := range l {
+		x := headView(h)
+		x.Sections = nil
+		if i+1 < len(l) {
+			x.Changed = config.Changed(l[i+1], h)
+		}
+		v = append(v, x)
+	}
+	reply(w, http.StatusOK, v)
+}
+
+// ApplyRequest asks for a change of the whole inventory and rules.
+type ApplyRequest struct {
+	Inventory     string  `json:"inventory"`
+	InventoryFile string  `json:"inventoryFile"`
+	Rules         string  `json:"rules"`
+	RulesFile     string  `json:"rulesFile"`
+	Base          *uint64 `json:"base,omitempty"`
+	Author        string  `json:"author"`
+	Note          string  `json:"note"`
+	Mark          string  `json:"mark"`
+	Check         bool    `json:"check"`
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	var q ApplyRequest
+	if !read(w, r, &q) {
+		return
+	}
+	x, err := config.ParseSource(q.InventoryFile, []byte(q.Inventory), q.RulesFile, []byte(q.Rules))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	c := Change{Base: s.view.Current().Revision(), Author: q.Author, Note: q.Note, Mark: q.Mark}
+	if q.Base != nil {
+		c.Base = *q.Base
+	}
+	if c.Sections, err = config.Split(x); err != nil {
+		refuse(w, err)
+		return
+	}
+	if q.Check {
+		reply(w, http.StatusOK, s.preview(c))
+		return
+	}
+	s.publish(w, r, c)
+}
+
+// preview is the head that the change would have.
+func (s *Server) preview(c Change) HeadView {
+	h := &schema.Head{Revision: c.Base + 1, Sections: c.Sections.Refs()}
+	v := headView(h)
+	if now := s.view.Current(); now != nil {
+		v.Changed = config.Changed(now.Head, h)
+	}
+	return v
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request, c Change) {
+	if c.Mark == "" {
+		c.Mark = NewMark()
+	}
+	h, err := s.publisher.Publish(r.Context(), c)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, http.StatusOK, headView(h))
+}
+
+// RollbackRequest asks for the sections of an older revision as a new one.
+type RollbackRequest struct {
+	Revision uint64 `json:"revision"`
+	Author   string `json:"author"`
+	Mark     string `json:"mark"`
+}
+
+// GoneError reports a revision that is no longer kept.
+type GoneError struct {
+	Revision uint64
+}
+
+// Error describes the failure in one line.
+func (e *GoneError) Error() string {
+	return "revision " + strconv.FormatUint(e.Revision, 10) + " is not among those kept"
+}
+
+func (s *Server) rollback(w http.ResponseWriter, r *http.Request) {
+	var q RollbackRequest
+	if !read(w, r, &q) {
+		return
+	}
+	l, err := s.publisher.Kept(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	for _, h := range l {
+		if h.Revision != q.Revision {
+			continue
+		}
+		note := "rollback to revision " + strconv.FormatUint(h.Revision, 10)
+		s.publish(w, r, Change{Base: l[0].Revision, Author: q.Author, Note: note, Mark: q.Mark, Refs: h.Sections})
+		return
+	}
+	refuse(w, trace.Wrap(&GoneError{Revision: q.Revision}))
+}
+
+func (s *Server) collect(w http.ResponseWriter, r *http.Request) {
+	n, err := s.publisher.Collect(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, http.StatusOK, map[string]int{"deleted": n})
+}
