--- a/entry/operator/change_test.go
+++ b/entry/operator/change_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/gravitational/trace"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/tarragonbank/tarragonbank/entry/operator"
