Keep leaving VMs out while the platform is away; a small pointer to the head

The last list now holds while no entry has a fresh one. The store's one changing record is a pointer of some 40 bytes; peers give the change, and the store is read only if they do not within 250 ms. Bodies are read by the deadline, and the controller collects old sections each hour.

--- a/bench/experiment/leaving.go
+++ b/bench/experiment/leaving.go
@@ -13,6 +13,8 @@
 	leavingPart  = 0.5
 	leavingWait  = 6 * time.Second
 	leavingQuiet = 3 * time.Second
+	// leavingOutage is longer than an entry takes the platform's last word as fresh.
+	leavingOutage = 16 * time.Second
 )
 
 func init() {
@@ -55,6 +57,12 @@
 		r.figure(c.name+"Refused", s.Refused())
 		r.target(quiet <= leavingQuiet, "a server that left by %s still took work after %s", c.name, quiet)
 	}
+	x.site.Platform.SetFaults(platform.Faults{Outage: true})
+	gone := x.site.Servers[x.site.Pool("cups")[0]]
+	before := gone.Taken()
+	pause(ctx, e.scaled(leavingOutage))
+	r.figure("takenInOutage", gone.Taken()-before)
+	r.expect(gone.Taken() == before, "a server that had left took %d requests once the platform was away", gone.Taken()-before)
 	x.finish(r)
 	c := x.tally.All()
 	outcomes(r, "requests", c)
--- a/bench/experiment/race.go
+++ b/bench/experiment/race.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/tarragonbank/tarragonbank/bench/platform"
 	"github.com/tarragonbank/tarragonbank/bench/site"
 	"github.com/tarragonbank/tarragonbank/fleet/config"
@@ -108,10 +106,15 @@
 // chain reads the heads of all operators' changes from the store, the newest first.
 func chain(s *site.Site) []*schema.Head {
 	l := []*schema.Head{}
-	b, ok := s.Platform.Value(config.HeadKey)
+	b, _ := s.Platform.Value(config.HeadKey)
+	x, err := config.ReadPointer(b)
+	if err != nil {
+		return l
+	}
+	b, ok := s.Platform.Value(config.SectionKey(config.AsDigest(x.Digest)))
 	for ok {
-		h := &schema.Head{}
-		if proto.Unmarshal(b, h) != nil {
+		h, err := config.ReadHead(b)
+		if err != nil {
 			break
 		}
 		if h.OperatorRevision == h.Revision {
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -136,7 +136,10 @@
 	if x.http.ContentLength == 0 {
 		return true
 	}
+	c := http.NewResponseController(x.writer)
+	_ = c.SetReadDeadline(x.request.Deadline)
 	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.http.Body, l))
+	_ = c.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
@@ -13,11 +14,14 @@
 const (
 	period      = time.Second
 	rebootAgain = 15 * time.Second
+	collectTime = time.Hour
 )
 
 // Recorder has the store accept actions, if the configuration they rest on is still in force.
 type Recorder interface {
 	Record(ctx context.Context, c *config.Snapshot, l []maintenance.Action, author string) error
+	// Collect deletes what no kept configuration names and says how much.
+	Collect(ctx context.Context) (int, error)
 }
 
 // Rebooter reboots a VM if it is still at the boot.
@@ -47,6 +51,7 @@
 	log      Logger
 	asked    map[string]time.Time
 	keeper   *keeper
+	collects time.Time
 }
 
 // Option changes a Controller at its making.
@@ -99,6 +104,7 @@
 		c.keeper.keep(ctx)
 	}
 	c.rebootAgain(ctx, s, site)
+	c.collect(ctx)
 	l := maintenance.Decide(time.Now(), site)
 	if len(l) == 0 {
 		return
@@ -115,6 +121,25 @@
 	}
 }
 
+// collect deletes old sections from time to time.
+func (c *Controller) collect(ctx context.Context) {
+	now := time.Now()
+	if now.Before(c.collects) {
+		return
+	}
+	first := c.collects.IsZero()
+	c.collects = now.Add(collectTime)
+	if first {
+		return
+	}
+	n, err := c.recorder.Collect(ctx)
+	if err != nil {
+		c.note(decision.Record{Reason: "not collected: " + err.Error()})
+		return
+	}
+	c.note(decision.Record{Reason: fmt.Sprintf("collected %d sections", n)})
+}
+
 func describe(a maintenance.Action) string {
 	if a.VM == "" {
 		return a.Reason
--- a/entry/controller/controller_test.go
+++ b/entry/controller/controller_test.go
@@ -94,6 +94,8 @@
 
 func (w *world) Add(decision.Record) {}
 
+func (w *world) Collect(context.Context) (int, error) { return 0, nil }
+
 func (w *world) Learn(maintenance.Site) {}
 
 func (w *world) seen() []any {
--- a/entry/operator/change.go
+++ b/entry/operator/change.go
@@ -142,9 +142,9 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := proto.Marshal(h)
+	b, err := p.point(ctx, h)
 	if err != nil {
-		return nil, trace.Wrap(err, "encoding the head")
+		return nil, err
 	}
 	if _, err = p.store.Swap(ctx, config.HeadKey, i.Revision, b); err != nil {
 		return p.settle(ctx, c, err)
@@ -152,6 +152,20 @@
 	return h, nil
 }
 
+// point writes the head's content and returns the pointer to it.
+func (p *Publisher) point(ctx context.Context, h *schema.Head) ([]byte, error) {
+	b, err := proto.Marshal(h)
+	if err != nil {
+		return nil, trace.Wrap(err, "encoding the head")
+	}
+	d := config.Sum(b)
+	if err := p.keep(ctx, d, b); err != nil {
+		return nil, err
+	}
+	x, err := proto.Marshal(&schema.HeadPointer{Revision: h.Revision, Digest: d[:], Mark: h.Mark})
+	return x, trace.Wrap(err, "encoding the head")
+}
+
 // based says whether the change was made of what is in force. What the controller has changed
 // since does not stand in an operator's way.
 func based(c Change, now *schema.Head) bool {
@@ -175,7 +189,7 @@
 	return nil, trace.Wrap(&BaseError{Base: c.Base, InForce: now.Revision})
 }
 
-// head reads the head in the store; an absent one has revision 0.
+// head reads the pointer in the store and the head it names; an absent one has revision 0.
 func (p *Publisher) head(ctx context.Context) (store.Item, *schema.Head, error) {
 	i, err := p.store.Get(ctx, config.HeadKey)
 	var absent *store.AbsentError
@@ -185,11 +199,21 @@
 	if err != nil {
 		return store.Item{}, nil, err
 	}
-	h := &schema.Head{}
-	if err := proto.Unmarshal(i.Value, h); err != nil {
-		return store.Item{}, nil, trace.Wrap(&config.CorruptError{Name: "head", Detail: err.Error()})
+	x, err := config.ReadPointer(i.Value)
+	if err != nil {
+		return store.Item{}, nil, err
+	}
+	h, err := p.read(ctx, config.AsDigest(x.Digest))
+	return i, h, err
+}
+
+// read reads a head by the digest of its content.
+func (p *Publisher) read(ctx context.Context, d config.Digest) (*schema.Head, error) {
+	i, err := p.store.Get(ctx, config.SectionKey(d))
+	if err != nil {
+		return nil, err
 	}
-	return i, h, nil
+	return config.ReadHead(i.Value)
 }
 
 // prepare writes what the new head names, which is harmless to repeat.
@@ -214,16 +238,15 @@
 			return nil, err
 		}
 	}
-	if i.Revision == 0 {
-		return h, nil
-	}
-	if old.OperatorRevision != old.Revision {
-		h.Previous = old.Previous
-		return h, nil
+	h.Previous = old.Previous
+	if i.Revision > 0 && old.OperatorRevision == old.Revision {
+		x, err := config.ReadPointer(i.Value)
+		if err != nil {
+			return nil, err
+		}
+		h.Previous = x.Digest
 	}
-	d := config.Sum(i.Value)
-	h.Previous = d[:]
-	return h, p.keep(ctx, d, i.Value)
+	return h, nil
 }
 
 // refs are the sections of the new head: those of the change, and the old ones that it leaves alone.
@@ -296,11 +319,11 @@
 	return nil, trace.Wrap(&UnsettledError{Mark: c.Mark, Detail: cause.Error()})
 }
 
-// History lists the heads that are kept, the newest first.
+// History lists the head and the operators' heads before it that are kept, the newest first.
 func (p *Publisher) History(ctx context.Context, h *schema.Head) ([]*schema.Head, error) {
 	l := []*schema.Head{h}
 	for len(h.Previous) > 0 && len(l) < keptHeads {
-		i, err := p.store.Get(ctx, config.SectionKey(config.AsDigest(h.Previous)))
+		x, err := p.read(ctx, config.AsDigest(h.Previous))
 		var absent *store.AbsentError
 		if errors.As(err, &absent) {
 			return l, nil
@@ -308,10 +331,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h = &schema.Head{}
-		if err := proto.Unmarshal(i.Value, h); err != nil {
-			return nil, trace.Wrap(&config.CorruptError{Name: "head", Detail: err.Error()})
-		}
+		h = x
 		l = append(l, h)
 	}
 	return l, nil
@@ -327,6 +347,7 @@
 }
 
 // Collect deletes sections that no kept head names and that are older than all kept heads; it returns how many.
+// A change in progress is based on a kept head, so what it has written is newer.
 func (p *Publisher) Collect(ctx context.Context) (int, error) {
 	l, err := p.Kept(ctx)
 	if err != nil || len(l) < keptHeads {
@@ -343,7 +364,7 @@
 	if err != nil {
 		return 0, err
 	}
-	oldest := oldestRevision(items, l)
+	oldest := revisionOf(items, config.SectionKey(config.AsDigest(l[len(l)-2].Previous)))
 	n := 0
 	for _, i := range items {
 		if used[i.Key] || i.Revision >= oldest {
@@ -357,11 +378,9 @@
 	return n, nil
 }
 
-// oldestRevision is the store revision at which the oldest kept head was archived.
-func oldestRevision(items []store.Item, l []*schema.Head) store.Revision {
-	k := config.SectionKey(config.AsDigest(l[len(l)-2].Previous))
+func revisionOf(items []store.Item, key string) store.Revision {
 	for _, i := range items {
-		if i.Key == k {
+		if i.Key == key {
 			return i.Revision
 		}
 	}
--- a/entry/operator/change_test.go
+++ b/entry/operator/change_test.go
@@ -173,6 +173,23 @@
 		gomega.Expect([]any{<-done, <-done}).To(gomega.ConsistOf(true, false))
 	})
 
+	ginkgo.It("lets an operator change what the controller has changed since, and keeps both", func() {
+		s := config.Sections{"state/dc-1/r1": []byte{}}
+		c := operator.Change{Base: 1, Mark: "controller", Sections: s, Stateful: true}
+		first, second := publish(c), publish(change(1, "b", 1))
+		names := []string{}
+		for _, x := range v.Current().Head.Sections {
+			names = append(names, x.Name)
+		}
+		gomega.Expect([]any{first, second, names}).To(gomega.Equal([]any{2, 3, []string{"pool/cups", "state/dc-1/r1"}}))
+	})
+
+	ginkgo.It("refuses a controller's change of what an operator has changed since", func() {
+		publish(change(1, "b", 1))
+		c := operator.Change{Base: 1, Mark: "controller", Sections: config.Sections{"state/dc-1/r1": []byte{}}, Stateful: true}
+		gomega.Expect(publish(c)).To(gomega.Equal("the change is based on revision 1, but revision 2 is in force"))
+	})
+
 	ginkgo.It("collects sections only when no kept configuration names them", func() {
 		for i := range 30 {
 			publish(change(uint64(i+1), "", int32(i%7+1)))
--- a/entry/platform/watcher.go
+++ b/entry/platform/watcher.go
@@ -7,13 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/view"
 	"github.com/tarragonbank/tarragonbank/fleet/config"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
@@ -23,6 +19,9 @@
 	errorPause = 500 * time.Millisecond
 	freshFor   = 6 * time.Second
 	pollPeriod = 500 * time.Millisecond
+	// peerTime is how long peers have to give a change before it is read from the store.
+	peerTime  = 250 * time.Millisecond
+	peerPause = 10 * time.Millisecond
 )
 
 // Logger takes decisions without blocking.
@@ -157,19 +156,27 @@
 	return 0, nil
 }
 
+// adopt puts the head that the pointer names in force, unless peers give it sooner.
 func (w *Watcher) adopt(ctx context.Context, i store.Item) error {
 	if len(i.Value) == 0 {
 		return nil
 	}
-	h := &schema.Head{}
-	if err := proto.Unmarshal(i.Value, h); err != nil {
-		return trace.Wrap(&config.CorruptError{Name: "head", Detail: err.Error()})
+	x, err := config.ReadPointer(i.Value)
+	if err != nil {
+		return err
 	}
-	c := w.view.Current()
-	if c.Replaces(h) != nil {
+	if !w.awaited(ctx, x.Revision) {
 		return nil
 	}
-	s, err := w.client.Sections(ctx, c.Missing(h, nil))
+	y, err := w.client.Get(ctx, config.SectionKey(config.AsDigest(x.Digest)))
+	if err != nil {
+		return err
+	}
+	h, err := config.ReadHead(y.Value)
+	if err != nil {
+		return err
+	}
+	s, err := w.client.Sections(ctx, w.view.Current().Missing(h, nil))
 	if err != nil {
 		return err
 	}
@@ -184,6 +191,18 @@
 	return err
 }
 
+// awaited says whether the revision is still not in force after peers have had time to give it.
+func (w *Watcher) awaited(ctx context.Context, revision uint64) bool {
+	until := time.Now().Add(peerTime)
+	for w.view.Current().Revision() < revision {
+		if w.view.Current() == nil || time.Now().After(until) || ctx.Err() != nil {
+			return true
+		}
+		time.Sleep(peerPause)
+	}
+	return false
+}
+
 // Sections reads the sections from the store.
 func (c *Client) Sections(ctx context.Context, l []config.Digest) (map[config.Digest][]byte, error) {
 	r := map[config.Digest][]byte{}
--- a/entry/tarragond/publish.go
+++ b/entry/tarragond/publish.go
@@ -1,6 +1,7 @@
 package tarragond
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,9 +31,7 @@
 		return b
 	}
 	b.Watching = e.watcher.Fresh()
-	if b.Watching {
-		b.ListedLeaving = e.watcher.Leaving()
-	}
+	b.ListedLeaving = e.watcher.Leaving()
 	b.SaidLeaving = e.dispatcher.SaidLeaving()
 	m := e.dispatcher.Demands()
 	for n, d := range m {
@@ -67,22 +66,45 @@
 func (e *Entry) share() {
 	l := []dispatch.Peer{}
 	leaving := map[string]bool{}
+	lists := listed{fresh: map[string]bool{}, last: map[string]bool{}}
+	lists.add(e.watcher.Fresh(), e.watcher.Leaving())
 	for _, m := range e.node.Sharing() {
 		p := dispatch.Peer{Name: m.Name(), DataCentre: m.Row.Body.DataCentre, Demand: map[string]int{}}
 		for _, d := range m.Row.Body.Demands {
 			p.Demand[d.Pool] = int(d.Demand)
 		}
 		l = append(l, p)
-		addAll(leaving, m.Row.Body.ListedLeaving)
+		lists.add(m.Row.Body.Watching, m.Row.Body.ListedLeaving)
 		addAll(leaving, m.Row.Body.SaidLeaving)
 	}
 	addAll(leaving, e.dispatcher.SaidLeaving())
-	if e.watcher.Fresh() {
-		addAll(leaving, e.watcher.Leaving())
-	}
+	maps.Copy(leaving, lists.best())
 	e.dispatcher.SetPeers(l, leaving)
 }
 
+// listed joins what entries last saw of the platform's list.
+type listed struct {
+	fresh map[string]bool
+	last  map[string]bool
+	any   bool
+}
+
+func (x *listed) add(fresh bool, l []string) {
+	addAll(x.last, l)
+	if fresh {
+		x.any = true
+		addAll(x.fresh, l)
+	}
+}
+
+// best is the fresh lists where there are any; while the platform is away the last ones hold.
+func (x *listed) best() map[string]bool {
+	if x.any {
+		return x.fresh
+	}
+	return x.last
+}
+
 func addAll(m map[string]bool, l []string) {
 	for _, x := range l {
 		m[x] = true
--- /dev/null
+++ b/fleet/config/pointer.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// ReadPointer decodes the record at HeadKey; it fails with a CorruptError.
+func ReadPointer(b []byte) (*schema.HeadPointer, error) {
+	x := &schema.HeadPointer{}
+	if err := proto.Unmarshal(b, x); err != nil {
+		return nil, trace.Wrap(&CorruptError{Name: "head pointer", Detail: err.Error()})
+	}
+	return x, nil
+}
+
+// ReadHead decodes a head; it fails with a CorruptError.
+func ReadHead(b []byte) (*schema.Head, error) {
+	h := &schema.Head{}
+	if err := proto.Unmarshal(b, h); err != nil {
+		return nil, trace.Wrap(&CorruptError{Name: "head", Detail: err.Error()})
+	}
+	return h, nil
+}
