Start no request that is likely to outlast its deadline, given back ones included

Starts now leave the time that 995 of 1000 stay under. The demand's memory is a rule, so that moves can be tried in a minute.

--- a/entry/tarragond/sight.go
+++ b/entry/tarragond/sight.go
@@ -15,8 +15,6 @@
 const (
 	// listFresh is how old the platform's list may be for decisions to rest on it.
 	listFresh = 5 * time.Second
-	// demandMemory is the time over which demand is averaged before VMs move for it.
-	demandMemory = 30 * time.Second
 	// forecastAhead is how long before it is needed a VM is lent, or kept.
 	forecastAhead = time.Hour
 	// isolatedAfter is how long an entry hears nobody before it takes itself as cut off.
@@ -52,7 +50,7 @@
 		s.Sights[m.Name] = x
 	}
 	now := time.Now()
-	s.Demand = e.demand.average(now, e.sumDemand())
+	s.Demand = e.demand.average(now, c.Rules.Memory, e.sumDemand())
 	s.Expected = map[string]int{}
 	for n := range c.Pools {
 		s.Expected[n] = e.profile.Peak(now, n, forecastAhead)
@@ -103,10 +101,10 @@
 	values map[string]float64
 }
 
-func (a *average) average(now time.Time, m map[string]int) map[string]int {
+func (a *average) average(now time.Time, memory time.Duration, m map[string]int) map[string]int {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	part := min(now.Sub(a.last).Seconds()/demandMemory.Seconds(), 1)
+	part := min(now.Sub(a.last).Seconds()/memory.Seconds(), 1)
 	if a.values == nil {
 		a.values = map[string]float64{}
 		part = 0
--- a/fleet/admission/pool.go
+++ b/fleet/admission/pool.go
@@ -175,10 +175,13 @@
 
 // next takes the next request that can still be in time, those that were given back first.
 func (p *Pool) next(now time.Time) *Ticket {
-	if len(p.returned) > 0 {
+	for len(p.returned) > 0 {
 		t := p.returned[0]
 		p.returned = p.returned[1:]
-		return t
+		if t.inTime(now) {
+			return t
+		}
+		p.refuse(t, DeadlinePassed)
 	}
 	for {
 		s := p.nextService()
@@ -186,7 +189,7 @@
 			return nil
 		}
 		t := s.pop()
-		if t.Request.Deadline.Sub(now) >= s.times.High() {
+		if t.inTime(now) {
 			return t
 		}
 		p.refuse(t, DeadlinePassed)
@@ -338,7 +341,11 @@
 
 // LatestStart is the time after which a waiting request can no longer be answered by its deadline.
 func (t *Ticket) LatestStart() time.Time {
-	return t.Request.Deadline.Add(-t.service.times.High())
+	return t.Request.Deadline.Add(-t.service.times.Tail())
+}
+
+func (t *Ticket) inTime(now time.Time) bool {
+	return !now.After(t.LatestStart())
 }
 
 // Forget drops the learned latency of a VM.
--- a/fleet/config/source.go
+++ b/fleet/config/source.go
@@ -131,7 +131,7 @@
 		return
 	}
 	for k, v := range map[string]*durationpb.Duration{
-		"period": m.Period, "drain": m.Drain, "rebootLimit": m.RebootLimit, "halt": m.Halt, "stay": m.Stay,
+		"period": m.Period, "drain": m.Drain, "rebootLimit": m.RebootLimit, "halt": m.Halt, "stay": m.Stay, "demandMemory": m.DemandMemory,
 	} {
 		c.expect(v == nil || v.AsDuration() > 0, d, "maintenance."+k, "a duration above 0s", v.AsDuration().String())
 	}
--- a/fleet/estimate/estimate.go
+++ b/fleet/estimate/estimate.go
@@ -26,6 +26,7 @@
 	mean      time.Duration
 	median    time.Duration
 	high      time.Duration
+	tail      time.Duration
 }
 
 // New makes an estimate that answers with the expected time until it has learned.
@@ -36,6 +37,7 @@
 		mean:      expected,
 		median:    expected,
 		high:      2 * expected,
+		tail:      2 * expected,
 	}
 }
 
@@ -65,6 +67,11 @@
 	return t.high
 }
 
+// Tail is the service time that 995 of 1000 requests stay under.
+func (t *Times) Tail() time.Duration {
+	return t.tail
+}
+
 // Learned says whether the estimate rests on observations.
 func (t *Times) Learned() bool {
 	return t.samples >= minSamples
@@ -95,4 +102,5 @@
 	t.mean = time.Duration(h.Mean()) * time.Microsecond
 	t.median = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
 	t.high = time.Duration(h.ValueAtQuantile(95)) * time.Microsecond
+	t.tail = time.Duration(h.ValueAtQuantile(99.5)) * time.Microsecond
 }
--- a/fleet/maintenance/site.go
+++ b/fleet/maintenance/site.go
@@ -17,6 +17,7 @@
 	DefaultRebootLimit = 5 * time.Minute
 	DefaultHalt        = time.Hour
 	DefaultStay        = 10 * time.Minute
+	DefaultMemory      = time.Minute
 )
 
 // Rules say how VMs are maintained and lent.
@@ -26,6 +27,7 @@
 	RebootLimit time.Duration
 	Halt        time.Duration
 	Stay        time.Duration
+	Memory      time.Duration
 	QuietFrom   int
 	QuietTo     int
 }
@@ -33,10 +35,10 @@
 // NewRules converts rules of the schema and fills in defaults; without rules nothing is maintained.
 func NewRules(m *schema.Maintenance) Rules {
 	if m == nil {
-		return Rules{Stay: DefaultStay}
+		return Rules{Stay: DefaultStay, Memory: DefaultMemory}
 	}
 	r := Rules{
-		Period: DefaultPeriod, Drain: DefaultDrain, RebootLimit: DefaultRebootLimit, Halt: DefaultHalt, Stay: DefaultStay,
+		Period: DefaultPeriod, Drain: DefaultDrain, RebootLimit: DefaultRebootLimit, Halt: DefaultHalt, Stay: DefaultStay, Memory: DefaultMemory,
 		QuietFrom: int(m.QuietFrom), QuietTo: int(m.QuietTo),
 	}
 	if m.Period != nil {
@@ -54,6 +56,9 @@
 	if m.Stay != nil {
 		r.Stay = m.Stay.AsDuration()
 	}
+	if m.DemandMemory != nil {
+		r.Memory = m.DemandMemory.AsDuration()
+	}
 	return r
 }
 
