Give decisions camel case names with named kinds, and the programs their version

Cause: /v1/decisions showed kinds as numbers under Go's field names, and the version was not linked in. Conclusion: the operators' JSON is camel case throughout.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .PHONY: build generate format lint test demo tools all-tools
 
 build:
-	$(GO) build -o bin/ ./entry/cmd/tarragond ./ctl/cmd/tarragonctl ./bench/cmd/tarragonbench
+	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./entry/cmd/tarragond ./ctl/cmd/tarragonctl ./bench/cmd/tarragonbench
 
 all-tools:
 	cd tools && GOWORK=off GOFLAGS=-mod=readonly $(GO) build -o ../$(TOOLS)/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go github.com/dmarkham/enumer mvdan.cc/gofumpt github.com/mgechev/revive
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -106,7 +106,7 @@
 }
 
 func decisions(ctx context.Context, c *Client, o Options, w io.Writer) error {
-	return table(ctx, c, o, w, "/v1/decisions", "Time", "Kind", "Request", "Service", "VM", "Reason")
+	return table(ctx, c, o, w, "/v1/decisions", "time", "kind", "request", "service", "vm", "reason")
 }
 
 func history(ctx context.Context, c *Client, o Options, w io.Writer) error {
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -22,7 +22,7 @@
 
 // The kinds of decisions.
 //
-//go:generate enumer -type=Kind -transform=title-lower
+//go:generate enumer -type=Kind -transform=title-lower -json
 const (
 	Route Kind = iota
 	Refuse
@@ -39,16 +39,16 @@
 
 // Record is one decision and its reason.
 type Record struct {
-	Time     time.Time
-	Kind     Kind
-	Request  string
-	Service  string
-	Pool     string
-	VM       string
-	Reason   string
-	Attempt  int
-	Duration time.Duration
-	Revision uint64
+	Time     time.Time     `json:"time"`
+	Kind     Kind          `json:"kind"`
+	Request  string        `json:"request,omitempty"`
+	Service  string        `json:"service,omitempty"`
+	Pool     string        `json:"pool,omitempty"`
+	VM       string        `json:"vm,omitempty"`
+	Reason   string        `json:"reason"`
+	Attempt  int           `json:"attempt,omitempty"`
+	Duration time.Duration `json:"durationNs,omitempty"`
+	Revision uint64        `json:"revision,omitempty"`
 }
 
 // Log writes records from one goroutine; what does not fit its queue is dropped and counted.
--- /dev/null
+++ b/entry/decision/log_test.go
@@ -0,0 +1,70 @@
+package decision_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestDecision(t *testing.T) {
+	suite.Run(t, "decision")
+}
+
+var at = time.Unix(1_800_000_000, 0).UTC()
+
+// stuck takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+}
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+var _ = ginkgo.Describe("a log", func() {
+	ginkgo.It("writes a line for each decision", func() {
+		var b bytes.Buffer
+		l := decision.New(&b, logrus.InfoLevel)
+		l.Add(decision.Record{Time: at, Kind: decision.Route, Request: "r1", Service: "cups", Pool: "cups", VM: "cups-01", Reason: "least loaded of two", Attempt: 1})
+		l.Close()
+		var line map[string]any
+		gomega.Expect(json.Unmarshal(b.Bytes(), &line)).To(gomega.Succeed())
+		gomega.Expect(line).To(gomega.Equal(map[string]any{
+			"time": "2027-01-15T08:00:00Z", "level": "info", "msg": "decision", "kind": "route", "request": "r1",
+			"service": "cups", "pool": "cups", "vm": "cups-01", "reason": "least loaded of two", "attempt": 1.0,
+		}))
+	})
+
+	ginkgo.It("does not block when nobody reads, and counts what it drops", func() {
+		s := stuck{release: make(chan struct{})}
+		l := decision.New(s, logrus.InfoLevel)
+		for range 20000 {
+			l.Add(decision.Record{Time: at, Reason: strings.Repeat("x", 100)})
+		}
+		dropped := l.Dropped()
+		close(s.release)
+		l.Close()
+		gomega.Expect([]bool{dropped > 0, l.Dropped()+l.Written() == 20000}).To(gomega.Equal([]bool{true, true}))
+	})
+
+	ginkgo.It("remembers the last decisions in order", func() {
+		l := decision.New(io.Discard, logrus.InfoLevel)
+		for i := range 100 {
+			l.Add(decision.Record{Time: at, Attempt: i})
+		}
+		l.Close()
+		r := l.Recent()
+		gomega.Expect([]int{len(r), r[0].Attempt, r[len(r)-1].Attempt}).To(gomega.Equal([]int{64, 36, 99}))
+	})
+})
