Ask for the list of VMs only if it has changed; share a little overload in proportion

Cause: (1) each second's list of 50 VMs is 3.5 KB, more than the rest of a watcher's control together, and would be 90 KB at 1300 VMs. It is now asked for with the tag last seen. (2) Published demand errs upwards, so at 0.8 of capacity it often summed up to more than the pool, and the entry with half of the load got less than it asked for.

--- a/bench/platform/platform.go
+++ b/bench/platform/platform.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 )
 
@@ -313,8 +314,19 @@
 	_ = json.NewEncoder(w).Encode(r)
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(p.lagged())
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	b, err := json.Marshal(p.lagged())
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(b), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(b)
 }
 
 // Value reads a key without a call, for checks.
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -170,6 +170,9 @@
 func (s *Site) startServers() error {
 	if s.Plan.Source != nil {
 		s.Source = *s.Plan.Source
+		for _, m := range s.Source.Inventory.Vms {
+			s.Platform.SetMachine(platform.Machine{Name: m.Name, Address: netip.MustParseAddrPort(m.Address), Boot: "1"})
+		}
 		return nil
 	}
 	var err error
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,11 +20,13 @@
 )
 
 const (
-	callTimeout   = 2 * time.Second
-	dialTimeout   = time.Second
-	watchSlack    = 2 * time.Second
-	idleTimeout   = 15 * time.Second
-	answerLimit   = 4 << 20
+	callTimeout = 2 * time.Second
+	dialTimeout = time.Second
+	watchSlack  = 2 * time.Second
+	idleTimeout = 15 * time.Second
+	answerLimit = 4 << 20
+	// headerBytes is about what the heads of a request and of an answer take each.
+	headerBytes   = 120
 	expectParam   = "expect"
 	ttlParam      = "ttlMs"
 	prefixParam   = "prefix"
@@ -42,6 +46,7 @@
 	base    string
 	http    *http.Client
 	counter Counter
+	listing listing
 }
 
 // Option changes a Client at its making.
@@ -179,19 +184,35 @@
 	return nil
 }
 
-// Machines reads the lagging list of VMs; it fails with an UnavailableError.
+// listing is the list of VMs with the tag by which the platform knows it.
+type listing struct {
+	lock sync.Mutex
+	tag  string
+	list []Machine
+}
+
+// Machines reads the lagging list of VMs, or has the platform say that it is the one last read.
+// It fails with an UnavailableError.
 func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
-	a, err := c.call(ctx, "machines", http.MethodGet, "/v1/machines", nil, callTimeout)
+	c.listing.lock.Lock()
+	defer c.listing.lock.Unlock()
+	a, err := c.conditional(ctx, "machines", "/v1/machines", c.listing.tag)
 	if err != nil {
 		return nil, err
 	}
-	if a.status != http.StatusOK {
+	switch a.status {
+	case http.StatusNotModified:
+		return c.listing.list, nil
+	case http.StatusOK:
+	default:
 		return nil, a.unavailable("machines")
 	}
 	var l []Machine
 	if err := json.Unmarshal(a.body, &l); err != nil {
 		return nil, trace.Wrap(&store.UnavailableError{Call: "machines", Detail: err.Error()})
 	}
+	c.listing.tag = a.tag
+	c.listing.list = l
 	return l, nil
 }
 
@@ -200,6 +221,7 @@
 	status   int
 	revision store.Revision
 	body     []byte
+	tag      string
 }
 
 func (a answer) unavailable(call string) error {
@@ -222,14 +244,28 @@
 }
 
 func (c *Client) call(ctx context.Context, kind, method, path string, body []byte, limit time.Duration) (answer, error) {
+	return c.send(ctx, kind, method, path, body, limit, nil)
+}
+
+// conditional reads what is not known by the tag.
+func (c *Client) conditional(ctx context.Context, kind, path, tag string) (answer, error) {
+	h := http.Header{}
+	if tag != "" {
+		h.Set("If-None-Match", tag)
+	}
+	return c.send(ctx, kind, http.MethodGet, path, nil, callTimeout, h)
+}
+
+func (c *Client) send(ctx context.Context, kind, method, path string, body []byte, limit time.Duration, h http.Header) (answer, error) {
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{}, trace.Wrap(&store.UnavailableError{Call: kind, Detail: err.Error()})
 	}
+	maps.Copy(r.Header, h)
 	a, err := c.exchange(r)
-	c.counter.Count("store."+kind, len(body)+len(path), len(a.body))
+	c.counter.Count("store."+kind, len(body)+len(path)+headerBytes, len(a.body)+headerBytes)
 	if err != nil {
 		c.http.CloseIdleConnections()
 		return answer{}, trace.Wrap(&store.UnavailableError{Call: kind, Detail: err.Error()})
@@ -248,7 +284,7 @@
 		return answer{}, err
 	}
 	n, _ := strconv.ParseUint(p.Header.Get(revisionField), 10, 64)
-	return answer{status: p.StatusCode, revision: store.Revision(n), body: b}, nil
+	return answer{status: p.StatusCode, revision: store.Revision(n), body: b, tag: p.Header.Get("Etag")}, nil
 }
 
 func format(r store.Revision) string {
--- a/fleet/share/divide.go
+++ b/fleet/share/divide.go
@@ -10,8 +10,9 @@
 // floorShare is the part of a pool divided evenly whatever the demand.
 const floorShare = 0.25
 
-// byDemand gives each entry what it asks for and a part of the rest by the square root of that;
-// where the entries ask for more than there is, a quarter is divided evenly and the rest in proportion.
+// byDemand gives each entry what it asks for and a part of the rest by the square root of that.
+// Where the entries ask for a little more than there is, as published demand errs upwards, all is
+// divided in proportion; in overload a quarter is divided evenly and the rest in proportion.
 func byDemand(self string, l []Entry, vms []vm.VM) Grant {
 	asked, there := float64(demand(l)), float64(slots(vms))
 	roots := 0.0
@@ -19,8 +20,11 @@
 		roots += root(e)
 	}
 	return divide(self, l, vms, func(e Entry) float64 {
-		if asked <= there {
+		switch {
+		case asked <= there:
 			return (float64(e.Demand) + (there-asked)*root(e)/roots) / there
+		case asked <= lendUpTo*there:
+			return float64(e.Demand) / asked
 		}
 		return floorShare/float64(len(l)) + (1-floorShare)*float64(e.Demand)/asked
 	})
