Budgets for data centres, racks and shares; a drain no shorter than a request; a plan

Cause: a pool's budget was a count only; a drain could end before the requests in flight at its start; the list's odd lines (twice, other address) were judged where no test reached; operators saw no plan.

--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -204,7 +204,7 @@
 }
 
 func waves(ctx context.Context, c *Client, o Options, w io.Writer) error {
-	return table(ctx, c, o, w, "/v1/maintenance", "pool", "vms", "maxDown", "width", "phases", "oldest", "waits")
+	return table(ctx, c, o, w, "/v1/maintenance", "pool", "vms", "maxDown", "width", "phases", "due", "next", "oldest", "waits")
 }
 
 func vms(ctx context.Context, c *Client, o Options, w io.Writer) error {
--- a/entry/operator/maintenance.go
+++ b/entry/operator/maintenance.go
@@ -96,6 +96,9 @@
 	Phases  map[string]int `json:"phases"`
 	Oldest  time.Time      `json:"oldest"`
 	Waits   string         `json:"waits"`
+	// Due is how many VMs are due now, Next when the next one is.
+	Due  int       `json:"due"`
+	Next time.Time `json:"next"`
 }
 
 func (s *Server) waves(w http.ResponseWriter, _ *http.Request) {
@@ -116,7 +119,9 @@
 				v.Oldest = y.Maintained
 			}
 		}
-		v.Waits = maintenance.Explain(time.Now(), site, n)
+		now := time.Now()
+		v.Waits = maintenance.Explain(now, site, n)
+		v.Due, v.Next = maintenance.Plan(now, site, n)
 		l = append(l, v)
 	}
 	reply(w, http.StatusOK, l)
@@ -143,7 +148,7 @@
 
 // Error describes the failure in one line.
 func (e *BudgetError) Error() string {
-	return fmt.Sprintf("%s cannot be taken down: %d VMs of pool %s would be, at most %d may be", e.VM, e.Down, e.Pool, e.Most)
+	return fmt.Sprintf("%s cannot be taken down: %d VMs of pool %s are, at most %d may be", e.VM, e.Down, e.Pool, e.Most)
 }
 
 // steer pauses, resumes or halts a pool's wave.
@@ -178,12 +183,10 @@
 		case v.Name == "":
 			return maintenance.Action{}, trace.Wrap(&VerbError{Verb: verb, Name: n})
 		case verb == "drain" && x.Phase == vm.InService:
-			down, most := site.Down(v.Pool), c.Pools[v.Pool].MaxDown
-			if site.Sights[n].Good() {
-				down++
-			}
-			if down > most {
-				return maintenance.Action{}, trace.Wrap(&BudgetError{VM: n, Pool: v.Pool, Down: down, Most: most})
+			p := c.Pools[v.Pool]
+			down := func(x string) bool { return x == n || site.IsDown(x) }
+			if !p.Allows(down) {
+				return maintenance.Action{}, trace.Wrap(&BudgetError{VM: n, Pool: v.Pool, Down: site.Down(v.Pool), Most: p.MaxDown})
 			}
 			x.Phase = vm.Held
 		case verb == "undrain" && x.Phase == vm.Held:
--- a/entry/tarragond/sight.go
+++ b/entry/tarragond/sight.go
@@ -36,19 +36,11 @@
 // Site joins the configuration with the platform's list, what requests saw, and demand.
 func (e *Entry) Site(c *config.Snapshot) maintenance.Site {
 	s := c.Site()
-	s.Sights = map[string]maintenance.Sight{}
-	unwell := e.dispatcher.Unwell()
 	l, at := e.watcher.Machines()
 	if time.Since(at) > listFresh {
 		l, _ = e.platform.Machines(context.Background())
 	}
-	for _, m := range l {
-		x := sight(m, c.VMs[m.Name], unwell[m.Name])
-		if y, twice := s.Sights[m.Name]; twice {
-			x.Live = x.Live && y.Live
-		}
-		s.Sights[m.Name] = x
-	}
+	s.Sights = maintenance.See(lines(l), c.VMs, e.dispatcher.Unwell())
 	now := time.Now()
 	s.Demand = e.demand.average(now, c.Rules.Memory, e.sumDemand())
 	s.Expected = map[string]int{}
@@ -66,9 +58,12 @@
 	}
 }
 
-// sight is what one line of the list says of a VM; one at another address than the inventory's is not the VM.
-func sight(m platform.Machine, v vm.VM, unwell bool) maintenance.Sight {
-	return maintenance.Sight{Live: m.Boot != "" && !m.Leaving && m.Address == v.Address, Answers: !unwell, Boot: m.Boot}
+func lines(l []platform.Machine) []maintenance.Line {
+	r := make([]maintenance.Line, 0, len(l))
+	for _, m := range l {
+		r = append(r, maintenance.Line{Name: m.Name, Address: m.Address, Leaving: m.Leaving, Boot: m.Boot})
+	}
+	return r
 }
 
 // probeReturning asks VMs that come back from a reboot themselves, since no request goes to them.
--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -80,6 +80,8 @@
 	ginkgo.Entry("a quota above one", "quota = 0.7", "quota = 1.7", `rules.toml:19: teams[0].quota: expected 0 to 1, found "1.7"`),
 	ginkgo.Entry("an hour that is none", "[[teams]]", "[maintenance]\nquietFrom = 24\n\n[[teams]]", `rules.toml:18: maintenance.quietFrom: expected an hour from 0 to 23, found "24"`),
 	ginkgo.Entry("a period of nothing", "[[teams]]", "[maintenance]\nperiod = \"0s\"\n\n[[teams]]", `rules.toml:18: maintenance.period: expected a duration above 0s, found "0s"`),
+	ginkgo.Entry("a drain shorter than a request", "[[teams]]", "[maintenance]\ndrain = \"1s\"\n\n[[teams]]", `rules.toml:18: maintenance.drain: expected at least the timeout of service cups, 2s, found "1s"`),
+	ginkgo.Entry("a budget of everything", "maxDown = 1", "maxDownShare = 1.0", `rules.toml:3: pools[0].maxDownShare: expected 0 to less than 1, found "1"`),
 	ginkgo.Entry("a service twice", `name = "quotes"`, `name = "cups"`, `rules.toml:12: services[1].name: expected a name used once, found "cups"`),
 )
 
--- a/fleet/config/source.go
+++ b/fleet/config/source.go
@@ -9,7 +9,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/tarragonbank/tarragonbank/fleet/document"
+	"github.com/tarragonbank/tarragonbank/fleet/maintenance"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/service"
 )
 
 // Source is the inventory and the rules as operators wrote them.
@@ -36,6 +38,7 @@
 	c.checkVMs(i, s.Inventory)
 	c.checkBudgets(r, s.Rules)
 	c.checkMaintenance(r, s.Rules.Maintenance)
+	c.checkDrain(r, s.Rules)
 	return s, trace.Wrap(c.err)
 }
 
@@ -58,6 +61,9 @@
 		c.expect(p.Name != "", d, k+"name", "a name", p.Name)
 		c.expect(!c.pools[p.Name], d, k+"name", "a name used once", p.Name)
 		c.expect(p.MaxDown >= 0, d, k+"maxDown", "0 or more", strconv.Itoa(int(p.MaxDown)))
+		c.expect(p.MaxDownShare >= 0 && p.MaxDownShare < 1, d, k+"maxDownShare", "0 to less than 1", number(p.MaxDownShare))
+		c.expect(p.MaxDownPerDataCentre >= 0, d, k+"maxDownPerDataCentre", "0 or more", strconv.Itoa(int(p.MaxDownPerDataCentre)))
+		c.expect(p.MaxDownPerRack >= 0, d, k+"maxDownPerRack", "0 or more", strconv.Itoa(int(p.MaxDownPerRack)))
 		c.pools[p.Name] = true
 	}
 }
@@ -140,6 +146,18 @@
 	}
 }
 
+// checkDrain keeps a drain from ending before the requests that were in flight at its start.
+func (c *checker) checkDrain(d *document.Document, r *schema.Rules) {
+	if r.Maintenance == nil {
+		return
+	}
+	drain := maintenance.NewRules(r.Maintenance).Drain
+	for _, m := range r.Services {
+		t := service.New(m).Timeout
+		c.expect(drain >= t, d, "maintenance.drain", "at least the timeout of service "+m.Name+", "+t.String(), drain.String())
+	}
+}
+
 const hoursOfDay = 24
 
 func share(v float64) bool {
--- a/fleet/maintenance/action.go
+++ b/fleet/maintenance/action.go
@@ -49,9 +49,9 @@
 	}
 	next.Reason = fmt.Sprintf(reason, a...)
 	p := d.poolOf(name)
-	wasDown := d.down(name)
+	wasDown := d.IsDown(name)
 	d.States[name] = next
-	if !wasDown && d.down(name) && d.Down(p) > d.Pools[p].MaxDown {
+	if !wasDown && d.IsDown(name) && !d.Pools[p].Allows(d.IsDown) {
 		panic((&OverdrawnError{Pool: p, VM: name, Down: d.Down(p), Most: d.Pools[p].MaxDown}).Error())
 	}
 	d.actions = append(d.actions, Action{VM: name, State: next, Reason: next.Reason})
--- a/fleet/maintenance/decide.go
+++ b/fleet/maintenance/decide.go
@@ -133,7 +133,7 @@
 		if d.why(p) != "" {
 			return
 		}
-		if d.down(v.Name) || !d.rackAllowed(p, v) {
+		if d.IsDown(v.Name) || !d.rackAllowed(p, v) || !d.allowed(p, v) {
 			continue
 		}
 		x := d.States[v.Name]
@@ -142,6 +142,11 @@
 	}
 }
 
+// allowed says whether the budget lets the VM be down as well.
+func (d *decider) allowed(p pool.Pool, v vm.VM) bool {
+	return p.Allows(func(n string) bool { return n == v.Name || d.IsDown(n) })
+}
+
 // rackAllowed keeps a wave to as many racks as it is wide.
 func (d *decider) rackAllowed(p pool.Pool, v vm.VM) bool {
 	racks := map[string]bool{v.Rack: true}
@@ -183,6 +188,23 @@
 	return time.UnixMilli(k*period + offset)
 }
 
+// Plan is what is due in a pool now, and when the next VM becomes due.
+func Plan(now time.Time, s Site, name string) (due int, next time.Time) {
+	d := &decider{Site: &s, now: now}
+	p := s.Pools[name]
+	due = len(d.due(p))
+	if s.Rules.Period == 0 {
+		return due, next
+	}
+	for _, v := range p.VMs {
+		t := d.cycle(v.Name).Add(s.Rules.Period)
+		if next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	return due, next
+}
+
 // Explain says why a pool's wave waits, empty where it does not.
 func Explain(now time.Time, s Site, name string) string {
 	d := &decider{Site: &s, now: now}
--- a/fleet/maintenance/move.go
+++ b/fleet/maintenance/move.go
@@ -41,7 +41,7 @@
 func (d *decider) serving(p pool.Pool) int {
 	n := 0
 	for _, v := range p.VMs {
-		if !d.down(v.Name) {
+		if !d.IsDown(v.Name) {
 			n += v.Slots
 		}
 	}
@@ -88,7 +88,7 @@
 	l := []vm.VM{}
 	anchored := Anchored(d.Pools[name])
 	for _, v := range d.Pools[name].VMs {
-		if !d.down(v.Name) && !anchored[v.Name] {
+		if !d.IsDown(v.Name) && !anchored[v.Name] {
 			l = append(l, v)
 			racks[v.Rack]++
 		}
@@ -109,7 +109,7 @@
 		if float64(d.wanted(name)) >= returnBelow*float64(slots-v.Slots) {
 			continue
 		}
-		if !d.down(v.Name) && d.Down(name) > p.MaxDown {
+		if !d.IsDown(v.Name) && d.Down(name) > p.MaxDown {
 			continue
 		}
 		d.relocate(v, name, spare, "pool "+name+" no longer needs the VM")
--- a/fleet/maintenance/site.go
+++ b/fleet/maintenance/site.go
@@ -134,14 +134,15 @@
 func (s *Site) Down(pool string) int {
 	n := 0
 	for _, v := range s.Pools[pool].VMs {
-		if s.down(v.Name) {
+		if s.IsDown(v.Name) {
 			n++
 		}
 	}
 	return n
 }
 
-func (s *Site) down(name string) bool {
+// IsDown says whether the VM does not serve, for whatever reason; what is unknown is down.
+func (s *Site) IsDown(name string) bool {
 	return !s.States[name].Phase.Serves() || !s.Sights[name].Good()
 }
 
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -7,15 +7,26 @@
 
 // Pool is a set of VMs with an availability budget.
 type Pool struct {
-	Name    string
+	Name string
+	// MaxDown is how many VMs may be out of service at once by our doing.
 	MaxDown int
-	Spare   bool
-	VMs     []vm.VM
+	// MaxDownPerDataCentre and MaxDownPerRack bound the VMs of each, 0 for no such bound.
+	MaxDownPerDataCentre int
+	MaxDownPerRack       int
+	Spare                bool
+	VMs                  []vm.VM
 }
 
 // New converts a pool of the schema with its VMs.
 func New(m *schema.Pool, l []vm.VM) Pool {
-	return Pool{Name: m.Name, MaxDown: int(m.MaxDown), Spare: m.Spare, VMs: l}
+	p := Pool{
+		Name: m.Name, MaxDown: int(m.MaxDown), Spare: m.Spare, VMs: l,
+		MaxDownPerDataCentre: int(m.MaxDownPerDataCentre), MaxDownPerRack: int(m.MaxDownPerRack),
+	}
+	if p.MaxDown == 0 {
+		p.MaxDown = int(m.MaxDownShare * float64(len(l)))
+	}
+	return p
 }
 
 // Slots is how many requests the pool's VMs run at once.
@@ -26,3 +37,28 @@
 	}
 	return n
 }
+
+// Allows says whether the budget lets the VMs be down at once for which down says so.
+func (p Pool) Allows(down func(name string) bool) bool {
+	n := 0
+	centres := map[string]int{}
+	racks := map[string]int{}
+	for _, v := range p.VMs {
+		if !down(v.Name) {
+			continue
+		}
+		n++
+		centres[v.DataCentre]++
+		racks[v.Rack]++
+	}
+	return n <= p.MaxDown && within(centres, p.MaxDownPerDataCentre) && within(racks, p.MaxDownPerRack)
+}
+
+func within(m map[string]int, most int) bool {
+	for _, n := range m {
+		if most > 0 && n > most {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/fleet/pool/pool_test.go
@@ -0,0 +1,41 @@
+package pool_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/pool"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+func TestPool(t *testing.T) {
+	suite.Run(t, "pool")
+}
+
+var vms = []vm.VM{
+	{Name: "a1", DataCentre: "a", Rack: "a-r1"},
+	{Name: "a2", DataCentre: "a", Rack: "a-r1"},
+	{Name: "a3", DataCentre: "a", Rack: "a-r2"},
+	{Name: "b1", DataCentre: "b", Rack: "b-r1"},
+	{Name: "b2", DataCentre: "b", Rack: "b-r1"},
+}
+
+var _ = ginkgo.DescribeTable("a budget allows",
+	func(m *schema.Pool, down []string, want bool) {
+		p := pool.New(m, vms)
+		gomega.Expect(p.Allows(func(n string) bool { return slices.Contains(down, n) })).To(gomega.Equal(want))
+	},
+	ginkgo.Entry("its count", &schema.Pool{MaxDown: 2}, []string{"a1", "b1"}, true),
+	ginkgo.Entry("no more than its count", &schema.Pool{MaxDown: 2}, []string{"a1", "b1", "b2"}, false),
+	ginkgo.Entry("its share, rounded down", &schema.Pool{MaxDownShare: 0.5}, []string{"a1", "b1"}, true),
+	ginkgo.Entry("no more than its share", &schema.Pool{MaxDownShare: 0.5}, []string{"a1", "a2", "b1"}, false),
+	ginkgo.Entry("its count in a data centre", &schema.Pool{MaxDown: 3, MaxDownPerDataCentre: 1}, []string{"a1", "b1"}, true),
+	ginkgo.Entry("no more in one data centre", &schema.Pool{MaxDown: 3, MaxDownPerDataCentre: 1}, []string{"a1", "a3"}, false),
+	ginkgo.Entry("no more in one rack", &schema.Pool{MaxDown: 3, MaxDownPerRack: 1}, []string{"a1", "a2"}, false),
+	ginkgo.Entry("different racks", &schema.Pool{MaxDown: 3, MaxDownPerRack: 1}, []string{"a1", "a3", "b1"}, true),
+)
