--- /dev/null
+++ b/entry/dispatch/dispatch_test.go
@@ -0,0 +1,156 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/dispatch"
+	"github.com/tarragonbank/tarragonbank/fleet/admission"
+	"github.com/tarragonbank/tarragonbank/fleet/config"
+	"github.com/tarragonbank/tarragonbank/fleet/health"
+	"github.com/tarragonbank/tarragonbank/fleet/priority"
+	"github.com/tarragonbank/tarragonbank/fleet/request"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/share"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+func TestDispatch(t *testing.T) {
+	suite.Run(t, "dispatch")
+}
+
+// quiet forgets decisions and finds no VM well.
+type quiet struct{}
+
+func (quiet) Add(decision.Record)                       {}
+func (quiet) Probe(context.Context, vm.VM, string) bool { return false }
+
+// snapshot is a spare pool of four VMs in two data centres, with the states of some.
+func snapshot(states ...*schema.VmState) *config.Snapshot {
+	s := config.Source{Inventory: &schema.Inventory{}, Rules: &schema.Rules{
+		Pools:    []*schema.Pool{{Name: "ledger", MaxDown: 1, Spare: true}},
+		Services: []*schema.Service{{Name: "ledger", Prefix: "/", Pool: "ledger", ExpectedTime: durationpb.New(time.Millisecond)}},
+	}}
+	for i := range 4 {
+		s.Inventory.Vms = append(s.Inventory.Vms, &schema.Vm{
+			Name: fmt.Sprintf("vm-%d", i), DataCentre: fmt.Sprintf("dc-%d", i/2), Rack: "r",
+			Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Pool: "ledger", Slots: 1, Connections: 1,
+		})
+	}
+	x, err := config.Split(s)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	h := &schema.Head{Revision: 1, Sections: x.Refs()}
+	c, err := config.Compile(h, x.ByDigest())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, m := range states {
+		c.States[m.Name] = vm.NewState(m)
+	}
+	return c
+}
+
+func newDispatcher(c *config.Snapshot) *dispatch.Dispatcher {
+	p, err := share.Get("lending")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	d := dispatch.New("entry-1", quiet{}, quiet{}, dispatch.WithShares(p))
+	d.SetConfig(c)
+	return d
+}
+
+// used lists the VMs that requests get, sorted, and the reason of the first refusal.
+func used(d *dispatch.Dispatcher, c *config.Snapshot) ([]string, admission.Reason) {
+	l := []string{}
+	for range 5 {
+		s, err := acquire(d, c)
+		var r *dispatch.RefusedError
+		if errors.As(err, &r) {
+			return sorted(l), r.Reason
+		}
+		l = append(l, s.VM.Name)
+	}
+	return sorted(l), admission.None
+}
+
+func sorted(l []string) []string {
+	slices.Sort(l)
+	return l
+}
+
+func acquire(d *dispatch.Dispatcher, c *config.Snapshot) (*dispatch.Slot, error) {
+	r := request.Request{Service: "ledger", Priority: priority.Normal, Deadline: time.Now().Add(40 * time.Millisecond)}
+	return d.Acquire(context.Background(), r, c.Services[0])
+}
+
+var _ = ginkgo.DescribeTable("requests get",
+	func(change func(*dispatch.Dispatcher), states []*schema.VmState, want []string) {
+		c := snapshot(states...)
+		d := newDispatcher(c)
+		change(d)
+		got, _ := used(d, c)
+		gomega.Expect(got).To(gomega.Equal(want))
+	},
+	ginkgo.Entry("all VMs", func(*dispatch.Dispatcher) {}, nil, []string{"vm-0", "vm-1", "vm-2", "vm-3"}),
+	ginkgo.Entry("none that is leaving",
+		func(d *dispatch.Dispatcher) {
+			d.SetPeers([]dispatch.Peer{{Name: "entry-1"}}, map[string]bool{"vm-1": true})
+		}, nil, []string{"vm-0", "vm-2", "vm-3"}),
+	ginkgo.Entry("none that is drained or rebooted", func(*dispatch.Dispatcher) {},
+		[]*schema.VmState{{Name: "vm-0", Phase: schema.VmPhase_VM_PHASE_DRAINING}, {Name: "vm-3", Phase: schema.VmPhase_VM_PHASE_REBOOTING}},
+		[]string{"vm-1", "vm-2"}),
+	ginkgo.Entry("none that has just moved", func(*dispatch.Dispatcher) {},
+		[]*schema.VmState{{Name: "vm-2", MovedUnixMs: time.Now().UnixMilli()}}, []string{"vm-0", "vm-1", "vm-3"}),
+	ginkgo.Entry("one that moved some time ago", func(*dispatch.Dispatcher) {},
+		[]*schema.VmState{{Name: "vm-2", MovedUnixMs: time.Now().Add(-dispatch.MovedHold).UnixMilli()}}, []string{"vm-0", "vm-1", "vm-2", "vm-3"}),
+	ginkgo.Entry("only anchored spare VMs of an entry that hears nobody",
+		func(d *dispatch.Dispatcher) { d.SetIsolated(true) }, nil, []string{"vm-0", "vm-2"}),
+	ginkgo.Entry("none that cannot be reached",
+		func(d *dispatch.Dispatcher) {
+			c := snapshot()
+			s, err := acquire(d, c)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			s.Observe(health.DialFailed)
+			s.Observe(health.DialFailed)
+			s.Done(false)
+			gomega.Expect(d.Unwell()).To(gomega.HaveLen(1))
+			d.SetPeers([]dispatch.Peer{{Name: "entry-1"}}, map[string]bool{"vm-0": true, "vm-1": true, "vm-2": true, "vm-3": true})
+		}, nil, []string{}),
+)
+
+var _ = ginkgo.Describe("a dispatcher", func() {
+	ginkgo.It("refuses at once where no VM can be used, and says so", func() {
+		c := snapshot()
+		d := newDispatcher(c)
+		d.SetPeers([]dispatch.Peer{{Name: "entry-1"}}, map[string]bool{"vm-0": true, "vm-1": true, "vm-2": true, "vm-3": true})
+		_, r := used(d, c)
+		gomega.Expect(r).To(gomega.Equal(admission.NoCapacity))
+	})
+
+	ginkgo.It("gives up a request that waits for longer than its deadline allows", func() {
+		c := snapshot()
+		_, r := used(newDispatcher(c), c)
+		gomega.Expect(r).To(gomega.Equal(admission.DeadlinePassed))
+	})
+
+	ginkgo.It("allows no retry beyond the pool's budget", func() {
+		c := snapshot()
+		d := newDispatcher(c)
+		reasons := []string{}
+		for range 2 {
+			s, err := acquire(d, c)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			s.Done(false)
+			_, err = s.Retry(context.Background())
+			reasons = append(reasons, fmt.Sprint(err))
+		}
+		gomega.Expect(reasons).To(gomega.Equal([]string{"<nil>", "refused as exhausted"}))
+	})
+})
