--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,6 +142,30 @@
 		gomega.Expect(r).To(gomega.Equal(admission.DeadlinePassed))
 	})
 
+	ginkgo.It("is used by many requests at once", func() {
+		c := snapshot()
+		d := newDispatcher(c)
+		var w sync.WaitGroup
+		var served atomic.Int64
+		for range 16 {
+			w.Add(1)
+			go func() {
+				defer w.Done()
+				for range 50 {
+					r := request.Request{Service: "ledger", Priority: priority.Normal, Deadline: time.Now().Add(time.Minute)}
+					s, err := d.Acquire(context.Background(), r, c.Services[0])
+					if err == nil {
+						time.Sleep(time.Millisecond)
+						s.Done(true)
+						served.Add(1)
+					}
+				}
+			}()
+		}
+		w.Wait()
+		gomega.Expect(served.Load()).To(gomega.BeEquivalentTo(800))
+	})
+
 	ginkgo.It("allows no retry beyond the pool's budget", func() {
 		c := snapshot()
 		d := newDispatcher(c)
--- a/fleet/admission/pool.go
+++ b/fleet/admission/pool.go
@@ -124,7 +124,7 @@
 		return nil, f
 	}
 	s.classes[r.Priority].arrivals.add(now)
-	t := &Ticket{Request: r, Ready: make(chan struct{}), admitted: now, service: s}
+	t := &Ticket{Request: r, Ready: make(chan struct{}), admitted: now, latest: s.latestStart(r), service: s}
 	s.push(t, p.quota(r.Team))
 	return t, Refusal{}
 }
@@ -310,8 +310,9 @@
 
 // Again has a request that was given a slot in vain wait before all others, for a VM other than the one it was on.
 func (p *Pool) Again(now time.Time, t *Ticket) *Ticket {
-	n := &Ticket{Request: t.Request, Ready: make(chan struct{}), admitted: now, service: t.service, avoid: t.VM}
-	n.team = t.service.team(t.Request, p.quota(t.Request.Team))
+	s := t.service
+	n := &Ticket{Request: t.Request, Ready: make(chan struct{}), admitted: now, latest: s.latestStart(t.Request), service: s, avoid: t.VM}
+	n.team = s.team(t.Request, p.quota(t.Request.Team))
 	p.returned = append(p.returned, n)
 	return n
 }
@@ -352,13 +353,15 @@
 	return l
 }
 
-// LatestStart is the time after which a waiting request can no longer be answered by its deadline.
+// LatestStart is the time after which a waiting request could no longer be answered by its deadline,
+// as it was forecast when the request was queued.
 func (t *Ticket) LatestStart() time.Time {
-	return t.Request.Deadline.Add(-t.service.times.Tail())
+	return t.latest
 }
 
+// inTime says whether a request that starts now is likely to be answered by its deadline.
 func (t *Ticket) inTime(now time.Time) bool {
-	return !now.After(t.LatestStart())
+	return !now.After(t.service.latestStart(t.Request))
 }
 
 // Forget drops the learned latency of a VM.
--- a/fleet/admission/queue.go
+++ b/fleet/admission/queue.go
@@ -54,6 +54,11 @@
 	s.waiting++
 }
 
+// latestStart is the time after which the request is likely to outlast its deadline.
+func (s *serviceState) latestStart(r request.Request) time.Time {
+	return r.Deadline.Add(-s.times.Tail())
+}
+
 // team is the state of the request's team in its class.
 func (s *serviceState) team(r request.Request, weight float64) *teamState {
 	c := &s.classes[r.Priority]
--- a/fleet/admission/ticket.go
+++ b/fleet/admission/ticket.go
@@ -16,6 +16,7 @@
 	// Ready is closed once VM or Refused is set.
 	Ready    chan struct{}
 	admitted time.Time
+	latest   time.Time
 	started  time.Time
 	avoid    string
 	borrowed bool
