Give test sites ports that the kernel does not hand out

Two sites could also share addresses. Ports are now fixed below that range on loopback addresses of the site's own, and a site looks for addresses that no other uses.

--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -64,7 +64,6 @@
 	s := &Site{
 		Plan: p, Platform: platform.New(p.ListLag, p.Seed), Ledger: backend.NewLedger(),
 		Servers: map[string]*backend.Server{}, Proxies: map[string]*proxy.Proxy{},
-		octet: 10 + os.Getpid()%200,
 	}
 	if err := s.start(ctx); err != nil {
 		s.Stop()
@@ -119,15 +118,36 @@
 	s.Platform.Stop()
 }
 
-// address finds a free port on a loopback address of the site.
-func (s *Site) address(group, host int) (netip.AddrPort, error) {
-	a := netip.AddrFrom4([4]byte{127, byte(s.octet), byte(group), byte(host)})
-	l, err := net.Listen("tcp", netip.AddrPortFrom(a, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, trace.ConvertSystemError(err)
+// Ports of a site's addresses, all below the range from which the kernel takes ports of outgoing connections.
+const (
+	portCaller = 8001 + iota
+	portOperator
+	portPeer
+	portServer
+	portProxy
+	portPlatform
+)
+
+// octets is how many sites one machine can hold at once.
+const octets = 200
+
+// claim finds loopback addresses that no other site uses, by listening where the platform will.
+func (s *Site) claim() error {
+	var err error
+	for i := range octets {
+		s.octet = 10 + (os.Getpid()+i)%octets
+		var l net.Listener
+		if l, err = net.Listen("tcp", s.address(groupPlatform, 1, portPlatform).String()); err == nil {
+			return trace.ConvertSystemError(l.Close())
+		}
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String()), nil
+	return trace.ConvertSystemError(err)
+}
+
+// address is a loopback address of the site.
+func (s *Site) address(group, host int, port uint16) netip.AddrPort {
+	a := netip.AddrFrom4([4]byte{127, byte(s.octet), byte(group), byte(host)})
+	return netip.AddrPortFrom(a, port)
 }
 
 const (
@@ -140,10 +160,10 @@
 )
 
 func (s *Site) startPlatform() error {
-	a, err := s.address(groupPlatform, 1)
-	if err != nil {
+	if err := s.claim(); err != nil {
 		return err
 	}
+	a := s.address(groupPlatform, 1, portPlatform)
 	if err := s.Platform.Start(a); err != nil {
 		return err
 	}
@@ -151,16 +171,14 @@
 	if !s.Plan.Proxies {
 		return nil
 	}
+	var err error
 	s.platformAddress, err = s.proxied(platformProxy, a, groupProxies, 1)
 	return err
 }
 
 // proxied puts a proxy before the target and returns its address.
 func (s *Site) proxied(name string, target netip.AddrPort, group, host int) (netip.AddrPort, error) {
-	a, err := s.address(group, host)
-	if err != nil {
-		return a, err
-	}
+	a := s.address(group, host, portProxy)
 	p := proxy.New(target)
 	s.Proxies[name] = p
 	return a, p.Start(a)
@@ -180,10 +198,7 @@
 		return err
 	}
 	for i, m := range s.Source.Inventory.Vms {
-		a, err := s.address(groupServers, i+1)
-		if err != nil {
-			return err
-		}
+		a := s.address(groupServers, i+1, portServer)
 		x := backend.New(m.Name, s.Ledger, int(m.Slots), s.Plan.Work, s.Plan.Seed+uint64(i))
 		if err := x.Start(a); err != nil {
 			return err
@@ -268,13 +283,9 @@
 	for i := range s.Plan.Entries {
 		d := i % len(dcs)
 		e := &Entry{Name: fmt.Sprintf("entry-%d", i+1), DataCentre: dcs[d], site: s}
-		for _, a := range []*netip.AddrPort{&e.Caller, &e.Operator, &e.PeerListen} {
-			x, err := s.address(groupEntries+d, i+1)
-			if err != nil {
-				return err
-			}
-			*a = x
-		}
+		e.Caller = s.address(groupEntries+d, i+1, portCaller)
+		e.Operator = s.address(groupEntries+d, i+1, portOperator)
+		e.PeerListen = s.address(groupEntries+d, i+1, portPeer)
 		e.Peer = e.PeerListen
 		if s.Plan.PeerProxies {
 			x, err := s.proxied(e.Name, e.PeerListen, groupPeers+d, i+1)
