--- a/entry/decision/kind_enumer.go
+++ b/entry/decision/kind_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _KindName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecyclemaintenance"
+const _KindName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecyclemaintenancejobtaskserverownershipdependency"
 
-var _KindIndex = [...]uint8{0, 5, 11, 16, 22, 28, 33, 39, 49, 54, 63, 74}
+var _KindIndex = [...]uint8{0, 5, 11, 16, 22, 28, 33, 39, 49, 54, 63, 74, 77, 81, 87, 96, 106}
 
-const _KindLowerName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecyclemaintenance"
+const _KindLowerName = "routerefuseretryanswerhealthgrantconfigmembershipclaimlifecyclemaintenancejobtaskserverownershipdependency"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -36,36 +36,51 @@
 	_ = x[Claim-(8)]
 	_ = x[Lifecycle-(9)]
 	_ = x[Maintenance-(10)]
+	_ = x[Job-(11)]
+	_ = x[Task-(12)]
+	_ = x[Server-(13)]
+	_ = x[Ownership-(14)]
+	_ = x[Dependency-(15)]
 }
 
-var _KindValues = []Kind{Route, Refuse, Retry, Answer, Health, Grant, Config, Membership, Claim, Lifecycle, Maintenance}
+var _KindValues = []Kind{Route, Refuse, Retry, Answer, Health, Grant, Config, Membership, Claim, Lifecycle, Maintenance, Job, Task, Server, Ownership, Dependency}
 
 var _KindNameToValueMap = map[string]Kind{
-	_KindName[0:5]:   Route,
-	_KindName[5:11]:  Refuse,
-	_KindName[11:16]: Retry,
-	_KindName[16:22]: Answer,
-	_KindName[22:28]: Health,
-	_KindName[28:33]: Grant,
-	_KindName[33:39]: Config,
-	_KindName[39:49]: Membership,
-	_KindName[49:54]: Claim,
-	_KindName[54:63]: Lifecycle,
-	_KindName[63:74]: Maintenance,
+	_KindName[0:5]:    Route,
+	_KindName[5:11]:   Refuse,
+	_KindName[11:16]:  Retry,
+	_KindName[16:22]:  Answer,
+	_KindName[22:28]:  Health,
+	_KindName[28:33]:  Grant,
+	_KindName[33:39]:  Config,
+	_KindName[39:49]:  Membership,
+	_KindName[49:54]:  Claim,
+	_KindName[54:63]:  Lifecycle,
+	_KindName[63:74]:  Maintenance,
+	_KindName[74:77]:  Job,
+	_KindName[77:81]:  Task,
+	_KindName[81:87]:  Server,
+	_KindName[87:96]:  Ownership,
+	_KindName[96:106]: Dependency,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
-	_KindLowerName[0:5]:   Route,
-	_KindLowerName[5:11]:  Refuse,
-	_KindLowerName[11:16]: Retry,
-	_KindLowerName[16:22]: Answer,
-	_KindLowerName[22:28]: Health,
-	_KindLowerName[28:33]: Grant,
-	_KindLowerName[33:39]: Config,
-	_KindLowerName[39:49]: Membership,
-	_KindLowerName[49:54]: Claim,
-	_KindLowerName[54:63]: Lifecycle,
-	_KindLowerName[63:74]: Maintenance,
+	_KindLowerName[0:5]:    Route,
+	_KindLowerName[5:11]:   Refuse,
+	_KindLowerName[11:16]:  Retry,
+	_KindLowerName[16:22]:  Answer,
+	_KindLowerName[22:28]:  Health,
+	_KindLowerName[28:33]:  Grant,
+	_KindLowerName[33:39]:  Config,
+	_KindLowerName[39:49]:  Membership,
+	_KindLowerName[49:54]:  Claim,
+	_KindLowerName[54:63]:  Lifecycle,
+	_KindLowerName[63:74]:  Maintenance,
+	_KindLowerName[74:77]:  Job,
+	_KindLowerName[77:81]:  Task,
+	_KindLowerName[81:87]:  Server,
+	_KindLowerName[87:96]:  Ownership,
+	_KindLowerName[96:106]: Dependency,
 }
 
 var _KindNames = []string{
@@ -80,6 +95,11 @@
 	_KindName[49:54],
 	_KindName[54:63],
 	_KindName[63:74],
+	_KindName[74:77],
+	_KindName[77:81],
+	_KindName[81:87],
+	_KindName[87:96],
+	_KindName[96:106],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -35,6 +35,11 @@
 	Claim
 	Lifecycle
 	Maintenance
+	Job
+	Task
+	Server
+	Ownership
+	Dependency
 )
 
 // Record is one decision and its reason.
@@ -49,6 +54,9 @@
 	Attempt  int           `json:"attempt,omitempty"`
 	Duration time.Duration `json:"durationNs,omitempty"`
 	Revision uint64        `json:"revision,omitempty"`
+	Task     string        `json:"task,omitempty"`
+	Run      int           `json:"run,omitempty"`
+	Age      time.Duration `json:"ageNs,omitempty"`
 }
 
 // Log writes records from one goroutine; what does not fit its queue is dropped and counted.
@@ -153,7 +161,7 @@
 
 func (r Record) fields() logrus.Fields {
 	f := logrus.Fields{"kind": r.Kind.String(), "reason": r.Reason}
-	for k, v := range map[string]string{"request": r.Request, "service": r.Service, "pool": r.Pool, "vm": r.VM} {
+	for k, v := range map[string]string{"request": r.Request, "service": r.Service, "pool": r.Pool, "vm": r.VM, "task": r.Task} {
 		if v != "" {
 			f[k] = v
 		}
@@ -167,5 +175,11 @@
 	if r.Revision > 0 {
 		f["revision"] = r.Revision
 	}
+	if r.Run > 0 {
+		f["run"] = r.Run
+	}
+	if r.Age > 0 {
+		f["ageMs"] = r.Age.Milliseconds()
+	}
 	return f
 }
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -62,6 +62,11 @@
 	m.scope.Tagged(map[string]string{"service": service}).Counter("retries").Inc(1)
 }
 
+// Event counts something by its kind.
+func (m *Metrics) Event(name, kind string) {
+	m.scope.Tagged(map[string]string{"kind": kind}).Counter(name).Inc(1)
+}
+
 // Gauge sets a value.
 func (m *Metrics) Gauge(name string, v float64) {
 	m.scope.Gauge(name).Update(v)
--- /dev/null
+++ b/entry/owner/commit.go
@@ -0,0 +1,240 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+const (
+	// batchRecords leaves room for the mark in a transaction of 32 entries with two expectations.
+	batchRecords = 28
+	// gather is how long changes are gathered for one transaction.
+	gather = 6 * time.Millisecond
+	// busyPause is between tries at a store that turns calls away.
+	busyPause = 100 * time.Millisecond
+)
+
+// commit stores what changes, one transaction after the other, until the reign ends.
+func (r *reign) commit(ctx context.Context, mark store.Revision) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.dirty:
+		}
+		pause(ctx, gather)
+		for ctx.Err() == nil {
+			b := r.next()
+			if b == nil {
+				break
+			}
+			n, ok := r.store(ctx, b, mark)
+			if !ok {
+				return
+			}
+			mark = n
+			r.do(func(s *scheduler.Scheduler, now time.Time) { s.Committed(b, now) })
+		}
+	}
+}
+
+func (r *reign) next() *scheduler.Batch {
+	var b *scheduler.Batch
+	r.lock.Lock()
+	r.scheduler.Plan(time.Now())
+	b = r.scheduler.Next(batchRecords)
+	orders := r.scheduler.Take()
+	r.lock.Unlock()
+	r.carryOut(orders)
+	return b
+}
+
+// store writes a batch and settles what became of it; ok is false once the reign is over. Each transaction
+// expects the mark of the one before, so one that is carried out late cannot undo a later one.
+func (r *reign) store(ctx context.Context, b *scheduler.Batch, mark store.Revision) (store.Revision, bool) {
+	t, err := r.transaction(b, mark)
+	if err != nil {
+		r.depose("a record cannot be encoded: " + err.Error())
+		return 0, false
+	}
+	failed := false
+	for ctx.Err() == nil {
+		n, err := r.transact(ctx, t)
+		if err == nil {
+			if failed {
+				r.owner.note(decision.Dependency, "store commits again", n)
+			}
+			return n, true
+		}
+		var rejected *store.RejectedError
+		if errors.As(err, &rejected) {
+			return r.settle(rejected, b)
+		}
+		if !failed && ctx.Err() == nil {
+			r.owner.note(decision.Dependency, "commit not answered: "+err.Error(), r.epoch)
+		}
+		failed = true
+		pause(ctx, busyPause)
+	}
+	return 0, false
+}
+
+func (r *reign) transact(ctx context.Context, t store.Transaction) (store.Revision, error) {
+	c, stop := context.WithTimeout(ctx, storeLimit)
+	defer stop()
+	n, err := r.owner.ports.Store.Transact(c, t)
+	if err == nil {
+		r.confirm()
+	}
+	return n, err
+}
+
+// settle tells a batch that was stored by an earlier try from an ownership that was lost.
+func (r *reign) settle(e *store.RejectedError, b *scheduler.Batch) (store.Revision, bool) {
+	m := &schema.CommitMark{}
+	i := e.Items[markKey]
+	if proto.Unmarshal(i.Value, m) == nil && m.Epoch == uint64(r.epoch) && m.Number == b.Number {
+		r.owner.note(decision.Dependency, "commit was stored by an earlier try", i.Revision)
+		return i.Revision, true
+	}
+	r.depose("the store refuses the commit")
+	return 0, false
+}
+
+func (r *reign) transaction(b *scheduler.Batch, mark store.Revision) (store.Transaction, error) {
+	t := store.Transaction{Expect: map[string]store.Revision{ownerKey: r.epoch, markKey: mark}}
+	m := &schema.CommitMark{Epoch: uint64(r.epoch), Number: b.Number}
+	if err := put(&t, markKey, m); err != nil {
+		return t, err
+	}
+	for _, x := range b.Jobs {
+		if err := put(&t, jobKey+x.ID, x.Record); err != nil {
+			return t, err
+		}
+	}
+	for _, x := range b.Course {
+		if err := put(&t, courseKey+x.ID, x.Record); err != nil {
+			return t, err
+		}
+	}
+	for _, id := range b.Removed {
+		t.Remove = append(t.Remove, jobKey+id, courseKey+id)
+	}
+	return t, nil
+}
+
+func put(t *store.Transaction, key string, m proto.Message) error {
+	v, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	t.Writes = append(t.Writes, store.Write{Key: key, Value: v})
+	return nil
+}
+
+// load reads all jobs and their course, and the mark that the first commit expects. Nobody else can commit
+// any more, since the owner's key has changed.
+func (r *reign) load(ctx context.Context) (store.Revision, error) {
+	mark, err := r.readMark(ctx)
+	if err != nil {
+		return 0, err
+	}
+	jobs, err := r.readAll(ctx, jobKey)
+	if err != nil {
+		return 0, err
+	}
+	courses, err := r.readAll(ctx, courseKey)
+	if err != nil {
+		return 0, err
+	}
+	r.restore(jobs, courses)
+	return mark, nil
+}
+
+func (r *reign) restore(jobs, courses []store.Item) {
+	course := map[string]store.Item{}
+	for _, i := range courses {
+		course[strings.TrimPrefix(i.Key, courseKey)] = i
+	}
+	r.do(func(s *scheduler.Scheduler, now time.Time) {
+		for _, i := range jobs {
+			m := &schema.JobRecord{}
+			if err := proto.Unmarshal(i.Value, m); err != nil || m.Id == "" {
+				r.owner.note(decision.Job, "a stored job cannot be read: "+i.Key, i.Revision)
+				continue
+			}
+			s.Restore(m, r.course(course[m.Id]), now)
+		}
+	})
+}
+
+// course decodes a job's course; nil where there is none.
+func (r *reign) course(i store.Item) *schema.JobProgress {
+	if i.Revision == 0 {
+		return nil
+	}
+	p := &schema.JobProgress{}
+	if err := proto.Unmarshal(i.Value, p); err != nil {
+		r.owner.note(decision.Job, "a stored course cannot be read: "+i.Key, i.Revision)
+		return nil
+	}
+	return p
+}
+
+func (r *reign) readMark(ctx context.Context) (store.Revision, error) {
+	var n store.Revision
+	err := r.persist(ctx, func(c context.Context) error {
+		i, err := r.owner.ports.Store.Get(c, markKey)
+		var absent *store.AbsentError
+		if errors.As(err, &absent) {
+			return nil
+		}
+		n = i.Revision
+		return err
+	})
+	return n, err
+}
+
+func (r *reign) readAll(ctx context.Context, prefix string) ([]store.Item, error) {
+	var l []store.Item
+	after := ""
+	for {
+		var p store.Page
+		err := r.persist(ctx, func(c context.Context) error {
+			var err error
+			p, err = r.owner.ports.Store.Range(c, prefix, after)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		l = append(l, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			return l, nil
+		}
+		after = p.Items[len(p.Items)-1].Key
+	}
+}
+
+// persist repeats a reading call until it succeeds or the reign ends.
+func (r *reign) persist(ctx context.Context, f func(context.Context) error) error {
+	for {
+		c, stop := context.WithTimeout(ctx, storeLimit)
+		err := f(c)
+		stop()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		r.owner.note(decision.Dependency, "store not read: "+err.Error(), r.epoch)
+		pause(ctx, busyPause)
+	}
+}
--- /dev/null
+++ b/entry/owner/duty.go
@@ -0,0 +1,41 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+)
+
+// Duties are what an owner does besides running jobs, such as waves of maintenance.
+type Duties interface {
+	// Run works until the context ends.
+	Run(ctx context.Context, o Office)
+}
+
+// Office is what a reign lends to its duties.
+type Office interface {
+	// Do changes the scheduler's state.
+	Do(f func(s *scheduler.Scheduler, now time.Time))
+	// Fence is the revision that marks the reign's orders, and whether the store confirmed it lately.
+	Fence() (uint64, bool)
+	// Began is when the reign began.
+	Began() time.Time
+}
+
+type office struct{ reign *reign }
+
+// Do changes the scheduler's state.
+func (o office) Do(f func(s *scheduler.Scheduler, now time.Time)) {
+	o.reign.do(f)
+}
+
+// Fence is the revision that marks the reign's orders, and whether the store confirmed it lately.
+func (o office) Fence() (uint64, bool) {
+	return uint64(o.reign.epoch), o.reign.since() < actWithin && o.reign.ctx.Err() == nil
+}
+
+// Began is when the reign began.
+func (o office) Began() time.Time {
+	return o.reign.began
+}
--- /dev/null
+++ b/entry/owner/owner.go
@@ -0,0 +1,163 @@
+package owner
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+// Store is what an owner needs of the platform's store.
+type Store interface {
+	mirror.Store
+	Get(ctx context.Context, key string) (store.Item, error)
+	Transact(ctx context.Context, t store.Transaction) (store.Revision, error)
+	Grant(ctx context.Context, life time.Duration) (store.LeaseID, error)
+	Keep(ctx context.Context, l store.LeaseID) error
+	Revoke(ctx context.Context, l store.LeaseID) error
+}
+
+// Servers carries orders to backend servers; each fails with a FencedError where a later owner gave orders before.
+type Servers interface {
+	Start(ctx context.Context, o scheduler.Start, fence uint64) (scheduler.StartAnswer, time.Duration, error)
+	Stop(ctx context.Context, o scheduler.Stop, fence uint64) error
+	Pace(ctx context.Context, o scheduler.Pace, fence uint64) error
+	Hold(ctx context.Context, h scheduler.Hold, fence uint64, wait time.Duration) (server.Listing, error)
+}
+
+// Registry decodes how backend servers register themselves in the store.
+type Registry interface {
+	Prefix() string
+	// ID is the server's identity by its key.
+	ID(key string) string
+	// Decode fails where the item does not name a server that can be used.
+	Decode(i store.Item) (server.Server, error)
+}
+
+// Adviser asks which servers may run a step: tickets by server, and how long they hold.
+type Adviser interface {
+	Advise(ctx context.Context, step string, servers []string) (map[string]string, time.Duration, error)
+}
+
+// Logger takes decisions without blocking.
+type Logger interface {
+	Add(r decision.Record)
+}
+
+// FencedError reports a server that has had orders of a later owner.
+type FencedError struct {
+	Server string
+}
+
+// Error describes the failure in one line.
+func (e *FencedError) Error() string {
+	return "server " + e.Server + " obeys a later owner"
+}
+
+// Ports are the peers that an owner works with.
+type Ports struct {
+	Store    Store
+	Servers  Servers
+	Registry Registry
+	Adviser  Adviser
+	Log      Logger
+	Metrics  Counter
+	Duties   Duties
+}
+
+// Counter counts what the owner does.
+type Counter interface {
+	Event(name, kind string)
+	Gauge(name string, v float64)
+}
+
+// Identity names this entry among the others.
+type Identity struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Owner is this entry's part in the ownership.
+type Owner struct {
+	self   Identity
+	bounds scheduler.Bounds
+	ports  Ports
+
+	// lock guards the fields below; no I/O happens under it.
+	lock   sync.Mutex
+	table  *queue.Table
+	known  Record
+	reign  *reign
+	left   bool
+	change chan struct{}
+}
+
+// Record is who owns the fleet, as the store last told; Revision 0 means nobody.
+type Record struct {
+	Name     string
+	Address  netip.AddrPort
+	Revision store.Revision
+}
+
+// New makes an owner that does not own anything yet.
+func New(self Identity, b scheduler.Bounds, p Ports) *Owner {
+	return &Owner{self: self, bounds: b, ports: p, change: make(chan struct{}, 1)}
+}
+
+// SetTable puts a newer version of the configuration in force.
+func (o *Owner) SetTable(t *queue.Table) {
+	o.lock.Lock()
+	r := o.reign
+	o.table = t
+	o.lock.Unlock()
+	if r != nil {
+		r.do(func(s *scheduler.Scheduler, _ time.Time) { s.SetTable(t) })
+	}
+}
+
+// Known is who owns the fleet, as the store last told.
+func (o *Owner) Known() Record {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.known
+}
+
+// Current is the reign of this entry, or nil.
+func (o *Owner) Current() Desk {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if o.reign == nil || !o.reign.open() {
+		return nil
+	}
+	return o.reign
+}
+
+// Leave hands the ownership over and takes it no more.
+func (o *Owner) Leave() {
+	o.lock.Lock()
+	o.left = true
+	r := o.reign
+	o.lock.Unlock()
+	if r != nil {
+		r.depose("this entry leaves")
+	}
+	o.wake()
+}
+
+func (o *Owner) wake() {
+	select {
+	case o.change <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) note(kind decision.Kind, reason string, revision store.Revision) {
+	o.ports.Log.Add(decision.Record{Time: time.Now(), Kind: kind, Reason: reason, Revision: uint64(revision)})
+}
--- /dev/null
+++ b/entry/owner/reign.go
@@ -0,0 +1,230 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+// Desk takes callers' calls at the entry that owns the fleet.
+type Desk interface {
+	Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply
+	Cancel(ctx context.Context, id string) scheduler.Reply
+	State(id string) scheduler.Reply
+	Pending(queue string) scheduler.Reply
+}
+
+// reign is one time that this entry owns the fleet.
+type reign struct {
+	owner *Owner
+	epoch store.Revision
+	lease store.LeaseID
+
+	// lock guards the scheduler; orders are carried out after it is released.
+	lock      sync.Mutex
+	scheduler *scheduler.Scheduler
+	ready     atomic.Bool
+	// contact is when the store last confirmed the ownership, in nanoseconds since the start.
+	contact atomic.Int64
+	began   time.Time
+	keepers map[string]bool
+	work    sync.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
+	dirty   chan struct{}
+}
+
+const (
+	// holdWithout is for how long servers are held without word from the store; package scheduler waits as long.
+	holdWithout = 5 * time.Second
+	// tickEvery is how often what only the time decides is looked at.
+	tickEvery = 100 * time.Millisecond
+	// actWithin is how old the store's word may be for orders that cannot be fenced.
+	actWithin = time.Second
+)
+
+func newReign(o *Owner, epoch store.Revision, l store.LeaseID) *reign {
+	now := time.Now()
+	r := &reign{
+		owner: o, epoch: epoch, lease: l, began: now,
+		scheduler: scheduler.New(o.bounds, now), keepers: map[string]bool{}, dirty: make(chan struct{}, 1),
+	}
+	r.confirm()
+	return r
+}
+
+func (r *reign) confirm() {
+	r.contact.Store(int64(time.Since(r.began)))
+}
+
+// since is how long ago the store confirmed the ownership.
+func (r *reign) since() time.Duration {
+	return time.Since(r.began) - time.Duration(r.contact.Load())
+}
+
+func (r *reign) open() bool {
+	return r.ready.Load() && r.ctx.Err() == nil
+}
+
+// run owns the fleet until another entry does, the lease is lost or the context ends.
+func (r *reign) run(ctx context.Context) {
+	r.ctx, r.stop = context.WithCancel(ctx)
+	defer r.work.Wait()
+	defer r.stop()
+	o := r.owner
+	o.lock.Lock()
+	if o.left {
+		o.lock.Unlock()
+		return
+	}
+	o.reign = r
+	table := o.table
+	o.lock.Unlock()
+	r.scheduler.SetTable(table)
+	r.spawn(r.renew)
+	mark, err := r.load(r.ctx)
+	if err != nil {
+		o.note(decision.Ownership, "given up, the jobs cannot be read: "+err.Error(), r.epoch)
+		return
+	}
+	r.spawn(func() { mirror.New(o.ports.Store, o.ports.Registry.Prefix(), registrySink{r}).Run(r.ctx) })
+	r.ready.Store(true)
+	o.note(decision.Ownership, "in office", r.epoch)
+	if o.ports.Duties != nil {
+		r.spawn(func() { o.ports.Duties.Run(r.ctx, office{r}) })
+	}
+	r.spawn(r.tick)
+	r.commit(r.ctx, mark)
+}
+
+func (r *reign) spawn(f func()) {
+	r.work.Add(1)
+	go func() {
+		defer r.work.Done()
+		f()
+	}()
+}
+
+// depose ends the reign.
+func (r *reign) depose(reason string) {
+	if r.ctx == nil || r.ctx.Err() != nil {
+		return
+	}
+	r.owner.note(decision.Ownership, "deposed: "+reason, r.epoch)
+	r.stop()
+}
+
+// renew keeps the ownership's lease.
+func (r *reign) renew() {
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-t.C:
+			r.renewOnce()
+		}
+	}
+}
+
+func (r *reign) renewOnce() {
+	c, stop := context.WithTimeout(r.ctx, storeLimit)
+	defer stop()
+	err := r.owner.ports.Store.Keep(c, r.lease)
+	var lapsed *store.LapsedError
+	switch {
+	case err == nil:
+		r.confirm()
+	case errors.As(err, &lapsed):
+		r.depose("the lease has lapsed")
+	case r.ctx.Err() == nil:
+		r.owner.note(decision.Dependency, "ownership not renewed: "+err.Error(), r.epoch)
+	}
+}
+
+// do changes the scheduler's state and carries out what it asks for.
+func (r *reign) do(f func(s *scheduler.Scheduler, now time.Time)) {
+	r.lock.Lock()
+	now := time.Now()
+	f(r.scheduler, now)
+	orders := r.scheduler.Take()
+	r.lock.Unlock()
+	r.carryOut(orders)
+	r.kick()
+}
+
+func (r *reign) kick() {
+	select {
+	case r.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (r *reign) tick() {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-t.C:
+			r.do(func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
+		}
+	}
+}
+
+// Submit takes a job and answers once it is stored or refused.
+func (r *reign) Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply {
+	return r.ask(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
+		s.Submit(m, now, reply)
+	})
+}
+
+// Cancel ends a job and answers once that is stored.
+func (r *reign) Cancel(ctx context.Context, id string) scheduler.Reply {
+	return r.ask(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
+		s.Cancel(id, now, reply)
+	})
+}
+
+func (r *reign) ask(ctx context.Context, f func(*scheduler.Scheduler, time.Time, func(scheduler.Reply))) scheduler.Reply {
+	c := make(chan scheduler.Reply, 1)
+	r.do(func(s *scheduler.Scheduler, now time.Time) {
+		f(s, now, func(x scheduler.Reply) { c <- x })
+	})
+	select {
+	case x := <-c:
+		return x
+	default:
+	}
+	select {
+	case x := <-c:
+		return x
+	case <-ctx.Done():
+	case <-r.ctx.Done():
+	}
+	return scheduler.Reply{Result: scheduler.Unsure, Reason: "not known to be stored"}
+}
+
+// State tells where a job stands.
+func (r *reign) State(id string) scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.State(id)
+}
+
+// Pending counts a queue's jobs that have not begun.
+func (r *reign) Pending(queue string) scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.Pending(queue)
+}
--- /dev/null
+++ b/entry/relay/link.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/tarragonbank/tarragonbank/entry/peer"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const (
+	// dialLimit bounds a connection attempt to the owner, which is milliseconds away.
+	dialLimit = 500 * time.Millisecond
+	// writeLimit bounds a write to a connection that has gone silent.
+	writeLimit = time.Second
+)
+
+// link is this entry's connection to the owner.
+type link struct {
+	// lock guards the session; it is held while connecting, so that callers share one attempt.
+	lock    sync.Mutex
+	address netip.AddrPort
+	session *yamux.Session
+	last    atomic.Int64
+}
+
+func (l *link) heard() time.Time {
+	return time.Unix(0, l.last.Load())
+}
+
+// ask sends one call; sent says whether the owner may have received it.
+func (l *link) ask(ctx context.Context, a netip.AddrPort, c *schema.JobCall) (*schema.JobReply, bool, error) {
+	s, err := l.connect(ctx, a)
+	if err != nil {
+		return nil, false, err
+	}
+	t, err := s.Open()
+	if err != nil {
+		l.drop(s)
+		return nil, false, err
+	}
+	defer t.Close()
+	if d, ok := ctx.Deadline(); ok {
+		_ = t.SetDeadline(d)
+	}
+	if _, err := peer.WriteFrame(t, &schema.Envelope{Body: &schema.Envelope_JobCall{JobCall: c}}); err != nil {
+		l.drop(s)
+		return nil, true, err
+	}
+	e, _, err := peer.ReadFrame(t)
+	if err != nil {
+		l.drop(s)
+		return nil, true, err
+	}
+	m := e.GetJobReply()
+	if m == nil {
+		return nil, true, &peer.FrameError{Detail: "not a reply"}
+	}
+	l.last.Store(time.Now().UnixNano())
+	return m, true, nil
+}
+
+// connect returns the session with the owner, a new one where there is none.
+func (l *link) connect(ctx context.Context, a netip.AddrPort) (*yamux.Session, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.session != nil && l.address == a && !l.session.IsClosed() {
+		return l.session, nil
+	}
+	if l.session != nil {
+		l.session.Close()
+		l.session = nil
+	}
+	c, stop := context.WithTimeout(ctx, dialLimit)
+	defer stop()
+	n, err := (&net.Dialer{}).DialContext(c, "tcp", a.String())
+	if err != nil {
+		return nil, err
+	}
+	s, err := yamux.Client(n, sessionConfig())
+	if err != nil {
+		n.Close()
+		return nil, err
+	}
+	l.session, l.address = s, a
+	return s, nil
+}
+
+// drop closes a session that failed, unless a newer one has taken its place.
+func (l *link) drop(s *yamux.Session) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.session == s {
+		l.session = nil
+	}
+	s.Close()
+}
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = writeLimit
+	c.StreamOpenTimeout = writeLimit
+	c.LogOutput = io.Discard
+	return c
+}
--- /dev/null
+++ b/entry/relay/relay.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// Local is the ownership as this entry sees it.
+type Local interface {
+	// Current is the desk of this entry, nil unless it owns the fleet.
+	Current() owner.Desk
+	// Known is who owns the fleet.
+	Known() owner.Record
+}
+
+// Relay answers calls here or at the owner.
+type Relay struct {
+	local Local
+	self  netip.AddrPort
+	link  *link
+}
+
+const (
+	// callLimit bounds a call at the owner: a commit to a slow store takes half a second.
+	callLimit = 2 * time.Second
+	// retryAfter is when to come back while there is no owner: a takeover takes about two seconds.
+	retryAfter = 1500 * time.Millisecond
+	// pingEvery is between pings of the owner, pingFresh how old the last answer may be for readiness.
+	pingEvery = 400 * time.Millisecond
+	pingFresh = 1500 * time.Millisecond
+	pingLimit = 600 * time.Millisecond
+)
+
+// New makes a relay; self is where other entries reach this one.
+func New(l Local, self netip.AddrPort) *Relay {
+	return &Relay{local: l, self: self, link: &link{}}
+}
+
+// Call answers a call here or passes it to the owner.
+func (r *Relay) Call(ctx context.Context, c *schema.JobCall) scheduler.Reply {
+	ctx, stop := context.WithTimeout(ctx, callLimit)
+	defer stop()
+	if d := r.local.Current(); d != nil {
+		return Answer(ctx, d, c)
+	}
+	k := r.local.Known()
+	if k.Revision == 0 || k.Address == r.self {
+		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "nobody owns the fleet at present"}
+	}
+	m, sent, err := r.link.ask(ctx, k.Address, c)
+	switch {
+	case err == nil && m.Result == notOwner:
+		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "the owner has just changed"}
+	case err == nil:
+		return reply(m)
+	case !sent:
+		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "the owner is not reached: " + err.Error()}
+	default:
+		return scheduler.Reply{Result: scheduler.Unsure, Reason: "the owner did not answer: " + err.Error()}
+	}
+}
+
+// Answer has a desk answer a call.
+func Answer(ctx context.Context, d owner.Desk, c *schema.JobCall) scheduler.Reply {
+	switch c.Kind {
+	case schema.JobCall_SUBMIT:
+		return d.Submit(ctx, c.Job)
+	case schema.JobCall_CANCEL:
+		return d.Cancel(ctx, c.Id)
+	case schema.JobCall_STATE:
+		return d.State(c.Id)
+	case schema.JobCall_PENDING:
+		return d.Pending(c.Queue)
+	default:
+		return scheduler.Reply{Result: scheduler.Done}
+	}
+}
+
+// Run pings the owner until the context ends, so that readiness follows whether it is reached.
+func (r *Relay) Run(ctx context.Context) {
+	t := time.NewTicker(pingEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.ping(ctx)
+		}
+	}
+}
+
+func (r *Relay) ping(ctx context.Context) {
+	k := r.local.Known()
+	if k.Revision == 0 || k.Address == r.self {
+		return
+	}
+	c, stop := context.WithTimeout(ctx, pingLimit)
+	defer stop()
+	// A ping that fails shows in the link's age.
+	_, _, _ = r.link.ask(c, k.Address, &schema.JobCall{Kind: schema.JobCall_PING})
+}
+
+// Ready says whether calls can be answered, here or at the owner.
+func (r *Relay) Ready() bool {
+	if r.local.Current() != nil {
+		return true
+	}
+	return time.Since(r.link.heard()) < pingFresh
+}
+
+// notOwner is the result on the wire of a call to an entry that does not own the fleet.
+const notOwner = -1
+
+func reply(m *schema.JobReply) scheduler.Reply {
+	return scheduler.Reply{
+		Result: scheduler.Result(m.Result), Phase: job.Phase(m.Phase), Pending: int(m.Pending),
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason,
+	}
+}
+
+func message(r scheduler.Reply) *schema.JobReply {
+	return &schema.JobReply{
+		Result: int32(r.Result), Phase: int32(r.Phase), Pending: int32(r.Pending),
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason,
+	}
+}
--- /dev/null
+++ b/entry/relay/serve.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"context"
+	"net"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/tarragonbank/tarragonbank/entry/peer"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// Serve answers other entries' calls until the listener is closed.
+func (r *Relay) Serve(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s, err := yamux.Server(c, sessionConfig())
+		if err != nil {
+			c.Close()
+			continue
+		}
+		go r.serveSession(ctx, s)
+	}
+}
+
+func (r *Relay) serveSession(ctx context.Context, s *yamux.Session) {
+	defer s.Close()
+	for {
+		t, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go r.serveCall(ctx, t)
+	}
+}
+
+func (r *Relay) serveCall(ctx context.Context, t net.Conn) {
+	defer t.Close()
+	e, _, err := peer.ReadFrame(t)
+	if err != nil || e.GetJobCall() == nil {
+		return
+	}
+	c, stop := context.WithTimeout(ctx, callLimit)
+	defer stop()
+	m := &schema.JobReply{Result: notOwner}
+	if d := r.local.Current(); d != nil {
+		m = message(Answer(c, d, e.GetJobCall()))
+	}
+	// A reply that cannot be delivered shows at the asking entry as a call without an answer.
+	_, _ = peer.WriteFrame(t, &schema.Envelope{Body: &schema.Envelope_JobReply{JobReply: m}})
+}
--- /dev/null
+++ b/fleet/job/check.go
@@ -0,0 +1,81 @@
+package job
+
+import (
+	"fmt"
+
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+const (
+	idLength = 16
+	// MaxPayload bounds the text that tasks are started with, in bytes.
+	MaxPayload = 4000
+	maxSteps   = 256
+	maxTasks   = 4096
+	maxRepeats = 10000
+)
+
+// InvalidError reports a job that cannot be accepted, with the place and the reason.
+type InvalidError struct {
+	Place  string
+	Reason string
+}
+
+// Error describes the failure in one line.
+func (e *InvalidError) Error() string {
+	return e.Place + ": " + e.Reason
+}
+
+// Check says what is wrong with a submitted job, or nothing; it fails with an InvalidError.
+func Check(m *schema.JobRecord) error {
+	switch {
+	case !validID(m.Id):
+		return &InvalidError{"id", "not 16 hexadecimal digits"}
+	case len(m.Payload) > MaxPayload:
+		return &InvalidError{"payload", fmt.Sprintf("longer than %d bytes", MaxPayload)}
+	case len(m.Steps) == 0 || len(m.Steps) > maxSteps:
+		return &InvalidError{"steps", fmt.Sprintf("not 1 to %d of them", maxSteps)}
+	case m.Repeats < 0 || m.Repeats > maxRepeats:
+		return &InvalidError{"repeat", fmt.Sprintf("not 0 to %d times", maxRepeats)}
+	case m.Repeats > 1 && m.IntervalMs <= 0:
+		return &InvalidError{"repeat", "has no interval"}
+	}
+	tasks := 0
+	for i, s := range m.Steps {
+		if err := checkStep(i, s); err != nil {
+			return err
+		}
+		if tasks += int(s.Count); tasks > maxTasks {
+			return &InvalidError{"steps", fmt.Sprintf("more than %d tasks", maxTasks)}
+		}
+	}
+	return nil
+}
+
+func checkStep(i int, s *schema.StepRecord) error {
+	place := fmt.Sprintf("steps[%d]", i)
+	if s.Count < 1 || s.Count > maxTasks {
+		return &InvalidError{place, fmt.Sprintf("not 1 to %d tasks", maxTasks)}
+	}
+	if s.CpuMilli < 0 || s.MemoryMb < 0 || s.Accelerators < 0 || s.EstimateMs < 0 || s.AntiAffinity < 0 || s.TargetMs < 0 {
+		return &InvalidError{place, "a negative number"}
+	}
+	for _, a := range s.After {
+		if a < 0 || int(a) >= i {
+			return &InvalidError{place, fmt.Sprintf("waits for step %d, which is not an earlier one", a)}
+		}
+	}
+	return nil
+}
+
+func validID(s string) bool {
+	if len(s) != idLength {
+		return false
+	}
+	for _, c := range s {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/fleet/job/job.go
@@ -0,0 +1,175 @@
+package job
+
+import (
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// Job is an accepted job.
+type Job struct {
+	ID      string
+	Queue   string
+	Pool    string
+	Payload string
+	Steps   []Step
+	// Accepted is when the job's first attempt reached an entry.
+	Accepted   time.Time
+	DataCentre string
+	Repeat     Repeat
+}
+
+// Repeat says when the steps run; the zero value means once and at once.
+type Repeat struct {
+	First    time.Time
+	Interval time.Duration
+	Count    int
+}
+
+// Step is a number of equal tasks.
+type Step struct {
+	Count    int
+	Size     Size
+	Estimate time.Duration
+	// After lists the steps that must be done first.
+	After         []int
+	Gang          bool
+	Colocated     bool
+	Checkpointing bool
+	Speculative   bool
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool
+	// Fills says that the tasks use processors that others leave idle.
+	Fills    bool
+	Requires string
+	DataRack string
+	Image    string
+	// AntiAffinity is how many tasks of the step may share a server, 0 for any number.
+	AntiAffinity int
+	// Target bounds the tail of the response times of a lasting task, 0 for none.
+	Target time.Duration
+	// MayMiss is how many lasting tasks may be away at once by our doing; negative where the step states no bound.
+	MayMiss int
+}
+
+// Size is what a task or a server has of each resource.
+type Size struct {
+	// CPU is in thousandths of a core.
+	CPU          int64
+	MemoryMB     int64
+	Accelerators int64
+}
+
+// Fits says whether the size fits within another.
+func (s Size) Fits(room Size) bool {
+	return s.CPU <= room.CPU && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
+}
+
+// Add is the sum of two sizes.
+func (s Size) Add(o Size) Size {
+	return Size{s.CPU + o.CPU, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Sub is the difference of two sizes.
+func (s Size) Sub(o Size) Size {
+	return Size{s.CPU - o.CPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Demand is what a task of the step takes of a server's capacity.
+func (s *Step) Demand() Size {
+	d := s.Size
+	if s.Fills {
+		d.CPU = 0
+	}
+	return d
+}
+
+// Occurrences is how many times the steps run.
+func (j *Job) Occurrences() int {
+	return max(j.Repeat.Count, 1)
+}
+
+// Due is when an occurrence may start.
+func (j *Job) Due(occurrence int) time.Time {
+	if j.Repeat.Count == 0 {
+		return j.Accepted
+	}
+	return j.Repeat.First.Add(time.Duration(occurrence) * j.Repeat.Interval)
+}
+
+// Timed says whether the job waits for times of day.
+func (j *Job) Timed() bool {
+	return j.Repeat.Count > 0
+}
+
+// Lasting says whether the job runs until it is cancelled.
+func (j *Job) Lasting() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Chain is the longest chain of estimated work through the steps.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Work is the estimated core-seconds of one occurrence.
+func (j *Job) Work() float64 {
+	w := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		w += float64(s.Count) * float64(s.Size.CPU) / 1000 * s.Estimate.Seconds()
+	}
+	return w
+}
+
+// New converts a job of the schema, whose fields have been checked.
+func New(m *schema.JobRecord) *Job {
+	j := &Job{
+		ID: m.Id, Queue: m.Queue, Pool: m.Pool, Payload: m.Payload,
+		Accepted: time.UnixMilli(m.AcceptedMs), DataCentre: m.DataCentre,
+	}
+	if m.Repeats > 0 {
+		j.Repeat = Repeat{
+			First:    time.UnixMilli(m.FirstDueMs),
+			Interval: milliseconds(m.IntervalMs),
+			Count:    int(m.Repeats),
+		}
+	}
+	for _, s := range m.Steps {
+		j.Steps = append(j.Steps, newStep(s))
+	}
+	return j
+}
+
+func newStep(m *schema.StepRecord) Step {
+	s := Step{
+		Count:    int(m.Count),
+		Size:     Size{CPU: m.CpuMilli, MemoryMB: m.MemoryMb, Accelerators: m.Accelerators},
+		Estimate: milliseconds(m.EstimateMs),
+		Gang:     m.Gang, Colocated: m.Colocated, Checkpointing: m.Checkpointing, Speculative: m.Speculative,
+		Lasting: m.Lasting, Fills: m.Fills, Requires: m.Requires, DataRack: m.DataRack, Image: m.Image,
+		AntiAffinity: int(m.AntiAffinity), Target: milliseconds(m.TargetMs), MayMiss: int(m.MayMiss),
+	}
+	for _, a := range m.After {
+		s.After = append(s.After, int(a))
+	}
+	return s
+}
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/fleet/queue/queue.go
@@ -0,0 +1,93 @@
+package queue
+
+import (
+	"strings"
+	"time"
+)
+
+// Queue takes jobs under a host and a path prefix and has a pool run their tasks.
+type Queue struct {
+	Name   string
+	Host   string
+	Prefix string
+	Pool   string
+	// Priority 0 comes first.
+	Priority int
+	// Attempts is how many failed runs of a task make its job fail.
+	Attempts int
+	// Slack times a job's chain of work, plus Latency, is the time in which a job should be done.
+	Slack   float64
+	Latency time.Duration
+	// Advice is how the service that permits servers for steps behaves; nil where none is asked.
+	Advice *Advice
+}
+
+// Advice is how long the placement advice service takes and how long its answer holds.
+type Advice struct {
+	Decide time.Duration
+	Each   time.Duration
+	Valid  time.Duration
+}
+
+// Pool is what the configuration says of a pool.
+type Pool struct {
+	Name string
+	// Guards says that the pool's servers refuse what does not fit.
+	Guards bool
+	// Standby says that the pool's VMs are off.
+	Standby bool
+	// HealthPath is where a server answers for its health.
+	HealthPath string
+}
+
+// Limits bounds callers' requests.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version uint64
+	Queues  []Queue
+	Pools   map[string]Pool
+	Limits  Limits
+	byName  map[string]*Queue
+	byHost  map[string][]*Queue
+}
+
+// New makes a table that finds queues by name and by host.
+func New(version uint64, l []Queue, pools map[string]Pool, limits Limits) *Table {
+	t := &Table{
+		Version: version, Queues: l, Pools: pools, Limits: limits,
+		byName: map[string]*Queue{}, byHost: map[string][]*Queue{},
+	}
+	for i := range t.Queues {
+		q := &t.Queues[i]
+		t.byName[q.Name] = q
+		h := strings.ToLower(q.Host)
+		t.byHost[h] = append(t.byHost[h], q)
+	}
+	return t
+}
+
+// Find is the queue with the longest prefix of the path under the host, or nil.
+func (t *Table) Find(host, path string) *Queue {
+	var best *Queue
+	for _, q := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best
+}
+
+// Named is the queue with the name, or nil.
+func (t *Table) Named(name string) *Queue {
+	if t == nil {
+		return nil
+	}
+	return t.byName[name]
+}
--- /dev/null
+++ b/fleet/server/doc.go
@@ -0,0 +1,2 @@
+// Package server describes the backend servers as they register themselves and as they list their runs.
+package server
--- a/fleet/store/store.go
+++ b/fleet/store/store.go
@@ -7,6 +7,8 @@
 
 // Item is one key with its value.
 type Item struct {
+	// Lease is the lease that keeps the key, 0 for none.
+	Lease    LeaseID
 	Key      string
 	Value    []byte
 	Revision Revision
@@ -43,3 +45,73 @@
 func (e *UnavailableError) Error() string {
 	return fmt.Sprintf("the store did not answer %s: %s", e.Call, e.Detail)
 }
+
+// LeaseID names a lease of the store; 0 means none.
+type LeaseID uint64
+
+// Event is a change of a key; Removed says that the key is gone.
+type Event struct {
+	Item
+	Removed bool
+}
+
+// Page is a part of a range of keys; After continues it where More says that there is more.
+type Page struct {
+	Items []Item
+	More  bool
+	At    Revision
+}
+
+// Write sets a key, kept for as long as the lease where one is named.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Transaction is all or nothing: it takes effect only if all expected keys stand at their revisions.
+type Transaction struct {
+	Expect map[string]Revision
+	Writes []Write
+	Remove []string
+}
+
+// RejectedError reports a transaction that did not take effect, with the expected keys as they stand.
+type RejectedError struct {
+	Items map[string]Item
+}
+
+// Error describes the failure in one line.
+func (e *RejectedError) Error() string {
+	return "the store's keys have changed since they were read"
+}
+
+// CompactedError reports a watch whose history the store has dropped.
+type CompactedError struct {
+	Prefix string
+}
+
+// Error describes the failure in one line.
+func (e *CompactedError) Error() string {
+	return "the store has dropped the history of " + e.Prefix
+}
+
+// LapsedError reports a lease that has ended.
+type LapsedError struct {
+	Lease LeaseID
+}
+
+// Error describes the failure in one line.
+func (e *LapsedError) Error() string {
+	return fmt.Sprintf("lease %d has ended", e.Lease)
+}
+
+// BusyError reports a call that the store turned away and did not carry out.
+type BusyError struct {
+	Call string
+}
+
+// Error describes the failure in one line.
+func (e *BusyError) Error() string {
+	return "the store turned away " + e.Call
+}
