--- a/entry/owner/duty.go
+++ b/entry/owner/duty.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
 // Duties are what an owner does besides running jobs, such as waves of maintenance.
@@ -21,6 +22,10 @@
 	Fence() (uint64, bool)
 	// Began is when the reign began.
 	Began() time.Time
+	// Read returns the items under a prefix.
+	Read(ctx context.Context, prefix string) ([]store.Item, error)
+	// Write sets keys if this entry still owns the fleet.
+	Write(ctx context.Context, l []store.Write) error
 }
 
 type office struct{ reign *reign }
@@ -39,3 +44,18 @@
 func (o office) Began() time.Time {
 	return o.reign.began
 }
+
+// Read returns the items under a prefix.
+func (o office) Read(ctx context.Context, prefix string) ([]store.Item, error) {
+	return o.reign.readAll(ctx, prefix)
+}
+
+// Write sets keys if this entry still owns the fleet.
+func (o office) Write(ctx context.Context, l []store.Write) error {
+	c, stop := context.WithTimeout(ctx, storeLimit)
+	defer stop()
+	_, err := o.reign.owner.ports.Store.Transact(c, store.Transaction{
+		Expect: map[string]store.Revision{ownerKey: o.reign.epoch}, Writes: l,
+	})
+	return err
+}
--- /dev/null
+++ b/entry/steward/move.go
@@ -0,0 +1,112 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+// stepMoves moves VMs to where the work is.
+func (t *term) stepMoves(ctx context.Context, loads map[string]scheduler.Load, needs map[string]float64, now time.Time) {
+	c := t.steward.table()
+	if c == nil {
+		return
+	}
+	pools, vms := t.rebalanceInput(loads, needs, now)
+	l := rebalance.Decide(now, t.steward.policy, pools, vms, func(kind, pool string) bool {
+		return t.barred[[2]string{kind, pool}]
+	})
+	for _, m := range l {
+		t.move(ctx, m)
+	}
+	t.tellComing()
+}
+
+func (t *term) rebalanceInput(loads map[string]scheduler.Load, needs map[string]float64, now time.Time) ([]rebalance.Pool, []rebalance.VM) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	vms := []rebalance.VM{}
+	have := map[string]float64{}
+	for n, v := range t.vms {
+		x := t.rebalanceVM(n, v, loads[n], now)
+		if x.Pool == "" {
+			continue
+		}
+		have[x.Pool] += x.Cores
+		vms = append(vms, x)
+	}
+	pools := []rebalance.Pool{}
+	for n, p := range t.steward.table().Pools {
+		t.trackSurplus(n, have[n] > rebalance.Needed(t.steward.policy, needs[n]), now)
+		pools = append(pools, rebalance.Pool{Name: n, Standby: p.Standby, Cores: needs[n], Surplus: t.surplus[n]})
+	}
+	return pools, vms
+}
+
+// rebalanceVM counts a VM where it is or where it is going; one that is down counts nowhere.
+func (t *term) rebalanceVM(name string, v vm.Sighting, l scheduler.Load, now time.Time) rebalance.VM {
+	x := rebalance.VM{
+		Name: name, Pool: v.Pool, DataCentre: v.DataCentre, Kind: v.Kind(),
+		Cores: float64(v.Capacity.CPU) / 1000, Idle: l.Idle,
+	}
+	d := t.duties[name]
+	switch {
+	case d != nil && d.pool != "":
+		x.Pool = d.pool
+	case d != nil || v.Standing == vm.InUpkeep:
+	case v.Standing == vm.Moving:
+	case v.Standing != vm.Up:
+		x.Pool = ""
+	case t.standby(v.Pool):
+		x.Movable = true
+	case l.Server == "" || !l.Usable:
+		// A VM that is up but does not serve is of no use where it is.
+		x.Cores = 0
+	default:
+		x.Movable = l.Runs == 0
+	}
+	if x.Idle.IsZero() {
+		x.Idle = now
+	}
+	return x
+}
+
+func (t *term) trackSurplus(pool string, has bool, now time.Time) {
+	if !has {
+		delete(t.surplus, pool)
+		return
+	}
+	if t.surplus[pool].IsZero() {
+		t.surplus[pool] = now
+	}
+}
+
+// move orders a VM to another pool if still nothing runs on it.
+func (t *term) move(ctx context.Context, m rebalance.Move) {
+	if !t.standby(m.From) && !t.empty(m.VM) {
+		return
+	}
+	t.note(decision.Record{VM: m.VM, Pool: m.To, Service: m.From, Reason: "move: " + m.Reason})
+	t.lock.Lock()
+	d := &duty{vm: m.VM, pool: m.To, server: t.vms[m.VM].Server}
+	t.duties[m.VM] = d
+	t.lock.Unlock()
+	t.give(ctx, d)
+}
+
+// tellComing tells the scheduler which cores are on their way to each pool.
+func (t *term) tellComing() {
+	t.lock.Lock()
+	m := map[string]float64{}
+	for n, d := range t.duties {
+		if d.pool != "" && !t.standby(d.pool) {
+			m[d.pool] += float64(t.vms[n].Capacity.CPU) / 1000
+		}
+	}
+	t.lock.Unlock()
+	t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.SetComing(m) })
+}
--- /dev/null
+++ b/entry/steward/steward.go
@@ -0,0 +1,367 @@
+package steward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+	"github.com/tarragonbank/tarragonbank/fleet/wave"
+)
+
+// Answer is the platform's answer to an order for a VM.
+type Answer int
+
+// The answers to an order for a VM.
+//
+//go:generate enumer -type=Answer -transform=title-lower
+const (
+	// Accepted means that the order is carried out, or was before.
+	Accepted Answer = iota
+	// Busy means that the VM is not up or is leaving.
+	Busy
+	// Foreign means that the VM is not part of the wave.
+	Foreign
+	// Impossible means that there is no such VM, or that the pool does not take its kind.
+	Impossible
+	// Unanswered means that the order may have been carried out, or may be later.
+	Unanswered
+	// Declined means that the platform takes no more orders at present.
+	Declined
+)
+
+// Stamp marks an order with who gives it.
+type Stamp struct {
+	Holder string
+	Fence  uint64
+}
+
+// Fleet is the platform's list of VMs and its orders for them.
+type Fleet interface {
+	List(ctx context.Context) ([]vm.Sighting, error)
+	Move(ctx context.Context, name, pool string, s Stamp) (Answer, error)
+	Maintain(ctx context.Context, name string, wave int, s Stamp) (Answer, error)
+}
+
+// Board is where the operators read how a wave stands.
+type Board interface {
+	// Status is the item that tells it.
+	Status(wave int, complete bool) store.Write
+}
+
+// Logger takes decisions without blocking.
+type Logger interface {
+	Add(r decision.Record)
+}
+
+// Bounds are the times of orders to VMs.
+type Bounds struct {
+	// Move and Maintenance are how long a VM is away for each.
+	Move        time.Duration
+	Maintenance time.Duration
+	// Turn is for how long a VM obeys one entry only.
+	Turn time.Duration
+}
+
+// Steward carries out waves and moves while its entry owns the fleet.
+type Steward struct {
+	name   string
+	fleet  Fleet
+	board  Board
+	log    Logger
+	bounds Bounds
+	policy rebalance.Policy
+	table  func() *queue.Table
+
+	// lock guards the waves, which the operators' side adds.
+	lock  sync.Mutex
+	waves map[int]wave.Wave
+	began map[int]time.Time
+}
+
+const (
+	// stepEvery is how often is decided what to do.
+	stepEvery = 200 * time.Millisecond
+	// listEvery is how often the list of VMs is read.
+	listEvery = 500 * time.Millisecond
+	// orderLimit bounds an order to the platform.
+	orderLimit = 900 * time.Millisecond
+	// listLimit bounds a reading of the list.
+	listLimit = 900 * time.Millisecond
+	// orderAgain is after how long an order that was not answered is given again; it is idempotent.
+	orderAgain = 400 * time.Millisecond
+	// turnMargin is added to the time for which VMs obey one entry.
+	turnMargin = 300 * time.Millisecond
+)
+
+// New makes a steward.
+func New(name string, f Fleet, b Board, l Logger, bounds Bounds, table func() *queue.Table) *Steward {
+	return &Steward{
+		name: name, fleet: f, board: b, log: l, bounds: bounds, policy: rebalance.DefaultPolicy(), table: table,
+		waves: map[int]wave.Wave{}, began: map[int]time.Time{},
+	}
+}
+
+// AddWave takes a wave that the operators ask for.
+func (s *Steward) AddWave(w wave.Wave) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if _, ok := s.waves[w.Number]; ok {
+		return
+	}
+	s.waves[w.Number] = w
+	s.began[w.Number] = time.Now()
+	s.log.Add(decision.Record{Time: time.Now(), Kind: decision.Maintenance, Reason: "wave is asked for", Attempt: w.Number})
+}
+
+func (s *Steward) openWaves() []wave.Wave {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	l := []wave.Wave{}
+	for _, w := range s.waves {
+		l = append(l, w)
+	}
+	return l
+}
+
+// Run works for one reign.
+func (s *Steward) Run(ctx context.Context, o owner.Office) {
+	t := newTerm(s, o)
+	if !t.load(ctx) {
+		return
+	}
+	pause(ctx, time.Until(o.Began().Add(s.bounds.Turn+turnMargin)))
+	k := time.NewTicker(stepEvery)
+	defer k.Stop()
+	defer t.orders.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.C:
+			t.step(ctx)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// term is the steward's state for one reign.
+type term struct {
+	steward *Steward
+	office  owner.Office
+	// orders counts those that are out.
+	orders sync.WaitGroup
+
+	// lock guards what follows; orders that are answered change it.
+	lock    sync.Mutex
+	vms     map[string]vm.Sighting
+	listed  time.Time
+	duties  map[string]*duty
+	done    map[int]*progress
+	surplus map[string]time.Time
+	barred  map[[2]string]bool
+}
+
+// duty is an order for a VM until the VM is back.
+type duty struct {
+	vm   string
+	wave int
+	// pool is where the VM goes; empty for maintenance.
+	pool     string
+	server   string
+	sent     time.Time
+	answered bool
+	inFlight bool
+	accepted time.Time
+	// seenAway says that the list has shown the VM as away since.
+	seenAway bool
+	// prepared says that the VM is only being emptied so far.
+	prepared bool
+}
+
+func newTerm(s *Steward, o owner.Office) *term {
+	return &term{
+		steward: s, office: o, vms: map[string]vm.Sighting{}, duties: map[string]*duty{}, done: map[int]*progress{},
+		surplus: map[string]time.Time{}, barred: map[[2]string]bool{},
+	}
+}
+
+func (t *term) step(ctx context.Context) {
+	if _, fresh := t.office.Fence(); !fresh {
+		return
+	}
+	now := time.Now()
+	if now.Sub(t.listed) > listEvery && !t.list(ctx) {
+		return
+	}
+	t.review(now)
+	var loads map[string]scheduler.Load
+	var needs map[string]float64
+	t.office.Do(func(x *scheduler.Scheduler, now time.Time) {
+		loads = x.Loads(now)
+		needs = x.Needs(now)
+	})
+	t.repeat(ctx, now)
+	for _, w := range t.steward.openWaves() {
+		t.stepWave(ctx, w, loads, needs, now)
+	}
+	t.stepMoves(ctx, loads, needs, now)
+}
+
+// list reads the list of VMs.
+func (t *term) list(ctx context.Context) bool {
+	c, stop := context.WithTimeout(ctx, listLimit)
+	defer stop()
+	l, err := t.steward.fleet.List(c)
+	if err != nil {
+		if ctx.Err() == nil {
+			t.note(decision.Record{Kind: decision.Dependency, Reason: "list of VMs not read: " + err.Error()})
+		}
+		return false
+	}
+	m := map[string]vm.Sighting{}
+	for _, v := range l {
+		m[v.Name] = v
+	}
+	t.vms = m
+	t.listed = time.Now()
+	return true
+}
+
+// review ends the duties of VMs that are back.
+func (t *term) review(now time.Time) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for n, d := range t.duties {
+		v, known := t.vms[n]
+		if !known {
+			t.end(d, "VM is gone")
+			continue
+		}
+		if d.prepared || d.inFlight || !d.answered {
+			continue
+		}
+		if v.Standing != vm.Up {
+			d.seenAway = true
+			continue
+		}
+		back := d.seenAway || now.Sub(d.accepted) > t.away(d)
+		moved := d.pool == "" || v.Pool == d.pool
+		if back && moved && v.Server != d.server && t.listed.After(d.accepted.Add(t.away(d))) {
+			t.end(d, "VM is back")
+		}
+	}
+}
+
+// away is how long a VM is away for the duty.
+func (t *term) away(d *duty) time.Duration {
+	if d.pool != "" {
+		return t.steward.bounds.Move
+	}
+	return t.steward.bounds.Maintenance
+}
+
+// end forgets a duty; the caller holds the lock.
+func (t *term) end(d *duty, reason string) {
+	delete(t.duties, d.vm)
+	t.note(decision.Record{VM: d.vm, Pool: d.pool, Attempt: d.wave, Reason: reason})
+	t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.Cordon(d.vm, false) })
+}
+
+func (t *term) note(r decision.Record) {
+	r.Time = time.Now()
+	if r.Kind == 0 {
+		r.Kind = decision.Maintenance
+	}
+	t.steward.log.Add(r)
+}
+
+// repeat gives orders that were not answered again.
+func (t *term) repeat(ctx context.Context, now time.Time) {
+	t.lock.Lock()
+	l := []*duty{}
+	for _, d := range t.duties {
+		if !d.prepared && !d.answered && !d.inFlight && now.Sub(d.sent) > orderAgain {
+			l = append(l, d)
+		}
+	}
+	t.lock.Unlock()
+	for _, d := range l {
+		t.give(ctx, d)
+	}
+}
+
+// give sends the order of a duty.
+func (t *term) give(ctx context.Context, d *duty) {
+	fence, fresh := t.office.Fence()
+	if !fresh {
+		return
+	}
+	t.lock.Lock()
+	d.inFlight = true
+	d.prepared = false
+	d.sent = time.Now()
+	t.lock.Unlock()
+	t.orders.Add(1)
+	go func() {
+		defer t.orders.Done()
+		c, stop := context.WithTimeout(ctx, orderLimit)
+		defer stop()
+		a, err := t.send(c, d, Stamp{Holder: t.steward.name, Fence: fence})
+		t.answered(ctx, d, a, err)
+	}()
+}
+
+func (t *term) send(ctx context.Context, d *duty, s Stamp) (Answer, error) {
+	if d.pool != "" {
+		return t.steward.fleet.Move(ctx, d.vm, d.pool, s)
+	}
+	return t.steward.fleet.Maintain(ctx, d.vm, d.wave, s)
+}
+
+// answered takes the platform's answer to an order.
+func (t *term) answered(ctx context.Context, d *duty, a Answer, err error) {
+	r := decision.Record{VM: d.vm, Pool: d.pool, Attempt: d.wave, Reason: "order " + a.String(), Duration: time.Since(d.sent)}
+	if err != nil {
+		r.Reason += ": " + err.Error()
+	}
+	t.note(r)
+	t.lock.Lock()
+	d.inFlight = false
+	switch a {
+	case Accepted:
+		d.answered = true
+		d.accepted = time.Now()
+	case Unanswered:
+	case Impossible:
+		if d.pool != "" {
+			v := t.vms[d.vm]
+			t.barred[[2]string{v.Kind(), d.pool}] = true
+		}
+		t.end(d, "order is impossible")
+	default:
+		t.end(d, "order was turned away")
+	}
+	t.lock.Unlock()
+	if a != Accepted {
+		return
+	}
+	t.office.Do(func(s *scheduler.Scheduler, now time.Time) { s.TakenDown(d.vm, d.server, now) })
+	if d.wave > 0 && d.pool == "" {
+		t.maintained(ctx, d)
+	}
+}
--- /dev/null
+++ b/entry/steward/wave.go
@@ -0,0 +1,237 @@
+package steward
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+	"github.com/tarragonbank/tarragonbank/fleet/wave"
+)
+
+// progressKey is where the progress of a wave is kept.
+const progressKey = "tarragonbank/wave/"
+
+// progress is what is known of a wave.
+type progress struct {
+	began      time.Time
+	maintained map[string]bool
+	complete   bool
+	// told is the state that the operators can read, stored the number of VMs that the store knows of.
+	toldRunning  bool
+	toldComplete bool
+	stored       int
+}
+
+// load reads the waves' progress.
+func (t *term) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		l, err := t.office.Read(ctx, progressKey)
+		if err == nil {
+			t.restore(l)
+			return true
+		}
+		t.note(decision.Record{Kind: decision.Dependency, Reason: "progress of waves not read: " + err.Error()})
+		pause(ctx, orderAgain)
+	}
+	return false
+}
+
+func (t *term) restore(l []store.Item) {
+	for _, i := range l {
+		m := &schema.WaveProgress{}
+		if err := proto.Unmarshal(i.Value, m); err != nil {
+			t.note(decision.Record{Reason: "progress of a wave cannot be read: " + i.Key})
+			continue
+		}
+		p := &progress{
+			began: time.UnixMilli(m.BeganMs), maintained: map[string]bool{}, complete: m.Complete,
+			toldRunning: true, toldComplete: m.Complete, stored: len(m.Maintained),
+		}
+		for _, n := range m.Maintained {
+			p.maintained[n] = true
+		}
+		t.done[int(m.Number)] = p
+	}
+}
+
+// maintained notes that a VM's maintenance has begun.
+func (t *term) maintained(_ context.Context, d *duty) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.done[d.wave].maintained[d.vm] = true
+}
+
+// stepWave does what the wave asks for now.
+func (t *term) stepWave(ctx context.Context, w wave.Wave, loads map[string]scheduler.Load, needs map[string]float64, now time.Time) {
+	p := t.done[w.Number]
+	if p == nil {
+		p = &progress{began: now, maintained: map[string]bool{}}
+		t.done[w.Number] = p
+	}
+	t.tell(ctx, w, p)
+	if p.complete {
+		return
+	}
+	plan := wave.Decide(w, p.began, now, t.waveVMs(w, p, loads, needs))
+	if plan.Complete {
+		p.complete = true
+		t.note(decision.Record{Attempt: w.Number, Reason: "wave is complete"})
+		return
+	}
+	for _, n := range plan.Prepare {
+		t.prepare(n, w.Number)
+	}
+	for _, n := range plan.Down {
+		t.takeDown(ctx, n, w.Number)
+	}
+	t.evacuate()
+}
+
+func (t *term) waveVMs(w wave.Wave, p *progress, loads map[string]scheduler.Load, needs map[string]float64) []wave.VM {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	spare := t.spare(loads, needs)
+	l := []wave.VM{}
+	for _, n := range w.VMs {
+		l = append(l, t.waveVM(n, p, loads, spare))
+	}
+	return l
+}
+
+func (t *term) waveVM(name string, p *progress, loads map[string]scheduler.Load, spare map[string]bool) wave.VM {
+	v, known := t.vms[name]
+	x := wave.VM{Name: name, Pool: v.Pool}
+	d := t.duties[name]
+	load, serving := loads[name]
+	x.Standby = t.standby(v.Pool)
+	x.Up = known && v.Standing == vm.Up && (d == nil || d.prepared)
+	x.Prepared = d != nil && d.prepared
+	x.Empty = !serving || load.Runs == 0
+	x.Work = load.Work + float64(load.Lasting)
+	x.Spare = spare[v.Pool] || x.Standby
+	switch {
+	case !known:
+		x.Condition = wave.Gone
+	case d != nil && !d.prepared && d.pool == "" && !d.answered:
+		x.Condition = wave.Asked
+	case d != nil && !d.prepared && d.pool == "":
+		x.Condition = wave.Away
+	case p.maintained[name]:
+		x.Condition = wave.Maintained
+	}
+	return x
+}
+
+func (t *term) standby(pool string) bool {
+	c := t.steward.table()
+	return c != nil && c.Pools[pool].Standby
+}
+
+// spare says which pools have at least one VM more than they need.
+func (t *term) spare(loads map[string]scheduler.Load, needs map[string]float64) map[string]bool {
+	have := map[string]float64{}
+	largest := map[string]float64{}
+	for n, l := range loads {
+		if d := t.duties[n]; d != nil || !l.Usable {
+			continue
+		}
+		c := float64(t.vms[n].Capacity.CPU) / 1000
+		have[l.Pool] += c
+		largest[l.Pool] = max(largest[l.Pool], c)
+	}
+	m := map[string]bool{}
+	for p, c := range have {
+		m[p] = c-largest[p] >= rebalance.Needed(t.steward.policy, needs[p])
+	}
+	return m
+}
+
+// prepare keeps new work from a VM until it is empty.
+func (t *term) prepare(name string, number int) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.duties[name] != nil {
+		return
+	}
+	t.duties[name] = &duty{vm: name, wave: number, prepared: true}
+	t.note(decision.Record{VM: name, Attempt: number, Reason: "VM is emptied for its maintenance"})
+	t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.Cordon(name, true) })
+}
+
+// evacuate moves lasting tasks from the VMs that are being emptied.
+func (t *term) evacuate() {
+	t.lock.Lock()
+	l := []string{}
+	for n, d := range t.duties {
+		if d.prepared {
+			l = append(l, n)
+		}
+	}
+	t.lock.Unlock()
+	slices.Sort(l)
+	for _, n := range l {
+		t.office.Do(func(s *scheduler.Scheduler, now time.Time) { s.Evacuate(n, now) })
+	}
+}
+
+// takeDown orders the maintenance of a VM on which nothing runs.
+func (t *term) takeDown(ctx context.Context, name string, number int) {
+	if !t.empty(name) {
+		return
+	}
+	t.lock.Lock()
+	d := &duty{vm: name, wave: number, server: t.vms[name].Server}
+	t.duties[name] = d
+	t.lock.Unlock()
+	t.give(ctx, d)
+}
+
+// empty cordons a VM and says whether nothing runs on it.
+func (t *term) empty(name string) bool {
+	runs := 0
+	t.office.Do(func(s *scheduler.Scheduler, now time.Time) {
+		s.Cordon(name, true)
+		runs = s.Loads(now)[name].Runs
+	})
+	if runs > 0 && t.duties[name] == nil {
+		t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.Cordon(name, false) })
+	}
+	return runs == 0
+}
+
+// tell stores the progress and what the operators read.
+func (t *term) tell(ctx context.Context, w wave.Wave, p *progress) {
+	t.lock.Lock()
+	m := &schema.WaveProgress{Number: int32(w.Number), BeganMs: p.began.UnixMilli(), Complete: p.complete}
+	for n := range p.maintained {
+		m.Maintained = append(m.Maintained, n)
+	}
+	t.lock.Unlock()
+	slices.Sort(m.Maintained)
+	if p.toldRunning && p.stored == len(m.Maintained) && p.toldComplete == p.complete {
+		return
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		t.note(decision.Record{Reason: "progress of a wave cannot be encoded: " + err.Error()})
+		return
+	}
+	l := []store.Write{{Key: progressKey + strconv.Itoa(w.Number), Value: b}}
+	if !p.toldRunning || p.toldComplete != p.complete {
+		l = append(l, t.steward.board.Status(w.Number, p.complete))
+	}
+	if err := t.office.Write(ctx, l); err != nil {
+		t.note(decision.Record{Kind: decision.Dependency, Reason: "progress of a wave not stored: " + err.Error()})
+		return
+	}
+	p.toldRunning, p.toldComplete, p.stored = true, p.complete, len(m.Maintained)
+}
--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -48,7 +48,7 @@
 	AntiAffinity int
 	// Target bounds the tail of the response times of a lasting task, 0 for none.
 	Target time.Duration
-	// MayMiss is how many lasting tasks may be away at once by our doing; negative where the step states no bound.
+	// MayMiss is how many lasting tasks may be away at once by our doing; 0 where the step states no bound.
 	MayMiss int
 }
 
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -7,9 +7,6 @@
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 )
 
-// arrivals follows how much work a queue is asked for.
-type arrivals struct{}
-
 const (
 	// neverRetry is when to come back with a job that fits no server, which only new hardware changes.
 	neverRetry = time.Minute
@@ -23,6 +20,7 @@
 	if !s.possible(n) {
 		return &Reply{Result: Refused, Reason: "no server is large enough", RetryAfter: neverRetry}
 	}
+	s.offered(n, now)
 	if n.Timed() || n.Lasting() {
 		return nil
 	}
@@ -89,7 +87,7 @@
 			}
 		}
 	}
-	return c
+	return c + s.coming[pool]
 }
 
 // remainingWork is the expected core-seconds that the job still needs.
--- /dev/null
+++ b/fleet/scheduler/fleet.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// Load is what runs on a VM.
+type Load struct {
+	Server string
+	Pool   string
+	// Runs counts what is there, Work is the expected core-seconds until its finite runs are done.
+	Runs int
+	Work float64
+	// Lasting counts the runs that do not end by themselves.
+	Lasting int
+	// Idle is since when nothing runs on the VM, zero where something does.
+	Idle time.Time
+	// Usable says that new runs may go there.
+	Usable bool
+}
+
+// Loads tells what runs on each registered VM.
+func (s *Scheduler) Loads(now time.Time) map[string]Load {
+	m := map[string]Load{}
+	for id, v := range s.servers {
+		if !v.registered || v.info.VM == "" {
+			continue
+		}
+		l := Load{Server: id, Pool: v.info.Pool, Runs: len(v.runs), Usable: v.usable(now)}
+		for _, r := range v.runs {
+			if r.task.step.step.Lasting {
+				l.Lasting++
+				continue
+			}
+			l.Work += s.remainingTask(r.task, now)
+		}
+		if l.Runs == 0 {
+			l.Idle = v.idle
+		}
+		m[v.info.VM] = l
+	}
+	return m
+}
+
+// Cordon keeps new work from a VM, or lets it come again.
+func (s *Scheduler) Cordon(name string, on bool) {
+	if on {
+		s.cordoned[name] = true
+		return
+	}
+	if s.cordoned[name] {
+		delete(s.cordoned, name)
+		s.unplanned = true
+	}
+}
+
+// Evacuate moves the lasting tasks of a VM elsewhere, as far as their steps can miss them, and says whether
+// the VM is empty.
+func (s *Scheduler) Evacuate(name string, now time.Time) bool {
+	empty := true
+	for _, v := range s.servers {
+		if v.info.VM != name || !v.registered {
+			continue
+		}
+		for _, r := range v.runs {
+			empty = false
+			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task) {
+				s.note(r.note("evacuated"))
+				s.stop(r, now)
+			}
+		}
+	}
+	return empty
+}
+
+// canMiss says whether one more of the step's lasting tasks may be away.
+func (p *stepState) canMiss(t *task) bool {
+	if p.step.MayMiss <= 0 {
+		return true
+	}
+	away := 0
+	for _, o := range p.tasks {
+		if o != t && !o.atWork() {
+			away++
+		}
+	}
+	return away < p.step.MayMiss
+}
+
+// atWork says whether a lasting task does its work.
+func (t *task) atWork() bool {
+	return t.run != nil && t.run.phase == working && t.run.percent >= fullPercent
+}
+
+// fullPercent is the percentage that a lasting task shows when it is at work.
+const fullPercent = 100
+
+// TakenDown takes note that all that ran on a VM has ended by an order to the platform.
+func (s *Scheduler) TakenDown(name, id string, now time.Time) {
+	for k, v := range s.servers {
+		if v.info.VM == name && (id == "" || k == id) {
+			s.abandon(v, now, "VM was taken down")
+			v.registered = false
+			v.gone = true
+		}
+	}
+}
+
+// Needs are the cores that the work of each pool asks for.
+func (s *Scheduler) Needs(now time.Time) map[string]float64 {
+	m := map[string]float64{}
+	for _, q := range s.table.Queues {
+		m[q.Pool] += s.rate(q.Name, now)
+	}
+	backlog := map[string]float64{}
+	steady := map[string]float64{}
+	for _, j := range s.active {
+		p := s.poolOf(j)
+		backlog[p] += s.remainingWork(j, now)
+		for _, o := range j.occurrences {
+			for _, x := range o.steps {
+				if x.step.Lasting {
+					steady[p] += float64(x.step.Demand().CPU*int64(x.step.Count)) / 1000
+				}
+			}
+		}
+	}
+	for p, b := range backlog {
+		m[p] = max(m[p], b/backlogTime.Seconds()) + steady[p]
+	}
+	return m
+}
+
+// backlogTime is in which time accepted work should be done; jobs' slack is about as long.
+const backlogTime = 2 * time.Second
+
+// SetComing tells how many cores are on their way to each pool.
+func (s *Scheduler) SetComing(m map[string]float64) {
+	s.coming = m
+}
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// forgetServer is for how long a life that is over is remembered, so that late word of it is recognised.
+const forgetServer = 30 * time.Second
+
 // lapseMargin covers the time that a call takes to arrive.
 const lapseMargin = 100 * time.Millisecond
 
@@ -13,7 +16,7 @@
 				s.drop(r, now, "lease lapsed on a silent server")
 			}
 		}
-		if !v.registered && len(v.runs) == 0 && !v.reachable && now.After(s.settledAt) {
+		if !v.registered && len(v.runs) == 0 && now.Sub(v.heard) > forgetServer && now.After(s.settledAt) {
 			delete(s.servers, id)
 		}
 	}
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if !v.reachable {
-		s.note(Note{Server: id, Pool: v.info.Pool, Reason: "server answers", Age: now.Sub(v.heard)})
+		s.note(Note{Server: id, Pool: v.info.Pool, Reason: "server answers"})
 		s.unplanned = true
 	}
 	v.reachable = true
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -63,6 +63,9 @@
 // release frees what a run holds; the task may run again.
 func (s *Scheduler) release(r *run, now time.Time) {
 	r.server.free(r)
+	if len(r.server.runs) == 0 {
+		r.server.idle = now
+	}
 	if r.task.run == r {
 		r.task.run = nil
 		r.task.idleSince = now
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -46,6 +46,7 @@
 	learned   map[string]*learning
 	cordoned  map[string]bool
 	rates     map[string]*arrivals
+	coming    map[string]float64
 }
 
 // New makes an empty scheduler for an owner that took over at a time.
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -29,6 +29,10 @@
 	pausedTo  time.Time
 	health    health
 	drainedAt time.Time
+	// idle is since when nothing runs there.
+	idle time.Time
+	// gone says that the platform has ended this life by our order.
+	gone bool
 }
 
 // endLog follows which ends are processed and which of them are stored.
@@ -126,8 +130,11 @@
 		s.reborn(v, now)
 		v = nil
 	}
+	if v != nil && v.gone {
+		return
+	}
 	if v == nil {
-		v = &serverState{runs: map[job.Task]*run{}}
+		v = &serverState{runs: map[job.Task]*run{}, idle: now}
 		s.servers[i.ID] = v
 		s.note(Note{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
 	}
@@ -192,7 +199,7 @@
 // does not answer are not held any longer, so that it is known when their lease has lapsed.
 func (s *Scheduler) Hold(id string, now time.Time) (Hold, bool) {
 	v := s.servers[id]
-	if v == nil {
+	if v == nil || v.gone {
 		return Hold{}, false
 	}
 	v.ends.settle()
