--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -32,8 +32,8 @@
 	lock      sync.Mutex
 	scheduler *scheduler.Scheduler
 	ready     atomic.Bool
-	// contact is when the store last confirmed the ownership, in nanoseconds since the start.
-	contact atomic.Int64
+	// contact is when the store last confirmed the ownership.
+	contact atomic.Pointer[time.Time]
 	began   time.Time
 	keepers map[string]bool
 	work    sync.WaitGroup
@@ -62,12 +62,15 @@
 }
 
 func (r *reign) confirm() {
-	r.contact.Store(int64(time.Since(r.began)))
+	t := time.Now()
+	r.contact.Store(&t)
 }
 
-// since is how long ago the store confirmed the ownership.
+// since is how long ago the store confirmed the ownership. The steady clock stands still while the machine is
+// suspended, the time of day may be set: the longer of the two counts.
 func (r *reign) since() time.Duration {
-	return time.Since(r.began) - time.Duration(r.contact.Load())
+	t := *r.contact.Load()
+	return max(time.Since(t), time.Now().Round(0).Sub(t.Round(0)))
 }
 
 func (r *reign) open() bool {
--- a/entry/steward/move.go
+++ b/entry/steward/move.go
@@ -11,7 +11,7 @@
 )
 
 // stepMoves moves VMs to where the work is.
-func (t *term) stepMoves(ctx context.Context, loads map[string]scheduler.Load, needs map[string]float64, now time.Time) {
+func (t *term) stepMoves(ctx context.Context, loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) {
 	c := t.steward.table()
 	if c == nil {
 		return
@@ -26,7 +26,7 @@
 	t.tellComing()
 }
 
-func (t *term) rebalanceInput(loads map[string]scheduler.Load, needs map[string]float64, now time.Time) ([]rebalance.Pool, []rebalance.VM) {
+func (t *term) rebalanceInput(loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) ([]rebalance.Pool, []rebalance.VM) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	vms := []rebalance.VM{}
@@ -41,8 +41,8 @@
 	}
 	pools := []rebalance.Pool{}
 	for n, p := range t.steward.table().Pools {
-		t.trackSurplus(n, have[n] > rebalance.Needed(t.steward.policy, needs[n]), now)
-		pools = append(pools, rebalance.Pool{Name: n, Standby: p.Standby, Cores: needs[n], Surplus: t.surplus[n]})
+		t.trackSurplus(n, have[n] > rebalance.Needed(t.steward.policy, needs[n].Cores), now)
+		pools = append(pools, rebalance.Pool{Name: n, Standby: p.Standby, Cores: needs[n].Cores, Servers: needs[n].Servers, Surplus: t.surplus[n]})
 	}
 	return pools, vms
 }
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -210,7 +210,7 @@
 	}
 	t.review(now)
 	var loads map[string]scheduler.Load
-	var needs map[string]float64
+	var needs map[string]scheduler.Need
 	t.office.Do(func(x *scheduler.Scheduler, now time.Time) {
 		loads = x.Loads(now)
 		needs = x.Needs(now)
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -71,7 +71,7 @@
 }
 
 // stepWave does what the wave asks for now.
-func (t *term) stepWave(ctx context.Context, w wave.Wave, loads map[string]scheduler.Load, needs map[string]float64, now time.Time) {
+func (t *term) stepWave(ctx context.Context, w wave.Wave, loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) {
 	p := t.done[w.Number]
 	if p == nil {
 		p = &progress{began: now, maintained: map[string]bool{}}
@@ -96,7 +96,7 @@
 	t.evacuate()
 }
 
-func (t *term) waveVMs(w wave.Wave, p *progress, loads map[string]scheduler.Load, needs map[string]float64) []wave.VM {
+func (t *term) waveVMs(w wave.Wave, p *progress, loads map[string]scheduler.Load, needs map[string]scheduler.Need) []wave.VM {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	spare := t.spare(loads, needs)
@@ -137,20 +137,22 @@
 }
 
 // spare says which pools have at least one VM more than they need.
-func (t *term) spare(loads map[string]scheduler.Load, needs map[string]float64) map[string]bool {
+func (t *term) spare(loads map[string]scheduler.Load, needs map[string]scheduler.Need) map[string]bool {
 	have := map[string]float64{}
 	largest := map[string]float64{}
+	count := map[string]int{}
 	for n, l := range loads {
 		if d := t.duties[n]; d != nil || !l.Usable {
 			continue
 		}
 		c := float64(t.vms[n].Capacity.CPU) / 1000
 		have[l.Pool] += c
+		count[l.Pool]++
 		largest[l.Pool] = max(largest[l.Pool], c)
 	}
 	m := map[string]bool{}
 	for p, c := range have {
-		m[p] = c-largest[p] >= rebalance.Needed(t.steward.policy, needs[p])
+		m[p] = c-largest[p] >= rebalance.Needed(t.steward.policy, needs[p].Cores) && count[p] > needs[p].Servers
 	}
 	return m
 }
--- a/fleet/rebalance/rebalance.go
+++ b/fleet/rebalance/rebalance.go
@@ -28,8 +28,9 @@
 type Pool struct {
 	Name    string
 	Standby bool
-	// Cores are what its work asks for.
-	Cores float64
+	// Cores are what its work asks for, Servers how many VMs at least.
+	Cores   float64
+	Servers int
 	// Surplus is since when the pool has had more VMs than it needs; zero if it has not.
 	Surplus time.Time
 }
@@ -95,12 +96,28 @@
 	if p.Standby {
 		return 0
 	}
-	return Needed(s.policy, p.Cores) - s.cores[p.Name]
+	n := Needed(s.policy, p.Cores) - s.cores[p.Name]
+	if s.count[p.Name] < p.Servers {
+		n = max(n, s.typical())
+	}
+	return n
 }
 
+// typical is how many cores a VM has.
+func (s *site) typical() float64 {
+	sum := 0.0
+	for _, v := range s.vms {
+		sum += v.Cores
+	}
+	return max(sum/float64(max(len(s.vms), 1)), 2*lackIgnored)
+}
+
+// lackIgnored is a lack of cores for which no VM is moved.
+const lackIgnored = 1.0
+
 // spares says whether the pool can do without a VM of so many cores.
 func (s *site) spares(p *Pool, cores float64) bool {
-	return p.Standby || s.count[p.Name] > s.policy.Least && -s.lacks(p) >= cores
+	return p.Standby || s.count[p.Name] > max(s.policy.Least, p.Servers) && -s.lacks(p) >= cores
 }
 
 // grow gives VMs to pools that need them, the one that lacks most first.
@@ -114,6 +131,7 @@
 		v := s.donor(p)
 		if v == nil {
 			p.Cores = math.Min(p.Cores, s.cores[p.Name]*s.policy.Fill)
+			p.Servers = min(p.Servers, s.count[p.Name])
 			continue
 		}
 		l = append(l, s.take(v, p.Name, "demand is higher than the pool's VMs"))
@@ -124,7 +142,7 @@
 	var found *Pool
 	for i := range pools {
 		p := &pools[i]
-		if s.lacks(p) > 1 && (found == nil || s.lacks(p) > s.lacks(found)) {
+		if s.lacks(p) > lackIgnored && (found == nil || s.lacks(p) > s.lacks(found)) {
 			found = p
 		}
 	}
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -64,7 +64,7 @@
 		}
 		for _, r := range v.runs {
 			empty = false
-			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task) {
+			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task, now) {
 				s.note(r.note("evacuated"))
 				s.stop(r, now)
 			}
@@ -74,24 +74,28 @@
 }
 
 // canMiss says whether one more of the step's lasting tasks may be away.
-func (p *stepState) canMiss(t *task) bool {
+func (p *stepState) canMiss(t *task, now time.Time) bool {
 	if p.step.MayMiss <= 0 {
 		return true
 	}
 	away := 0
 	for _, o := range p.tasks {
-		if o != t && !o.atWork() {
+		if o != t && !o.atWork(now) {
 			away++
 		}
 	}
 	return away < p.step.MayMiss
 }
 
-// atWork says whether a lasting task does its work.
-func (t *task) atWork() bool {
-	return t.run != nil && t.run.phase == working && t.run.percent >= fullPercent
+// atWork says whether a lasting task is known to do its work.
+func (t *task) atWork(now time.Time) bool {
+	r := t.run
+	return r != nil && r.phase == working && r.percent >= fullPercent && r.server.reachable && now.Sub(r.server.heard) < atWorkFresh
 }
 
+// atWorkFresh is how old the last word of a task at work may be; listings come each second.
+const atWorkFresh = 1500 * time.Millisecond
+
 // fullPercent is the percentage that a lasting task shows when it is at work.
 const fullPercent = 100
 
@@ -106,9 +110,39 @@
 	}
 }
 
-// Needs are the cores that the work of each pool asks for.
-func (s *Scheduler) Needs(now time.Time) map[string]float64 {
+// Need is what the work of a pool asks for.
+type Need struct {
+	Cores float64
+	// Servers is how many different servers the pool's steps need, with one more to move tasks to.
+	Servers int
+}
+
+// Needs tells what the work of each pool asks for.
+func (s *Scheduler) Needs(now time.Time) map[string]Need {
+	cores := s.neededCores(now)
+	m := map[string]Need{}
+	for p, c := range cores {
+		m[p] = Need{Cores: c}
+	}
+	for _, j := range s.active {
+		p := s.poolOf(j)
+		n := m[p]
+		for i := range j.job.Steps {
+			if x := &j.job.Steps[i]; x.AntiAffinity > 0 {
+				n.Servers = max(n.Servers, (x.Count+x.AntiAffinity-1)/x.AntiAffinity+1)
+			}
+		}
+		m[p] = n
+	}
+	return m
+}
+
+// neededCores are the cores that the work of each pool asks for.
+func (s *Scheduler) neededCores(now time.Time) map[string]float64 {
 	m := map[string]float64{}
+	if s.table == nil {
+		return m
+	}
 	for _, q := range s.table.Queues {
 		m[q.Pool] += s.rate(q.Name, now)
 	}
