--- a/entry/steward/move.go
+++ b/entry/steward/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
@@ -17,13 +18,14 @@
 		return
 	}
 	pools, vms := t.rebalanceInput(loads, needs, now)
+	t.logPools(pools, vms, now)
 	l := rebalance.Decide(now, t.steward.policy, pools, vms, func(kind, pool string) bool {
 		return t.barred[[2]string{kind, pool}]
 	})
 	for _, m := range l {
 		t.move(ctx, m)
 	}
-	t.tellComing()
+	t.tellComing(vms)
 }
 
 func (t *term) rebalanceInput(loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) ([]rebalance.Pool, []rebalance.VM) {
@@ -47,6 +49,26 @@
 	return pools, vms
 }
 
+// poolsEvery is how often the pools' needs are written to the log.
+const poolsEvery = time.Second
+
+// logPools writes what the pools have and need, from which moves follow.
+func (t *term) logPools(pools []rebalance.Pool, vms []rebalance.VM, now time.Time) {
+	if now.Sub(t.logged) < poolsEvery {
+		return
+	}
+	t.logged = now
+	have := map[string]int{}
+	for _, v := range vms {
+		have[v.Pool]++
+	}
+	for _, p := range pools {
+		t.note(decision.Record{Pool: p.Name, Reason: fmt.Sprintf(
+			"pool has %d VMs, its work needs %.0f cores and %d VMs at least", have[p.Name], p.Cores, p.Servers,
+		)})
+	}
+}
+
 // rebalanceVM counts a VM where it is or where it is going; one that is down counts nowhere.
 func (t *term) rebalanceVM(name string, v vm.Sighting, l scheduler.Load, now time.Time) rebalance.VM {
 	x := rebalance.VM{
@@ -57,6 +79,8 @@
 	switch {
 	case d != nil && d.pool != "":
 		x.Pool = d.pool
+	case d != nil && d.prepared:
+		x.Pool = ""
 	case d != nil || v.Standing == vm.InUpkeep:
 	case v.Standing == vm.Moving:
 	case v.Standing != vm.Up:
@@ -98,9 +122,15 @@
 	t.give(ctx, d)
 }
 
-// tellComing tells the scheduler which cores are on their way to each pool.
-func (t *term) tellComing() {
+// tellComing tells the scheduler which cores are on their way to each pool, and which are off.
+func (t *term) tellComing(vms []rebalance.VM) {
 	t.lock.Lock()
+	reserve := 0.0
+	for _, v := range vms {
+		if t.standby(v.Pool) && t.duties[v.Name] == nil && v.Movable {
+			reserve += v.Cores
+		}
+	}
 	m := map[string]float64{}
 	for n, d := range t.duties {
 		if d.pool != "" && !t.standby(d.pool) {
@@ -108,5 +138,5 @@
 		}
 	}
 	t.lock.Unlock()
-	t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.SetComing(m) })
+	t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.SetComing(m, reserve) })
 }
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -170,6 +170,7 @@
 	lock    sync.Mutex
 	vms     map[string]vm.Sighting
 	listed  time.Time
+	logged  time.Time
 	duties  map[string]*duty
 	done    map[int]*progress
 	surplus map[string]time.Time
@@ -261,7 +262,8 @@
 		}
 		back := d.seenAway || now.Sub(d.accepted) > t.away(d)
 		moved := d.pool == "" || v.Pool == d.pool
-		if back && moved && v.Server != d.server && t.listed.After(d.accepted.Add(t.away(d))) {
+		served := v.Server != d.server || t.standby(v.Pool)
+		if back && moved && served && t.listed.After(d.accepted.Add(t.away(d))) {
 			t.end(d, "VM is back")
 		}
 	}
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -10,8 +10,8 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
 	"github.com/tarragonbank/tarragonbank/fleet/wave"
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/fleet/backlog"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 )
@@ -10,12 +11,19 @@
 const (
 	// neverRetry is when to come back with a job that fits no server, which only new hardware changes.
 	neverRetry = time.Minute
-	// leastRetry bounds the wait that a refused caller is told from below.
+	// leastRetry and mostRetry bound the wait that a refused caller is told; overload lasts some seconds.
 	leastRetry = 500 * time.Millisecond
+	mostRetry  = 5 * time.Second
+	// fill is the part of a pool's cores that packing can use.
+	fill = 0.9
+	// comingTime is how long a VM that is asked for takes to come, with the time to decide it.
+	comingTime = 2 * time.Second
+	// reservePart is the part of the idle VMs that a pool can count on.
+	reservePart = 0.7
 )
 
 // admit says why a job is refused, or nil. A job is accepted if it can be done in the time that its queue
-// promises, behind the work already accepted; what would be late is refused at once.
+// promises without making accepted ones late; what would be late is refused at once.
 func (s *Scheduler) admit(n *job.Job, q *queue.Queue, now time.Time) *Reply {
 	if !s.possible(n) {
 		return &Reply{Result: Refused, Reason: "no server is large enough", RetryAfter: neverRetry}
@@ -24,16 +32,21 @@
 	if n.Timed() || n.Lasting() {
 		return nil
 	}
-	wait, known := s.forecast(n, q, now)
+	due := n.Accepted.Add(s.objective(n))
+	chain := time.Duration(float64(n.Chain()) * s.ratio(n.Queue))
+	if now.Add(chain).After(due) {
+		return &Reply{Result: Refused, Reason: "too late already", RetryAfter: leastRetry}
+	}
+	supply, known := s.supply(q.Pool, now)
 	if !known {
 		return nil
 	}
-	begin := now.Sub(n.Accepted)
-	chain := time.Duration(float64(n.Chain()) * s.ratio(n.Queue))
-	if o := s.objective(n); begin+wait+chain > o {
-		return &Reply{Result: Refused, Reason: "would be late", RetryAfter: max(wait, leastRetry)}
+	lack := backlog.Lack(now, s.demands(q.Pool, now), backlog.Demand{Due: due, Work: n.Work() * s.ratio(n.Queue)}, supply)
+	if lack <= 0 {
+		return nil
 	}
-	return nil
+	wait := time.Duration(lack / max(supply.Later, 1) * float64(time.Second))
+	return &Reply{Result: Refused, Reason: "would be late", RetryAfter: min(max(wait, leastRetry), mostRetry)}
 }
 
 // possible says whether each step fits a server that is known.
@@ -58,22 +71,26 @@
 	return false
 }
 
-// forecast is how long the pool needs for the work that it has and the job's own, beyond the job's chain.
-func (s *Scheduler) forecast(n *job.Job, q *queue.Queue, now time.Time) (time.Duration, bool) {
-	cores := s.cores(q.Pool, now)
-	if cores <= 0 {
-		return 0, false
-	}
-	backlog := 0.0
+// demands are the finite jobs that a pool has accepted.
+func (s *Scheduler) demands(pool string, now time.Time) []backlog.Demand {
+	l := []backlog.Demand{}
 	for _, j := range s.active {
-		if !j.job.Timed() && s.poolOf(j) == q.Pool {
-			backlog += s.remainingWork(j, now)
+		if !j.job.Timed() && !j.job.Lasting() && s.poolOf(j) == pool {
+			l = append(l, backlog.Demand{Due: j.job.Accepted.Add(s.objective(j.job)), Work: s.remainingWork(j, now)})
 		}
 	}
-	return time.Duration(backlog / cores * float64(time.Second)), true
+	return l
+}
+
+// supply are the cores of a pool that finite work may use; known is false while no server is usable.
+func (s *Scheduler) supply(pool string, now time.Time) (backlog.Supply, bool) {
+	c := s.cores(pool, now)
+	return backlog.Supply{
+		Now: c * fill, Later: (c + s.coming[pool] + s.reserve*reservePart) * fill, From: now.Add(comingTime),
+	}, c > 0
 }
 
-// cores are the pool's cores that finite work may use.
+// cores are the pool's cores that finite work may use now.
 func (s *Scheduler) cores(pool string, now time.Time) float64 {
 	c := 0.0
 	for _, v := range s.servers {
@@ -87,7 +104,7 @@
 			}
 		}
 	}
-	return c + s.coming[pool]
+	return c
 }
 
 // remainingWork is the expected core-seconds that the job still needs.
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -58,13 +58,14 @@
 // the VM is empty.
 func (s *Scheduler) Evacuate(name string, now time.Time) bool {
 	empty := true
+	pools := s.pools(now)
 	for _, v := range s.servers {
 		if v.info.VM != name || !v.registered {
 			continue
 		}
 		for _, r := range v.runs {
 			empty = false
-			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task, now) {
+			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task, now) && placeable(r.task, pools[v.info.Pool], now) {
 				s.note(r.note("evacuated"))
 				s.stop(r, now)
 			}
@@ -73,6 +74,11 @@
 	return empty
 }
 
+// placeable says whether the task has a place to go to.
+func placeable(t *task, l []*serverState, now time.Time) bool {
+	return best(t, l, now) != nil
+}
+
 // canMiss says whether one more of the step's lasting tasks may be away.
 func (p *stepState) canMiss(t *task, now time.Time) bool {
 	if p.step.MayMiss <= 0 {
@@ -146,11 +152,11 @@
 	for _, q := range s.table.Queues {
 		m[q.Pool] += s.rate(q.Name, now)
 	}
-	backlog := map[string]float64{}
+	open := map[string]float64{}
 	steady := map[string]float64{}
 	for _, j := range s.active {
 		p := s.poolOf(j)
-		backlog[p] += s.remainingWork(j, now)
+		open[p] += j.openCores()
 		for _, o := range j.occurrences {
 			for _, x := range o.steps {
 				if x.step.Lasting {
@@ -159,16 +165,27 @@
 			}
 		}
 	}
-	for p, b := range backlog {
-		m[p] = max(m[p], b/backlogTime.Seconds()) + steady[p]
+	for p, c := range open {
+		m[p] = max(m[p], c) + steady[p]
 	}
 	return m
 }
 
-// backlogTime is in which time accepted work should be done; jobs' slack is about as long.
-const backlogTime = 2 * time.Second
+// openCores are the cores that the job's tasks could use now.
+func (j *jobState) openCores() float64 {
+	c := int64(0)
+	for _, o := range j.occurrences {
+		for _, p := range o.steps {
+			if p.open() && !p.step.Lasting {
+				c += int64(p.left) * p.step.Demand().CPU
+			}
+		}
+	}
+	return float64(c) / 1000
+}
 
-// SetComing tells how many cores are on their way to each pool.
-func (s *Scheduler) SetComing(m map[string]float64) {
+// SetComing tells how many cores are on their way to each pool, and how many are idle and could come.
+func (s *Scheduler) SetComing(m map[string]float64, reserve float64) {
 	s.coming = m
+	s.reserve = reserve
 }
--- a/fleet/scheduler/health.go
+++ b/fleet/scheduler/health.go
@@ -76,6 +76,9 @@
 // learn takes the time that a run took.
 func (s *Scheduler) learn(r *run, now time.Time) {
 	e := r.task.step.step.Estimate
+	if r.beganAt == 0 && !r.inherited {
+		r.task.step.took = append(r.task.step.took, now.Sub(r.began))
+	}
 	if e <= 0 || r.beganAt > 0 || r.inherited || now.Sub(r.began) > 4*e {
 		return
 	}
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -52,6 +52,8 @@
 	failedRun  int
 	checkpoint string
 	ready      time.Time
+	// took are the times that tasks of the step took.
+	took []time.Duration
 }
 
 // task is one task of an occurrence.
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // forgetServer is for how long a life that is over is remembered, so that late word of it is recognised.
 const forgetServer = 30 * time.Second
@@ -64,7 +67,7 @@
 	case s.stalled(v, r):
 		s.note(r.note("stands still"))
 		v.health.stall(v, now)
-	case s.straggles(r, now):
+	case s.straggles(r):
 		s.note(r.note("straggles"))
 		v.health.slow(now)
 	default:
@@ -96,19 +99,47 @@
 	straggleSight = 500 * time.Millisecond
 )
 
-// straggles says whether the rest of a run takes longer than running it anew on a server of ordinary speed.
-func (s *Scheduler) straggles(r *run, now time.Time) bool {
+// straggles says whether the rest of a run takes longer than running it anew on a server of ordinary speed, as
+// told by the other tasks of its step on other servers: estimates are too far off to tell.
+func (s *Scheduler) straggles(r *run) bool {
 	p := r.task.step.step
-	worked := r.server.heard.Sub(r.began)
-	if p.Lasting || p.Gang || worked < straggleSight || r.percent <= r.beganAt {
+	if p.Lasting || p.Gang || r.server.heard.Sub(r.began) < straggleSight || r.percent <= r.beganAt {
+		return false
+	}
+	anew := r.task.step.typical(r.server)
+	if anew == 0 {
 		return false
 	}
-	whole := float64(worked) * 100 / float64(r.percent-r.beganAt)
-	rest := whole * float64(100-r.percent) / 100
-	anew := float64(s.expected(r.task))
+	rest := r.projected() * time.Duration(100-r.percent) / 100
 	if p.Checkpointing {
-		anew = anew * float64(100-r.percent) / 100
+		anew = anew * time.Duration(100-r.percent) / 100
 	}
-	_ = now
-	return rest > straggleFactor*anew+float64(straggleSlack)
+	return rest > time.Duration(straggleFactor*float64(anew))+straggleSlack
 }
+
+// projected is how long the whole run takes at its present speed.
+func (r *run) projected() time.Duration {
+	return r.server.heard.Sub(r.began) * 100 / time.Duration(r.percent-r.beganAt)
+}
+
+// typical is the median time that the step's tasks take on other servers, 0 where too few tell.
+func (p *stepState) typical(v *serverState) time.Duration {
+	l := slices.Clone(p.took)
+	for _, t := range p.tasks {
+		if r := t.run; r != nil && r.server != v && r.phase == working && r.percent >= r.beganAt+projectFrom {
+			l = append(l, r.projected())
+		}
+	}
+	if len(l) < projectFew {
+		return 0
+	}
+	slices.Sort(l)
+	return l[len(l)/2]
+}
+
+const (
+	// projectFrom is the percentage of work from which a run's speed is taken as known.
+	projectFrom = 15
+	// projectFew is how many other tasks must tell how long a step's tasks take.
+	projectFew = 2
+)
--- a/fleet/scheduler/rate.go
+++ b/fleet/scheduler/rate.go
@@ -7,24 +7,31 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 )
 
-// arrivals follows how many core-seconds a queue is asked for each second, by two averages of different speed.
+// arrivals follows how many jobs a queue is asked for each second, by two averages of different speed, and how
+// much work they are. Counting jobs instead of their work keeps single large jobs from looking like a turn.
 type arrivals struct {
 	fast, slow float64
 	at         time.Time
+	work       float64
+	jobs       int
 	// seen are the jobs that were counted, since refused ones come again.
 	seen map[string]time.Time
 }
 
 const (
 	// fastMemory and slowMemory are the times after which the averages have forgotten two thirds.
-	fastMemory = 1000 * time.Millisecond
+	fastMemory = 1300 * time.Millisecond
 	slowMemory = 3 * time.Second
 	// lookAhead is how long before it is needed a VM must be asked for.
 	lookAhead = 1500 * time.Millisecond
+	// mostRise bounds the expected rise, since few arrivals make it uncertain.
+	mostRise = 0.7
 	// headroom covers the chance in arrivals; a VM pays for itself when a fifteenth of it is used.
-	headroom = 1.3
+	headroom = 1.25
 	// seenFor is how long a refused job may come again.
 	seenFor = 15 * time.Second
+	// workPart is the weight of one more job in the mean work.
+	workPart = 0.05
 )
 
 // offered counts a job that was asked for, once however often it comes.
@@ -39,9 +46,10 @@
 	}
 	a.seen[n.ID] = now
 	a.decay(now)
-	w := n.Work() * s.ratio(n.Queue)
-	a.fast += w / fastMemory.Seconds()
-	a.slow += w / slowMemory.Seconds()
+	a.fast += 1 / fastMemory.Seconds()
+	a.slow += 1 / slowMemory.Seconds()
+	a.jobs++
+	a.work += max(workPart, 1/float64(a.jobs)) * (n.Work() - a.work)
 }
 
 func (a *arrivals) decay(now time.Time) {
@@ -64,5 +72,6 @@
 		}
 	}
 	slope := (a.fast - a.slow) / (slowMemory - fastMemory).Seconds()
-	return max(a.fast+max(slope, 0)*lookAhead.Seconds(), a.slow) * headroom
+	rise := min(max(slope, 0)*lookAhead.Seconds(), a.fast*mostRise)
+	return (a.fast + rise) * a.work * s.ratio(queue) * headroom
 }
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -46,7 +46,9 @@
 	learned   map[string]*learning
 	cordoned  map[string]bool
 	rates     map[string]*arrivals
-	coming    map[string]float64
+	// coming are the cores on their way to each pool, reserve those that are idle in all pools.
+	coming  map[string]float64
+	reserve float64
 }
 
 // New makes an empty scheduler for an owner that took over at a time.
