--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The targets are listed in README.md.
 TOOLS := bin/tools
-MODULES := fleet entry ctl bench
+MODULES := fleet entry ctl bench platform
 GO := go
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X github.com/tarragonbank/tarragonbank/entry/tarragond.Version=$(VERSION)
@@ -8,7 +8,7 @@
 .PHONY: build generate format lint test demo tools all-tools
 
 build:
-	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./entry/cmd/tarragond ./ctl/cmd/tarragonctl ./bench/cmd/tarragonbench
+	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./entry/cmd/tarragond ./ctl/cmd/tarragonctl ./bench/cmd/tarragonbench ./platform/cmd/tarragonjobs
 
 all-tools:
 	cd tools && GOWORK=off GOFLAGS=-mod=readonly $(GO) build -o ../$(TOOLS)/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go github.com/dmarkham/enumer mvdan.cc/gofumpt github.com/mgechev/revive
--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -19,8 +19,13 @@
 	batchRecords = 28
 	// gather is how long changes are gathered for one transaction.
 	gather = 6 * time.Millisecond
+	// awayAfter is for how long commits fail before callers are told; a lost answer is settled in less.
+	awayAfter = 350 * time.Millisecond
+	// awayRetry is when a refused caller may come back; outages last some seconds.
+	awayRetry = 2 * time.Second
+	storeAway = "the store is away"
 	// busyPause is between tries at a store that turns calls away.
-	busyPause = 100 * time.Millisecond
+	busyPause = 50 * time.Millisecond
 )
 
 // commit stores what changes, one transaction after the other, until the reign ends.
@@ -50,8 +55,9 @@
 func (r *reign) next() *scheduler.Batch {
 	var b *scheduler.Batch
 	r.lock.Lock()
-	r.scheduler.Plan(time.Now())
-	b = r.scheduler.Next(batchRecords)
+	now := time.Now()
+	r.scheduler.Plan(now)
+	b = r.scheduler.Next(batchRecords, now)
 	orders := r.scheduler.Take()
 	r.lock.Unlock()
 	r.carryOut(orders)
@@ -66,34 +72,58 @@
 		r.depose("a record cannot be encoded: " + err.Error())
 		return 0, false
 	}
-	failed := false
+	limit := r.pace.limit()
+	began := time.Now()
 	for ctx.Err() == nil {
-		n, err := r.transact(ctx, t)
+		n, err := r.transact(ctx, t, limit)
 		if err == nil {
-			if failed {
-				r.owner.note(decision.Dependency, "store commits again", n)
-			}
+			r.regained(n)
 			return n, true
 		}
 		var rejected *store.RejectedError
 		if errors.As(err, &rejected) {
 			return r.settle(rejected, b)
 		}
-		if !failed && ctx.Err() == nil {
-			r.owner.note(decision.Dependency, "commit not answered: "+err.Error(), r.epoch)
+		if ctx.Err() == nil {
+			r.lost(err, time.Since(began))
 		}
-		failed = true
+		limit = min(limit*2, storeLimit)
 		pause(ctx, busyPause)
 	}
 	return 0, false
 }
 
-func (r *reign) transact(ctx context.Context, t store.Transaction) (store.Revision, error) {
-	c, stop := context.WithTimeout(ctx, storeLimit)
+// lost notes that the store does not commit; after a while callers are told so.
+func (r *reign) lost(err error, d time.Duration) {
+	if !r.failing {
+		r.owner.note(decision.Dependency, "commit not answered: "+err.Error(), r.epoch)
+	}
+	r.failing = true
+	if d < awayAfter {
+		return
+	}
+	if !r.away.Swap(true) {
+		r.owner.note(decision.Dependency, "store is away: no jobs are accepted", r.epoch)
+	}
+	r.do(func(s *scheduler.Scheduler, now time.Time) { s.Withdraw(storeAway, awayRetry, now) })
+}
+
+func (r *reign) regained(n store.Revision) {
+	if r.failing {
+		r.owner.note(decision.Dependency, "store commits again", n)
+	}
+	r.failing = false
+	r.away.Store(false)
+}
+
+func (r *reign) transact(ctx context.Context, t store.Transaction, limit time.Duration) (store.Revision, error) {
+	c, stop := context.WithTimeout(ctx, limit)
 	defer stop()
+	began := time.Now()
 	n, err := r.owner.ports.Store.Transact(c, t)
 	if err == nil {
 		r.confirm()
+		r.pace.observe(time.Since(began))
 	}
 	return n, err
 }
@@ -112,7 +142,7 @@
 
 func (r *reign) transaction(b *scheduler.Batch, mark store.Revision) (store.Transaction, error) {
 	t := store.Transaction{Expect: map[string]store.Revision{ownerKey: r.epoch, markKey: mark}}
-	m := &schema.CommitMark{Epoch: uint64(r.epoch), Number: b.Number}
+	m := &schema.CommitMark{Epoch: uint64(r.epoch), Number: b.Number, Learning: b.Learning}
 	if err := put(&t, markKey, m); err != nil {
 		return t, err
 	}
@@ -198,8 +228,17 @@
 		if errors.As(err, &absent) {
 			return nil
 		}
+		if err != nil {
+			return err
+		}
 		n = i.Revision
-		return err
+		m := &schema.CommitMark{}
+		if err := proto.Unmarshal(i.Value, m); err != nil {
+			r.owner.note(decision.Ownership, "the last commit's mark cannot be read: "+err.Error(), n)
+			return nil
+		}
+		r.do(func(s *scheduler.Scheduler, now time.Time) { s.RestoreLearning(m.Learning, now) })
+		return nil
 	})
 	return n, err
 }
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -40,6 +40,10 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	dirty   chan struct{}
+	// pace and failing belong to the committing goroutine; away says that no jobs are accepted for want of the store.
+	pace    pace
+	failing bool
+	away    atomic.Bool
 }
 
 const (
@@ -187,6 +191,9 @@
 
 // Submit takes a job and answers once it is stored or refused.
 func (r *reign) Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply {
+	if r.away.Load() && r.State(m.Id).Result == scheduler.Absent {
+		return scheduler.Reply{Result: scheduler.Refused, Reason: storeAway, RetryAfter: awayRetry}
+	}
 	return r.ask(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
 		s.Submit(m, now, reply)
 	})
--- a/entry/steward/move.go
+++ b/entry/steward/move.go
@@ -1,7 +1,6 @@
 package steward
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -12,7 +11,7 @@
 )
 
 // stepMoves moves VMs to where the work is.
-func (t *term) stepMoves(ctx context.Context, loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) {
+func (t *term) stepMoves(loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) {
 	c := t.steward.table()
 	if c == nil {
 		return
@@ -23,7 +22,7 @@
 		return t.barred[[2]string{kind, pool}]
 	})
 	for _, m := range l {
-		t.move(ctx, m)
+		t.move(m)
 	}
 	t.tellComing(vms)
 }
@@ -82,7 +81,7 @@
 	case d != nil && d.prepared:
 		x.Pool = ""
 	case d != nil || v.Standing == vm.InUpkeep:
-	case v.Standing == vm.Moving:
+	case v.Standing == vm.Moving || now.Before(t.embargo[name]):
 	case v.Standing != vm.Up:
 		x.Pool = ""
 	case t.standby(v.Pool):
@@ -110,7 +109,7 @@
 }
 
 // move orders a VM to another pool if still nothing runs on it.
-func (t *term) move(ctx context.Context, m rebalance.Move) {
+func (t *term) move(m rebalance.Move) {
 	if !t.standby(m.From) && !t.empty(m.VM) {
 		return
 	}
@@ -118,8 +117,8 @@
 	t.lock.Lock()
 	d := &duty{vm: m.VM, pool: m.To, server: t.vms[m.VM].Server}
 	t.duties[m.VM] = d
+	t.wanted = append(t.wanted, d)
 	t.lock.Unlock()
-	t.give(ctx, d)
 }
 
 // tellComing tells the scheduler which cores are on their way to each pool, and which are off.
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -136,7 +136,6 @@
 	if !t.load(ctx) {
 		return
 	}
-	pause(ctx, time.Until(o.Began().Add(s.bounds.Turn+turnMargin)))
 	k := time.NewTicker(stepEvery)
 	defer k.Stop()
 	defer t.orders.Wait()
@@ -175,6 +174,11 @@
 	done    map[int]*progress
 	surplus map[string]time.Time
 	barred  map[[2]string]bool
+	// ordered is when each VM was last given an order, by any entry; embargo is until when it obeys another one.
+	ordered map[string]time.Time
+	embargo map[string]time.Time
+	// wanted are the orders of this step, which are stored before they are given.
+	wanted []*duty
 }
 
 // duty is an order for a VM until the VM is back.
@@ -198,6 +202,7 @@
 	return &term{
 		steward: s, office: o, vms: map[string]vm.Sighting{}, duties: map[string]*duty{}, done: map[int]*progress{},
 		surplus: map[string]time.Time{}, barred: map[[2]string]bool{},
+		ordered: map[string]time.Time{}, embargo: map[string]time.Time{},
 	}
 }
 
@@ -220,7 +225,8 @@
 	for _, w := range t.steward.openWaves() {
 		t.stepWave(ctx, w, loads, needs, now)
 	}
-	t.stepMoves(ctx, loads, needs, now)
+	t.stepMoves(loads, needs, now)
+	t.giveWanted(ctx)
 }
 
 // list reads the list of VMs.
@@ -281,7 +287,7 @@
 func (t *term) end(d *duty, reason string) {
 	delete(t.duties, d.vm)
 	t.note(decision.Record{VM: d.vm, Pool: d.pool, Attempt: d.wave, Reason: reason})
-	t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.Cordon(d.vm, false) })
+	t.uncordon(d.vm)
 }
 
 func (t *term) note(r decision.Record) {
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -37,6 +37,9 @@
 		l, err := t.office.Read(ctx, progressKey)
 		if err == nil {
 			t.restore(l)
+			err = t.loadOrders(ctx)
+		}
+		if err == nil {
 			return true
 		}
 		t.note(decision.Record{Kind: decision.Dependency, Reason: "progress of waves not read: " + err.Error()})
@@ -81,7 +84,7 @@
 	if p.complete {
 		return
 	}
-	plan := wave.Decide(w, p.began, now, t.waveVMs(w, p, loads, needs))
+	plan := wave.Decide(w, p.began, now, t.waveVMs(w, p, loads, needs, now))
 	if plan.Complete {
 		p.complete = true
 		t.note(decision.Record{Attempt: w.Number, Reason: "wave is complete"})
@@ -91,29 +94,30 @@
 		t.prepare(n, w.Number)
 	}
 	for _, n := range plan.Down {
-		t.takeDown(ctx, n, w.Number)
+		t.takeDown(n, w.Number)
 	}
 	t.evacuate()
 }
 
-func (t *term) waveVMs(w wave.Wave, p *progress, loads map[string]scheduler.Load, needs map[string]scheduler.Need) []wave.VM {
+func (t *term) waveVMs(w wave.Wave, p *progress, loads map[string]scheduler.Load, needs map[string]scheduler.Need, now time.Time) []wave.VM {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	spare := t.spare(loads, needs)
 	l := []wave.VM{}
 	for _, n := range w.VMs {
-		l = append(l, t.waveVM(n, p, loads, spare))
+		l = append(l, t.waveVM(n, p, loads, spare, now))
 	}
 	return l
 }
 
-func (t *term) waveVM(name string, p *progress, loads map[string]scheduler.Load, spare map[string]bool) wave.VM {
+func (t *term) waveVM(name string, p *progress, loads map[string]scheduler.Load, spare map[string]bool, now time.Time) wave.VM {
 	v, known := t.vms[name]
 	x := wave.VM{Name: name, Pool: v.Pool}
 	d := t.duties[name]
 	load, serving := loads[name]
 	x.Standby = t.standby(v.Pool)
-	x.Up = known && v.Standing == vm.Up && (d == nil || d.prepared)
+	held := now.Before(t.embargo[name])
+	x.Up = known && v.Standing == vm.Up && (d == nil || d.prepared) && !held
 	x.Prepared = d != nil && d.prepared
 	x.Empty = !serving || load.Runs == 0
 	x.Work = load.Work + float64(load.Lasting)
@@ -123,8 +127,10 @@
 		x.Condition = wave.Gone
 	case d != nil && !d.prepared && d.pool == "" && !d.answered:
 		x.Condition = wave.Asked
-	case d != nil && !d.prepared && d.pool == "":
+	case d != nil && !d.prepared && d.pool == "", v.Standing == vm.InUpkeep:
 		x.Condition = wave.Away
+	case held && !p.maintained[name]:
+		x.Condition = wave.Asked
 	case p.maintained[name]:
 		x.Condition = wave.Maintained
 	}
@@ -186,15 +192,15 @@
 }
 
 // takeDown orders the maintenance of a VM on which nothing runs.
-func (t *term) takeDown(ctx context.Context, name string, number int) {
+func (t *term) takeDown(name string, number int) {
 	if !t.empty(name) {
 		return
 	}
 	t.lock.Lock()
 	d := &duty{vm: name, wave: number, server: t.vms[name].Server}
 	t.duties[name] = d
+	t.wanted = append(t.wanted, d)
 	t.lock.Unlock()
-	t.give(ctx, d)
 }
 
 // empty cordons a VM and says whether nothing runs on it.
@@ -205,7 +211,7 @@
 		runs = s.Loads(now)[name].Runs
 	})
 	if runs > 0 && t.duties[name] == nil {
-		t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.Cordon(name, false) })
+		t.uncordon(name)
 	}
 	return runs == 0
 }
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -17,7 +17,9 @@
 	Course []Stored[*schema.JobProgress]
 	// Removed are jobs that are forgotten.
 	Removed []string
-	marks   []mark
+	// Learning is what was learned of the queues so far.
+	Learning []*schema.QueueLearning
+	marks    []mark
 }
 
 // Stored is a record with the job that it belongs to.
@@ -32,12 +34,12 @@
 }
 
 // Next makes the next batch of at most so many records, or nil if there is nothing to store.
-func (s *Scheduler) Next(most int) *Batch {
+func (s *Scheduler) Next(most int, now time.Time) *Batch {
 	if len(s.dirty) == 0 && len(s.removed) == 0 {
 		return nil
 	}
 	s.batch++
-	b := &Batch{Number: s.batch}
+	b := &Batch{Number: s.batch, Learning: s.learning(now)}
 	n := 0
 	for n < len(s.dirty) && b.size()+recordsPerJob <= most {
 		b.add(s.dirty[n])
@@ -58,6 +60,7 @@
 
 func (b *Batch) add(j *jobState) {
 	j.dirty = false
+	j.sent = true
 	if !j.stored {
 		b.Jobs = append(b.Jobs, Stored[*schema.JobRecord]{j.job.ID, j.job.Record()})
 	}
@@ -170,3 +173,25 @@
 	}
 	return p
 }
+
+// Withdraw refuses the jobs that no transaction has carried yet; the rest may be stored or not.
+func (s *Scheduler) Withdraw(reason string, after time.Duration, now time.Time) {
+	for id, j := range s.active {
+		if j.stored || j.sent {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, t := range o.tasks() {
+				if t.run != nil {
+					s.release(t.run, now)
+				}
+			}
+		}
+		delete(s.active, id)
+		delete(s.jobs, id)
+		s.dirty = slices.DeleteFunc(s.dirty, func(x *jobState) bool { return x == j })
+		for _, w := range j.waiters {
+			w.reply(Reply{Result: Refused, Reason: reason, RetryAfter: after})
+		}
+	}
+}
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -15,7 +15,9 @@
 	ended time.Time
 	// stored says that the job itself is in the store.
 	stored bool
-	begun  bool
+	// sent says that a transaction has carried the job, with or without an answer.
+	sent  bool
+	begun bool
 	// version counts changes, committed is the newest that the store has.
 	version     uint64
 	committed   uint64
--- a/fleet/scheduler/rate.go
+++ b/fleet/scheduler/rate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
 // arrivals follows how many jobs a queue is asked for each second, by two averages of different speed, and how
@@ -75,3 +76,32 @@
 	rise := min(max(slope, 0)*lookAhead.Seconds(), a.fast*mostRise)
 	return (a.fast + rise) * a.work * s.ratio(queue) * headroom
 }
+
+// learning is what was learned of the queues, for the next owner.
+func (s *Scheduler) learning(now time.Time) []*schema.QueueLearning {
+	l := []*schema.QueueLearning{}
+	for n, a := range s.rates {
+		a.decay(now)
+		m := &schema.QueueLearning{
+			Queue: n, Ratio: s.ratio(n), Fast: a.fast, Slow: a.slow, AtMs: now.UnixMilli(), Work: a.work, Jobs: int32(a.jobs),
+		}
+		if x := s.learned[n]; x != nil {
+			m.Samples = int32(x.samples)
+		}
+		l = append(l, m)
+	}
+	return l
+}
+
+// RestoreLearning takes what an earlier owner had learned.
+func (s *Scheduler) RestoreLearning(l []*schema.QueueLearning, now time.Time) {
+	for _, m := range l {
+		at := now.Add(-max(now.Round(0).Sub(time.UnixMilli(m.AtMs)), 0))
+		s.rates[m.Queue] = &arrivals{
+			fast: m.Fast, slow: m.Slow, at: at, work: m.Work, jobs: int(m.Jobs), seen: map[string]time.Time{},
+		}
+		if m.Samples > 0 {
+			s.learned[m.Queue] = &learning{ratio: m.Ratio, samples: int(m.Samples)}
+		}
+	}
+}
