--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		if k.Revision == 0 {
-			pause(ctx, o.stagger())
+			pause(ctx, o.handicap()+o.stagger())
 		}
 		if _, still := o.vacant(m); still {
 			o.try(ctx, k)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -82,6 +82,8 @@
 type Identity struct {
 	Name    string
 	Address netip.AddrPort
+	// Strength is how many cores the entry may use.
+	Strength float64
 }
 
 // Owner is this entry's part in the ownership.
@@ -89,6 +91,7 @@
 	self   Identity
 	bounds scheduler.Bounds
 	ports  Ports
+	others others
 
 	// lock guards the fields below; no I/O happens under it.
 	lock   sync.Mutex
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -185,6 +185,7 @@
 			return
 		case <-t.C:
 			r.do(func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
+			r.yield(time.Now())
 		}
 	}
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/owner"
@@ -17,12 +16,14 @@
 	Current() owner.Desk
 	// Known is who owns the fleet.
 	Known() owner.Record
+	// Heard takes note of an entry that asks this one.
+	Heard(name string, strength float64, now time.Time)
 }
 
 // Relay answers calls here or at the owner.
 type Relay struct {
 	local Local
-	self  netip.AddrPort
+	self  owner.Identity
 	link  *link
 }
 
@@ -37,8 +38,8 @@
 	pingLimit = 600 * time.Millisecond
 )
 
-// New makes a relay; self is where other entries reach this one.
-func New(l Local, self netip.AddrPort) *Relay {
+// New makes a relay for this entry.
+func New(l Local, self owner.Identity) *Relay {
 	return &Relay{local: l, self: self, link: &link{}}
 }
 
@@ -50,7 +51,7 @@
 		return Answer(ctx, d, c)
 	}
 	k := r.local.Known()
-	if k.Revision == 0 || k.Address == r.self {
+	if k.Revision == 0 || k.Address == r.self.Address {
 		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "nobody owns the fleet at present"}
 	}
 	m, sent, err := r.link.ask(ctx, k.Address, c)
@@ -98,13 +99,13 @@
 
 func (r *Relay) ping(ctx context.Context) {
 	k := r.local.Known()
-	if k.Revision == 0 || k.Address == r.self {
+	if k.Revision == 0 || k.Address == r.self.Address {
 		return
 	}
 	c, stop := context.WithTimeout(ctx, pingLimit)
 	defer stop()
 	// A ping that fails shows in the link's age.
-	_, _, _ = r.link.ask(c, k.Address, &schema.JobCall{Kind: schema.JobCall_PING})
+	_, _, _ = r.link.ask(c, k.Address, &schema.JobCall{Kind: schema.JobCall_PING, From: r.self.Name, Strength: r.self.Strength})
 }
 
 // Ready says whether calls can be answered, here or at the owner.
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/hashicorp/yamux"
 
@@ -45,6 +46,7 @@
 	}
 	c, stop := context.WithTimeout(ctx, callLimit)
 	defer stop()
+	r.local.Heard(e.GetJobCall().From, e.GetJobCall().Strength, time.Now())
 	m := &schema.JobReply{Result: notOwner}
 	if d := r.local.Current(); d != nil {
 		m = message(Answer(c, d, e.GetJobCall()))
--- a/entry/steward/order.go
+++ b/entry/steward/order.go
@@ -7,8 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -368,7 +368,7 @@
 	if a != Accepted {
 		return
 	}
-	t.office.Do(func(s *scheduler.Scheduler, now time.Time) { s.TakenDown(d.vm, d.server, now) })
+	t.office.Do(func(s *scheduler.Scheduler, now time.Time) { s.TakenDown(d.server, now) })
 	if d.wave > 0 && d.pool == "" {
 		t.maintained(ctx, d)
 	}
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -105,15 +105,15 @@
 // fullPercent is the percentage that a lasting task shows when it is at work.
 const fullPercent = 100
 
-// TakenDown takes note that all that ran on a VM has ended by an order to the platform.
-func (s *Scheduler) TakenDown(name, id string, now time.Time) {
-	for k, v := range s.servers {
-		if v.info.VM == name && (id == "" || k == id) {
-			s.abandon(v, now, "VM was taken down")
-			v.registered = false
-			v.gone = true
-		}
+// TakenDown takes note that a server's life has ended by an order to the platform.
+func (s *Scheduler) TakenDown(id string, now time.Time) {
+	v := s.servers[id]
+	if v == nil {
+		return
 	}
+	s.abandon(v, now, "VM was taken down")
+	v.registered = false
+	v.gone = true
 }
 
 // Need is what the work of a pool asks for.
