--- /dev/null
+++ b/fleet/rebalance/rebalance_test.go
@@ -0,0 +1,90 @@
+package rebalance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestRebalance(t *testing.T) {
+	suite.Run(t, "rebalance")
+}
+
+var (
+	now    = time.Unix(1_800_000_000, 0)
+	policy = rebalance.DefaultPolicy()
+)
+
+const cores = 64
+
+func vms(pool string, count int, idle time.Duration, movable bool) []rebalance.VM {
+	l := []rebalance.VM{}
+	for i := range count {
+		l = append(l, rebalance.VM{
+			Name: fmt.Sprintf("%s-%02d", pool, i), Pool: pool, Kind: "plain", Cores: cores, Movable: movable, Idle: now.Add(-idle),
+		})
+	}
+	return l
+}
+
+func anywhere(string, string) bool {
+	return false
+}
+
+// tally counts moves by where they come from and go to.
+func tally(l []rebalance.Move) map[string]int {
+	m := map[string]int{}
+	for _, x := range l {
+		m[x.From+">"+x.To]++
+	}
+	return m
+}
+
+var _ = ginkgo.Describe("moves between pools", func() {
+	long := now.Add(-time.Minute)
+	pools := func(cups, saws float64) []rebalance.Pool {
+		return []rebalance.Pool{
+			{Name: "cups", Cores: cups, Surplus: long}, {Name: "saws", Cores: saws, Surplus: long}, {Name: "off", Standby: true},
+		}
+	}
+	site := append(append(vms("cups", 6, time.Minute, true), vms("saws", 6, time.Minute, true)...), vms("off", 4, time.Minute, true)...)
+
+	ginkgo.DescribeTable("follow the demand", func(cups, saws float64, want map[string]int) {
+		gomega.Expect(tally(rebalance.Decide(now, policy, pools(cups, saws), site, anywhere))).To(gomega.Equal(want))
+	},
+		ginkgo.Entry("a turn takes idle VMs of other pools first, then those that are off", 700.0, 10.0,
+			map[string]int{"saws>cups": 4, "off>cups": 3}),
+		ginkgo.Entry("calm switches off all but the least", 10.0, 10.0, map[string]int{"cups>off": 4, "saws>off": 4}),
+		ginkgo.Entry("two turns at once share what there is", 450.0, 450.0, map[string]int{"off>cups": 2, "off>saws": 2}))
+
+	ginkgo.It("leave a VM alone on which something runs", func() {
+		l := append(vms("cups", 4, 0, false), vms("off", 0, 0, true)...)
+		gomega.Expect(rebalance.Decide(now, policy, pools(0, 0), l, anywhere)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("wait until a pool has had too many for a while", func() {
+		p := pools(10, 10)
+		p[0].Surplus, p[1].Surplus = now, now
+		gomega.Expect(rebalance.Decide(now, policy, p, site, anywhere)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("keep as many VMs as the steps need servers", func() {
+		p := pools(10, 10)
+		p[0].Servers = 7
+		m := tally(rebalance.Decide(now, policy, p, site, anywhere))
+		gomega.Expect(m["cups>off"]).To(gomega.BeZero())
+		gomega.Expect(m["saws>cups"]).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("take no VM of a kind that the pool does not take", func() {
+		barred := func(_, pool string) bool { return pool == "cups" }
+		m := tally(rebalance.Decide(now, policy, pools(700, 300), site, barred))
+		gomega.Expect(m).To(gomega.BeEmpty())
+	})
+})
--- a/fleet/scheduler/pace.go
+++ b/fleet/scheduler/pace.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// paceEvery is how often paces change; servers report the last half second.
+	// paceEvery is how much newer than the last change a listing must be for another; servers report the last half second.
 	paceEvery = 700 * time.Millisecond
 	// paceHigh and paceLow are percentages of a serving task's target: above it filling work is slowed, below it let go.
 	paceHigh = 85
@@ -19,7 +19,7 @@
 	for _, v := range s.servers {
 		worst := v.strain()
 		for _, r := range v.runs {
-			if !r.task.step.step.Fills || r.phase != working || now.Sub(r.overAt) < paceEvery {
+			if !r.task.step.step.Fills || r.phase != working || v.heard.Sub(r.overAt) < paceEvery {
 				continue
 			}
 			if p := nextPace(r.pace, worst); p != r.pace {
--- /dev/null
+++ b/fleet/wave/wave_test.go
@@ -0,0 +1,45 @@
+package wave_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+	"github.com/tarragonbank/tarragonbank/fleet/wave"
+)
+
+func TestWave(t *testing.T) {
+	suite.Run(t, "wave")
+}
+
+var _ = ginkgo.Describe("a wave of maintenance", func() {
+	now := time.Unix(1_800_000_000, 0)
+	w := wave.Wave{Number: 1, Time: 30 * time.Second, Most: 2}
+	off := wave.VM{Name: "off", Up: true, Standby: true, Empty: true, Spare: true}
+	empty := wave.VM{Name: "empty", Up: true, Empty: true, Spare: true}
+	busy := wave.VM{Name: "busy", Up: true, Work: 50}
+	spare := wave.VM{Name: "spare", Up: true, Work: 20, Spare: true}
+	needed := wave.VM{Name: "needed", Up: true, Empty: true}
+	away := wave.VM{Name: "away", Condition: wave.Away}
+	asked := wave.VM{Name: "asked", Condition: wave.Asked}
+	done := wave.VM{Name: "done", Condition: wave.Maintained, Up: true}
+	gone := wave.VM{Name: "gone", Condition: wave.Gone}
+
+	ginkgo.DescribeTable("decides what goes down now", func(passed time.Duration, vms []wave.VM, want wave.Plan) {
+		gomega.Expect(wave.Decide(w, now.Add(-passed), now, vms)).To(gomega.Equal(want))
+	},
+		ginkgo.Entry("VMs that are off or empty first", time.Second, []wave.VM{busy, spare, empty, off},
+			wave.Plan{Down: []string{"off", "empty"}}),
+		ginkgo.Entry("VMs in use are emptied while their pool can spare them", time.Second, []wave.VM{busy, spare},
+			wave.Plan{Prepare: []string{"spare"}}),
+		ginkgo.Entry("those that a pool needs wait", time.Second, []wave.VM{busy, needed}, wave.Plan{}),
+		ginkgo.Entry("until time runs short", 25*time.Second, []wave.VM{busy, needed},
+			wave.Plan{Down: []string{"needed"}, Prepare: []string{"busy"}}),
+		ginkgo.Entry("never more at once than it allows", time.Second, []wave.VM{away, off, empty}, wave.Plan{Down: []string{"off"}}),
+		ginkgo.Entry("an order without an answer counts as down", time.Second, []wave.VM{asked, away, off}, wave.Plan{}),
+		ginkgo.Entry("complete once all that are left had theirs", time.Second, []wave.VM{done, gone, away}, wave.Plan{Complete: true}),
+		ginkgo.Entry("not while an order is out", time.Second, []wave.VM{done, asked}, wave.Plan{}))
+})
