Count with the lease of an earlier owner, and with runs on draining servers that fall silent

Also: a silent draining server that left the list was taken as gone before its lease had lapsed. Ruled out: late orders, repeated sending, an order for the VM (the run ended by our own stop).

--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -25,6 +25,10 @@
 		s.note(Note{Server: id, Pool: v.info.Pool, Reason: "server answers"})
 		s.unplanned = true
 	}
+	if v.listed == 0 {
+		// An earlier owner may just have held the runs for as long as is allowed.
+		v.lease = max(v.lease, l.Clock+s.bounds.Hold)
+	}
 	v.reachable = true
 	v.misplaced = false
 	v.heard = now
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -150,17 +150,14 @@
 	s.unplanned = true
 }
 
-// Unregister takes note that the platform no longer lists a server.
+// Unregister takes note that the platform no longer lists a server; its runs may go on until their lease lapses.
 func (s *Scheduler) Unregister(id string, now time.Time) {
 	v := s.servers[id]
 	if v == nil || !v.registered {
 		return
 	}
 	v.registered = false
-	s.note(Note{Server: id, Pool: v.info.Pool, Reason: "server is no longer registered"})
-	if v.info.Draining && len(v.runs) > 0 && !v.reachable {
-		s.abandon(v, now, "server left")
-	}
+	s.note(Note{Server: id, Pool: v.info.Pool, Reason: "server is no longer registered", Age: now.Sub(v.heard)})
 }
 
 // reborn drops the runs of a server's earlier life.
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -67,6 +67,34 @@
 		gomega.Expect(next[0].Server.ID).To(gomega.Equal(other(s.Server.ID)))
 	})
 
+	ginkgo.It("counts with the lease that an earlier owner may have given before the first look", func() {
+		x := newWorld()
+		x.Register(sample("a"), x.now)
+		x.Listed("a", server.Listing{Born: start, Clock: x.clock()}, x.now)
+		x.submit(record(1, 1))
+		s := x.started()[0]
+		x.Unreachable("a", start, x.now, "cut")
+		x.serve("b")
+		x.pass(2 * time.Second)
+		x.list("b")
+		x.pass(100 * time.Millisecond)
+		gomega.Expect(x.started()).To(gomega.BeEmpty(), "run %d may go on for six seconds", s.Number)
+	})
+
+	ginkgo.It("keeps the runs of a draining server that is silent and no longer registered, until their lease has lapsed", func() {
+		w.submit(record(1, 1))
+		s := w.started()[0]
+		w.list(s.Server.ID, running(s, 10))
+		v := sample(s.Server.ID)
+		v.Draining = true
+		w.Register(v, w.now)
+		w.Unreachable(v.ID, start, w.now, "cut")
+		w.Unregister(v.ID, w.now)
+		w.list(other(v.ID))
+		w.commit()
+		gomega.Expect(w.started()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("does not hold a silent server's runs any longer", func() {
 		w.Unreachable("a", start, w.now, "cut")
 		h, _ := w.Hold("a", w.now)
