Let the lapse test begin after the first look's longer lease

The first look at a server now counts with six seconds; the test's bounds (nothing after four, started within six) stand for a server that has been held before.

--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -47,6 +47,8 @@
 	})
 
 	ginkgo.It("waits until the lease of a silent server has surely lapsed", func() {
+		w.pass(1500 * time.Millisecond)
+		w.serve("a", "b")
 		w.submit(record(1, 1))
 		s := w.started()[0]
 		w.list(s.Server.ID, running(s, 10))
