--- /dev/null
+++ b/entry/mirror/mirror_test.go
@@ -0,0 +1,129 @@
+package mirror_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+// script is a store that answers what it is told.
+type script struct {
+	lock    sync.Mutex
+	items   []store.Item
+	at      store.Revision
+	answers []answer
+}
+
+type answer struct {
+	events []store.Event
+	at     store.Revision
+	err    error
+}
+
+func (s *script) Range(context.Context, string, string) (store.Page, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return store.Page{Items: s.items, At: s.at}, nil
+}
+
+func (s *script) Watch(ctx context.Context, _ string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	s.lock.Lock()
+	if len(s.answers) > 0 {
+		a := s.answers[0]
+		s.answers = s.answers[1:]
+		s.lock.Unlock()
+		return a.events, a.at, a.err
+	}
+	s.lock.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+		return nil, after, nil
+	}
+}
+
+// kept is what a sink has seen.
+type kept struct {
+	lock   sync.Mutex
+	values map[string]string
+	lost   int
+}
+
+func (k *kept) Reset(l []store.Item) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	k.values = map[string]string{}
+	for _, i := range l {
+		k.values[i.Key] = string(i.Value)
+	}
+}
+
+func (k *kept) Changed(e store.Event) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if e.Removed {
+		delete(k.values, e.Key)
+		return
+	}
+	k.values[e.Key] = string(e.Value)
+}
+
+func (k *kept) Lost(error) { k.lost++ }
+
+func item(key, value string) store.Item {
+	return store.Item{Key: key, Value: []byte(value)}
+}
+
+func TestMirror(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers []answer
+		later   []store.Item
+		want    map[string]string
+		lost    int
+	}{
+		"follows changes and removals": {
+			answers: []answer{{events: []store.Event{{Item: item("a", "2")}, {Item: item("b", ""), Removed: true}}, at: 9}},
+			want:    map[string]string{"a": "2"},
+		},
+		"reads anew where history is missing": {
+			answers: []answer{{err: &store.CompactedError{}}},
+			later:   []store.Item{item("c", "3")},
+			want:    map[string]string{"c": "3"},
+		},
+		"goes on after failures, told once in a row": {
+			answers: []answer{
+				{err: &store.BusyError{}}, {err: &store.UnavailableError{}}, {events: []store.Event{{Item: item("a", "4")}}, at: 12},
+			},
+			want: map[string]string{"a": "4", "b": "1"},
+			lost: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				s := &script{items: []store.Item{item("a", "1"), item("b", "1")}, at: 5, answers: c.answers}
+				k := &kept{}
+				ctx, stop := context.WithCancel(context.Background())
+				m := mirror.New(s, "", k)
+				if c.later != nil {
+					s.items = c.later
+				}
+				go m.Run(ctx)
+				time.Sleep(2 * time.Second)
+				stop()
+				synctest.Wait()
+				g.Expect(k.values).To(gomega.Equal(c.want))
+				g.Expect(k.lost).To(gomega.Equal(c.lost))
+				g.Expect(m.Heard()).NotTo(gomega.BeZero())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/entry/relay/relay_test.go
@@ -0,0 +1,104 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/entry/relay"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestRelay(t *testing.T) {
+	suite.Run(t, "relay")
+}
+
+// desk answers as it is told, after a wait.
+type desk struct {
+	reply scheduler.Reply
+	wait  time.Duration
+}
+
+func (d *desk) Submit(context.Context, *schema.JobRecord) scheduler.Reply {
+	time.Sleep(d.wait)
+	return d.reply
+}
+func (d *desk) Cancel(context.Context, string) scheduler.Reply { return d.reply }
+func (d *desk) State(string) scheduler.Reply                   { return d.reply }
+func (d *desk) Pending(string) scheduler.Reply                 { return scheduler.Reply{Pending: 7} }
+
+// local is what an entry knows of the ownership.
+type local struct {
+	desk  *desk
+	known owner.Record
+	heard string
+}
+
+func (l *local) Current() owner.Desk {
+	if l.desk == nil {
+		return nil
+	}
+	return l.desk
+}
+func (l *local) Known() owner.Record                       { return l.known }
+func (l *local) Heard(name string, _ float64, _ time.Time) { l.heard = name }
+
+// serve runs the owner's side and returns where it is reached.
+func serve(l *local) (netip.AddrPort, func()) {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	go relay.New(l, owner.Identity{}).Serve(ctx, n)
+	return netip.MustParseAddrPort(n.Addr().String()), func() { stop(); n.Close() }
+}
+
+var _ = ginkgo.Describe("a call", func() {
+	submit := &schema.JobCall{Kind: schema.JobCall_SUBMIT, Job: &schema.JobRecord{Id: "a"}}
+	ask := func(l *local, c *schema.JobCall) scheduler.Reply {
+		ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer stop()
+		return relay.New(l, owner.Identity{Name: "here"}).Call(ctx, c)
+	}
+
+	ginkgo.It("is answered here by the owner itself", func() {
+		gomega.Expect(ask(&local{desk: &desk{}}, submit).Result).To(gomega.Equal(scheduler.Done))
+	})
+	ginkgo.It("is passed to the owner with its reply", func() {
+		want := scheduler.Reply{Result: scheduler.Refused, Phase: 2, Pending: 3, RetryAfter: time.Second, Reason: "would be late"}
+		a, stop := serve(&local{desk: &desk{reply: want}})
+		defer stop()
+		l := &local{known: owner.Record{Name: "there", Address: a, Revision: 5}}
+		gomega.Expect(ask(l, submit)).To(gomega.Equal(want))
+		gomega.Expect(ask(l, &schema.JobCall{Kind: schema.JobCall_PENDING}).Pending).To(gomega.Equal(7))
+	})
+	ginkgo.It("is refused as not run while nobody owns the fleet", func() {
+		gomega.Expect(ask(&local{}, submit).Result).To(gomega.Equal(scheduler.Refused))
+	})
+	ginkgo.It("is refused as not run where the owner is not reached", func() {
+		n, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		a := netip.MustParseAddrPort(n.Addr().String())
+		n.Close()
+		r := ask(&local{known: owner.Record{Address: a, Revision: 5}}, submit)
+		gomega.Expect(r.Result).To(gomega.Equal(scheduler.Refused))
+		gomega.Expect(r.RetryAfter).To(gomega.BeNumerically(">", 0))
+	})
+	ginkgo.It("is refused as not run by an entry that owns the fleet no more", func() {
+		a, stop := serve(&local{})
+		defer stop()
+		gomega.Expect(ask(&local{known: owner.Record{Address: a, Revision: 5}}, submit).Result).To(gomega.Equal(scheduler.Refused))
+	})
+	ginkgo.It("is not known to have run where the owner falls silent", func() {
+		a, stop := serve(&local{desk: &desk{wait: time.Second}})
+		defer stop()
+		gomega.Expect(ask(&local{known: owner.Record{Address: a, Revision: 5}}, submit).Result).To(gomega.Equal(scheduler.Unsure))
+	})
+})
--- a/fleet/scheduler/course_test.go
+++ b/fleet/scheduler/course_test.go
@@ -7,8 +7,8 @@
 	"github.com/onsi/gomega"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
 var _ = ginkgo.Describe("a job's course", func() {
--- a/fleet/scheduler/protocol_test.go
+++ b/fleet/scheduler/protocol_test.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
@@ -37,10 +37,10 @@
 	highest map[job.Task]int
 	// void is the last end that was still unacknowledged when the lease lapsed; such ends count for nothing, since
 	// the owner must be free to run their tasks elsewhere.
-	void    uint64
-	cut     bool
-	down    bool
-	slow    float64
+	void uint64
+	cut  bool
+	down bool
+	slow float64
 }
 
 type modelRun struct {
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 	"github.com/tarragonbank/tarragonbank/fleet/suite"
 )
