--- a/fleet/scheduler/course_test.go
+++ b/fleet/scheduler/course_test.go
@@ -32,6 +32,23 @@
 		gomega.Expect(w.orders.Starts).To(gomega.HaveLen(3))
 	})
 
+	ginkgo.It("runs at once whatever the clock of the entry that took it shows", func() {
+		for i, d := range []time.Duration{3 * time.Second, -3 * time.Second} {
+			m := record(i+1, 1)
+			m.AcceptedMs = w.now.Add(d).UnixMilli()
+			gomega.Expect(w.submit(m).Result).To(gomega.Equal(scheduler.Done))
+			gomega.Expect(w.started()).To(gomega.HaveLen(1))
+		}
+	})
+
+	ginkgo.It("runs after a takeover by an entry whose clock is behind", func() {
+		m := record(1, 1)
+		m.AcceptedMs = w.now.Add(3 * time.Second).UnixMilli()
+		w.Restore(m, nil, w.now)
+		w.commit()
+		gomega.Expect(w.started()).To(gomega.HaveLen(1))
+	})
+
 	ginkgo.It("is one job however often it is submitted", func() {
 		gomega.Expect(w.submit(record(1, 3)).Result).To(gomega.Equal(scheduler.Done))
 		gomega.Expect(w.submit(record(1, 3)).Result).To(gomega.Equal(scheduler.Done))
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -115,11 +115,16 @@
 
 // open adds the occurrences that may start.
 func (s *Scheduler) open(j *jobState, now time.Time) {
-	for j.opened < j.job.Occurrences() && !now.Before(j.job.Due(j.opened).Add(-s.bounds.Early/2)) {
+	for j.opened < j.job.Occurrences() && s.due(j.job, j.opened, now) {
 		s.openNext(j, now)
 	}
 }
 
+// due says whether an occurrence may start; jobs without times may whatever the clock shows.
+func (s *Scheduler) due(j *job.Job, occurrence int, now time.Time) bool {
+	return !j.Timed() || !now.Before(j.Due(occurrence).Add(-s.bounds.Early/2))
+}
+
 func (s *Scheduler) openNext(j *jobState, now time.Time) {
 	o := &occurrence{number: j.opened, opened: now}
 	for i := range j.job.Steps {
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -77,7 +77,7 @@
 	l := []wanting{}
 	for _, j := range s.active {
 		for _, o := range j.occurrences {
-			if o.left == 0 || now.Before(j.job.Due(o.number).Add(-s.bounds.Early/2)) {
+			if o.left == 0 || !s.due(j.job, o.number, now) {
 				continue
 			}
 			for _, p := range o.steps {
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -155,6 +155,8 @@
 		return
 	}
 	m.Pool = q.Pool
+	// The owner's clock decides, since the entries' clocks may differ.
+	m.AcceptedMs = now.UnixMilli()
 	n := job.New(m)
 	if r := s.admit(n, q, now); r != nil {
 		s.note(Note{Job: n.ID, Pool: n.Pool, Reason: "refused: " + r.Reason})
