--- a/entry/steward/move.go
+++ b/entry/steward/move.go
@@ -33,7 +33,7 @@
 	vms := []rebalance.VM{}
 	have := map[string]float64{}
 	for n, v := range t.vms {
-		x := t.rebalanceVM(n, v, loads[n], now)
+		x := t.rebalanceVM(n, v, loads[v.Server], now)
 		if x.Pool == "" {
 			continue
 		}
@@ -86,7 +86,7 @@
 		x.Pool = ""
 	case t.standby(v.Pool):
 		x.Movable = true
-	case l.Server == "" || !l.Usable:
+	case !l.Known || !l.Usable:
 		// A VM that is up but does not serve is of no use where it is.
 		x.Cores = 0
 	default:
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -166,10 +166,12 @@
 	orders sync.WaitGroup
 
 	// lock guards what follows; orders that are answered change it.
-	lock    sync.Mutex
-	vms     map[string]vm.Sighting
-	listed  time.Time
-	logged  time.Time
+	lock   sync.Mutex
+	vms    map[string]vm.Sighting
+	listed time.Time
+	logged time.Time
+	// settled says that no run of an earlier owner can be left unknown.
+	settled bool
 	duties  map[string]*duty
 	done    map[int]*progress
 	surplus map[string]time.Time
@@ -219,6 +221,7 @@
 	var needs map[string]scheduler.Need
 	t.office.Do(func(x *scheduler.Scheduler, now time.Time) {
 		loads = x.Loads(now)
+		t.settled = x.Settled(now)
 		needs = x.Needs(now)
 	})
 	t.repeat(ctx, now)
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -114,12 +114,12 @@
 	v, known := t.vms[name]
 	x := wave.VM{Name: name, Pool: v.Pool}
 	d := t.duties[name]
-	load, serving := loads[name]
+	load := loads[v.Server]
 	x.Standby = t.standby(v.Pool)
 	held := now.Before(t.embargo[name])
 	x.Up = known && v.Standing == vm.Up && (d == nil || d.prepared) && !held
 	x.Prepared = d != nil && d.prepared
-	x.Empty = !serving || load.Runs == 0
+	x.Empty = t.vacant(v, load)
 	x.Work = load.Work + float64(load.Lasting)
 	x.Spare = spare[v.Pool] || x.Standby
 	switch {
@@ -147,11 +147,12 @@
 	have := map[string]float64{}
 	largest := map[string]float64{}
 	count := map[string]int{}
-	for n, l := range loads {
-		if d := t.duties[n]; d != nil || !l.Usable {
+	for n, v := range t.vms {
+		l := loads[v.Server]
+		if t.duties[n] != nil || !l.Usable {
 			continue
 		}
-		c := float64(t.vms[n].Capacity.CPU) / 1000
+		c := float64(v.Capacity.CPU) / 1000
 		have[l.Pool] += c
 		count[l.Pool]++
 		largest[l.Pool] = max(largest[l.Pool], c)
@@ -203,17 +204,24 @@
 	t.lock.Unlock()
 }
 
+// vacant says whether nothing runs on a VM: it is off, its server has told so, or no run of an earlier owner can
+// be left on a server that says nothing.
+func (t *term) vacant(v vm.Sighting, l scheduler.Load) bool {
+	return l.Runs == 0 && (v.Server == "" || l.Known || t.settled)
+}
+
 // empty cordons a VM and says whether nothing runs on it.
 func (t *term) empty(name string) bool {
-	runs := 0
+	v := t.vms[name]
+	is := false
 	t.office.Do(func(s *scheduler.Scheduler, now time.Time) {
 		s.Cordon(name, true)
-		runs = s.Loads(now)[name].Runs
+		is = t.vacant(v, s.Loads(now)[v.Server])
 	})
-	if runs > 0 && t.duties[name] == nil {
+	if !is && t.duties[name] == nil {
 		t.uncordon(name)
 	}
-	return runs == 0
+	return is
 }
 
 // tell stores the progress and what the operators read.
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -134,6 +134,10 @@
 		}
 	}
 	o.Ticket = s.ticket(r)
+	s.note(Note{
+		Job: r.task.job.ID, Task: r.task.key.String(), Server: v.info.ID, Pool: v.info.Pool, Run: r.number,
+		Reason: "start ordered", Age: now.Sub(v.heard),
+	})
 	s.orders.Starts = append(s.orders.Starts, o)
 }
 
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -4,29 +4,32 @@
 	"time"
 )
 
-// Load is what runs on a VM.
+// Load is what runs on a server.
 type Load struct {
-	Server string
-	Pool   string
+	Pool string
+	// Known says that the server itself has told this owner what runs there.
+	Known bool
 	// Runs counts what is there, Work is the expected core-seconds until its finite runs are done.
 	Runs int
 	Work float64
 	// Lasting counts the runs that do not end by themselves.
 	Lasting int
-	// Idle is since when nothing runs on the VM, zero where something does.
+	// Idle is since when nothing runs there, zero where something does.
 	Idle time.Time
 	// Usable says that new runs may go there.
 	Usable bool
 }
 
-// Loads tells what runs on each registered VM.
+// Settled says whether no run of an earlier owner can be left that this one does not know of.
+func (s *Scheduler) Settled(now time.Time) bool {
+	return now.After(s.settledAt)
+}
+
+// Loads tells what runs on each server, by its ID.
 func (s *Scheduler) Loads(now time.Time) map[string]Load {
 	m := map[string]Load{}
 	for id, v := range s.servers {
-		if !v.registered || v.info.VM == "" {
-			continue
-		}
-		l := Load{Server: id, Pool: v.info.Pool, Runs: len(v.runs), Usable: v.usable(now)}
+		l := Load{Pool: v.info.Pool, Known: v.listed > 0, Runs: len(v.runs), Usable: v.usable(now)}
 		for _, r := range v.runs {
 			if r.task.step.step.Lasting {
 				l.Lasting++
@@ -37,7 +40,7 @@
 		if l.Runs == 0 {
 			l.Idle = v.idle
 		}
-		m[v.info.VM] = l
+		m[id] = l
 	}
 	return m
 }
