--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -12,14 +12,17 @@
 )
 
 const (
-	// orderLimit bounds an order to a server; a later answer is settled by the server's listing.
-	orderLimit = 800 * time.Millisecond
-	// holdWait is how long a listing waits for an end.
-	holdWait = time.Second
-	// holdLimit bounds a listing with its wait.
-	holdLimit = holdWait + 700*time.Millisecond
-	// firstLook bounds the first listing, which does not wait.
-	firstLook = 500 * time.Millisecond
+	// orderLimit bounds an order to a server with its repetitions; what is left open is settled by the server's listing.
+	orderLimit = 900 * time.Millisecond
+	// idleWait is how long a listing waits for an end on a server that runs nothing finite, busyWait on others:
+	// a lost answer hides ends for as long.
+	idleWait = time.Second
+	busyWait = 400 * time.Millisecond
+	// holdSlack is how long after its wait a listing may come.
+	holdSlack = 250 * time.Millisecond
+	// firstLook bounds the first listing, which does not wait; secondLook the one after a listing without an answer.
+	firstLook  = 500 * time.Millisecond
+	secondLook = 300 * time.Millisecond
 	// holdRetry is between listings of a server that does not answer.
 	holdRetry = 200 * time.Millisecond
 	// settleWait bounds the wait until listed ends are stored; they would be listed again at once.
@@ -66,14 +69,19 @@
 	})
 }
 
+// start has a server start a run. An order without an answer is repeated, since it is idempotent: the server has
+// one run of each number.
 func (r *reign) start(x scheduler.Start) {
-	c, stop := context.WithTimeout(r.ctx, orderLimit)
-	defer stop()
-	a, clock, err := r.owner.ports.Servers.Start(c, x, uint64(r.epoch))
-	if r.fenced(err) {
+	a, clock := scheduler.NoAnswer, time.Duration(0)
+	ok := r.persistOrder(func(c context.Context) error {
+		var err error
+		a, clock, err = r.owner.ports.Servers.Start(c, x, uint64(r.epoch))
+		return err
+	})
+	if r.ctx.Err() != nil {
 		return
 	}
-	if err != nil {
+	if !ok {
 		a, clock = scheduler.NoAnswer, 0
 	}
 	r.owner.ports.Metrics.Event("starts", a.String())
@@ -82,11 +90,31 @@
 
 // order sends an order whose effect the server's listing shows.
 func (r *reign) order(f func(context.Context) error) {
-	c, stop := context.WithTimeout(r.ctx, orderLimit)
-	defer stop()
-	if err := f(c); err != nil && !r.fenced(err) && r.ctx.Err() == nil {
-		r.owner.note(decision.Server, "order not answered: "+err.Error(), r.epoch)
+	if !r.persistOrder(f) && r.ctx.Err() == nil {
+		r.owner.note(decision.Server, "order not answered", r.epoch)
+	}
+}
+
+// persistOrder repeats an idempotent order until it is answered, with more time each, or its life is over.
+func (r *reign) persistOrder(f func(context.Context) error) bool {
+	until := time.Now().Add(orderLimit)
+	limit := r.ordering.limit()
+	for r.ctx.Err() == nil && time.Now().Before(until) {
+		c, stop := context.WithTimeout(r.ctx, limit)
+		began := time.Now()
+		err := f(c)
+		stop()
+		if err == nil {
+			r.ordering.observe(time.Since(began))
+			return true
+		}
+		if r.fenced(err) {
+			return false
+		}
+		r.owner.ports.Metrics.Event("orders", "repeated")
+		limit *= 2
 	}
+	return false
 }
 
 // fenced ends the reign if a server obeys a later owner.
@@ -115,55 +143,85 @@
 
 // keep holds one server's runs and takes its ends until it is of no more use.
 func (r *reign) keep(id string) {
-	first := true
+	missed := 1
 	for r.ctx.Err() == nil {
-		var h scheduler.Hold
-		ok := false
-		r.lock.Lock()
-		h, ok = r.scheduler.Hold(id, time.Now())
-		if !ok {
-			delete(r.keepers, id)
-		}
-		r.lock.Unlock()
+		h, ok := r.nextHold(id)
 		if !ok {
 			return
 		}
-		if r.since() > holdWithout {
-			h.Until = 0
-		}
-		if !r.look(h, first) {
-			first = true
-			pause(r.ctx, holdRetry)
+		if err := r.look(h, missed); err != nil {
+			missed++
+			r.missed(h, missed, err)
 			continue
 		}
-		first = false
+		missed = 0
 		r.awaitStored(id)
 	}
 }
 
-// look asks a server once; the first look after a silence does not wait.
-func (r *reign) look(h scheduler.Hold, first bool) bool {
+// nextHold is how to ask the server next; ok is false where there is no need of it any more.
+func (r *reign) nextHold(id string) (scheduler.Hold, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	h, ok := r.scheduler.Hold(id, time.Now())
+	if !ok {
+		delete(r.keepers, id)
+	}
+	if r.since() > holdWithout {
+		h.Until = 0
+	}
+	return h, ok
+}
+
+// look asks a server once; after an answer that did not come it does not wait for an end.
+func (r *reign) look(h scheduler.Hold, missed int) error {
 	if !h.Server.Address.IsValid() {
-		return false
+		return &UnreachableError{Server: h.Server.ID}
+	}
+	wait := idleWait
+	if h.Busy {
+		wait = busyWait
 	}
-	wait, limit := holdWait, holdLimit
-	if first {
+	limit := wait + holdSlack
+	switch {
+	case missed == 1:
+		wait, limit = 0, secondLook
+	case missed > 1:
 		wait, limit = 0, firstLook
 	}
 	c, stop := context.WithTimeout(r.ctx, limit)
 	defer stop()
 	l, err := r.owner.ports.Servers.Hold(c, h, uint64(r.epoch), wait)
-	if r.fenced(err) || r.ctx.Err() != nil {
-		return false
-	}
 	if err != nil {
-		r.do(func(s *scheduler.Scheduler, now time.Time) {
-			s.Unreachable(h.Server.ID, h.Server.Born, now, err.Error())
-		})
-		return false
+		r.fenced(err)
+		return err
 	}
 	r.do(func(s *scheduler.Scheduler, now time.Time) { s.Listed(h.Server.ID, l, now) })
-	return true
+	return nil
+}
+
+// missed takes note of a listing that did not come; one alone may be a lost answer.
+func (r *reign) missed(h scheduler.Hold, missed int, err error) {
+	if missed < silentAfter || r.ctx.Err() != nil {
+		return
+	}
+	r.do(func(s *scheduler.Scheduler, now time.Time) {
+		s.Unreachable(h.Server.ID, h.Server.Born, now, err.Error())
+	})
+	pause(r.ctx, holdRetry)
+}
+
+// silentAfter is how many listings in a row do not come from a server that is taken as silent.
+const silentAfter = 2
+
+// UnreachableError reports a server whose address is not known.
+type UnreachableError struct {
+	Server string
+}
+
+// Error describes the failure in one line.
+func (e *UnreachableError) Error() string {
+	return "the address of server " + e.Server + " is not known"
 }
 
 // awaitStored waits until the server's ends are stored, so that the next look acknowledges them.
--- a/entry/owner/pace.go
+++ b/entry/owner/pace.go
@@ -1,23 +1,35 @@
 package owner
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
-// pace follows how long commits take, so that a lost answer is noticed early at a store that is fast, and a slow
-// store is given its time.
+// pace follows how long calls to a peer take, so that a lost answer is noticed early at a peer that is fast, and
+// a slow one is given its time.
 type pace struct {
+	// least and most bound the limit.
+	least, most time.Duration
+
+	lock sync.Mutex
 	mean time.Duration
 }
 
 const (
-	// paceTimes is how many times its usual time a commit may take.
+	// paceTimes is how many times its usual time a call may take.
 	paceTimes = 8
-	// paceLeast bounds the limit from below; garbage collection and queues take tens of milliseconds.
-	paceLeast = 150 * time.Millisecond
-	// pacePart is the weight of the commits before, of one more.
+	// pacePart is the weight of the calls before, of one more.
 	pacePart = 8
+	// commitLeast covers garbage collection and queues at the store, which take tens of milliseconds.
+	commitLeast = 150 * time.Millisecond
+	// orderLeast is the same for backend servers, which do less for a call.
+	orderLeast = 80 * time.Millisecond
+	orderMost  = 400 * time.Millisecond
 )
 
 func (p *pace) observe(d time.Duration) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
 	if p.mean == 0 {
 		p.mean = d
 		return
@@ -25,7 +37,9 @@
 	p.mean += (d - p.mean) / pacePart
 }
 
-// limit is how long to wait for the first answer to a commit.
+// limit is how long to wait for an answer before the call is repeated.
 func (p *pace) limit() time.Duration {
-	return min(max(paceTimes*p.mean, paceLeast), storeLimit)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return min(max(paceTimes*p.mean, p.least), p.most)
 }
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -44,6 +44,8 @@
 	pace    pace
 	failing bool
 	away    atomic.Bool
+	// ordering follows how long servers take for an order.
+	ordering pace
 }
 
 const (
@@ -60,6 +62,7 @@
 	r := &reign{
 		owner: o, epoch: epoch, lease: l, began: now,
 		scheduler: scheduler.New(o.bounds, now), keepers: map[string]bool{}, dirty: make(chan struct{}, 1),
+		pace: pace{least: commitLeast, most: storeLimit}, ordering: pace{least: orderLeast, most: orderMost},
 	}
 	r.confirm()
 	return r
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -190,6 +190,8 @@
 	Until time.Duration
 	// Acknowledged is up to which end the store knows.
 	Acknowledged uint64
+	// Busy says that ends are to be expected soon.
+	Busy bool
 }
 
 // Hold prepares the next call to a server; ok is false where there is no need of one. Runs on a server that
@@ -200,7 +202,7 @@
 		return Hold{}, false
 	}
 	v.ends.settle()
-	h := Hold{Server: v.info, Acknowledged: v.ends.stored}
+	h := Hold{Server: v.info, Acknowledged: v.ends.stored, Busy: v.finite()}
 	if v.clock > 0 && v.reachable {
 		h.Until = v.guess(now) + s.bounds.Hold*leasePart/100
 		v.lease = max(v.lease, h.Until)
@@ -208,6 +210,16 @@
 	return h, v.registered || len(v.runs) > 0 || len(v.ends.pending) > 0
 }
 
+// finite says whether runs are there that end by themselves.
+func (v *serverState) finite() bool {
+	for _, r := range v.runs {
+		if !r.task.step.step.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
 // leasePart is the percentage of the longest lease that is asked for, so that what is lost with a server is free early.
 const leasePart = 83
 
