--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -74,6 +74,8 @@
 	checkpoint string
 	// avoided is the server on which the task last failed or stood still.
 	avoided string
+	// straggled says that a run was given up because it was slow; a second one is left to finish.
+	straggled bool
 	// idleSince is when the task last stopped working.
 	idleSince time.Time
 }
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -70,6 +70,7 @@
 		v.health.stall(v, now)
 	case s.straggles(r):
 		s.note(r.note("straggles"))
+		r.task.straggled = true
 		v.health.slow(now)
 	default:
 		return
@@ -104,7 +105,7 @@
 // told by the other tasks of its step on other servers: estimates are too far off to tell.
 func (s *Scheduler) straggles(r *run) bool {
 	p := r.task.step.step
-	if p.Lasting || p.Gang || r.server.heard.Sub(r.began) < straggleSight || r.percent <= r.beganAt {
+	if p.Lasting || p.Gang || r.task.straggled || r.server.heard.Sub(r.began) < straggleSight || r.percent <= r.beganAt {
 		return false
 	}
 	anew := r.task.step.typical(r.server)
@@ -115,7 +116,25 @@
 	if p.Checkpointing {
 		anew = anew * time.Duration(100-r.percent) / 100
 	}
-	return rest > time.Duration(straggleFactor*float64(anew))+straggleSlack
+	return rest > time.Duration(straggleFactor*float64(anew))+straggleSlack && r.server.slower()
+}
+
+// slower says whether the runs on the server are slow as a whole: a single task may just be longer than the others
+// of its step.
+func (v *serverState) slower() bool {
+	slow, known := 0, 0
+	for _, r := range v.runs {
+		if r.phase != working || r.percent < r.beganAt+projectFrom {
+			continue
+		}
+		if t := r.task.step.typical(v); t > 0 {
+			known++
+			if float64(r.projected()) > straggleFactor*float64(t) {
+				slow++
+			}
+		}
+	}
+	return known < projectFew || 2*slow > known
 }
 
 // projected is how long the whole run takes at its present speed.
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -153,6 +153,46 @@
 		gomega.Expect(w.stopped()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("gives up a straggler once and lets its next run finish, since the task itself may be long", func() {
+		w.submit(record(1, 5, func(s *schema.StepRecord) { s.AntiAffinity = 4 }))
+		open := map[job.Task]scheduler.Start{}
+		began := map[job.Task]time.Time{}
+		given := 0
+		for range 60 {
+			for _, s := range w.started() {
+				open[s.Task], began[s.Task] = s, w.now
+			}
+			runs, ends := map[string][]server.Run{}, map[string][]server.End{}
+			over := func(s scheduler.Start, how job.End) {
+				n := s.Server.ID
+				w.seqs[n]++
+				ends[n] = append(ends[n], server.End{Sequence: w.seqs[n], Task: s.Task, Number: s.Number, How: how})
+				delete(open, s.Task)
+			}
+			for _, x := range w.stopped() {
+				given++
+				over(open[x.Task], job.EndStopped)
+			}
+			for k, s := range open {
+				percent := int(w.now.Sub(began[k]).Milliseconds() / 10)
+				if k.Index == 0 {
+					percent /= 6
+				}
+				if percent >= 100 {
+					over(s, job.EndDone)
+					continue
+				}
+				runs[s.Server.ID] = append(runs[s.Server.ID], running(s, percent))
+			}
+			for _, n := range []string{"a", "b"} {
+				w.listEnds(n, ends[n], runs[n]...)
+			}
+			w.pass(100 * time.Millisecond)
+		}
+		gomega.Expect(given).To(gomega.BeNumerically("<=", 1))
+		gomega.Expect(w.State(record(1, 1).Id).Phase).To(gomega.Equal(job.Completed))
+	})
+
 	ginkgo.It("leaves a server alone that fails all it starts", func() {
 		failed := 0
 		for i := range 10 {
