--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -158,7 +158,7 @@
 		open := map[job.Task]scheduler.Start{}
 		began := map[job.Task]time.Time{}
 		given := 0
-		for range 60 {
+		for range 90 {
 			for _, s := range w.started() {
 				open[s.Task], began[s.Task] = s, w.now
 			}
