--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -122,6 +122,7 @@
 	x.Empty = t.vacant(v, load)
 	x.Work = load.Work + float64(load.Lasting)
 	x.Spare = spare[v.Pool] || x.Standby
+	x.Lasting = load.Lasting > 0
 	switch {
 	case !known:
 		x.Condition = wave.Gone
--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -136,6 +136,16 @@
 	return w
 }
 
+// MemoryWork is the estimated megabyte-seconds of one occurrence.
+func (j *Job) MemoryWork() float64 {
+	w := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		w += float64(s.Count) * float64(s.Size.MemoryMB) * s.Estimate.Seconds()
+	}
+	return w
+}
+
 // New converts a job of the schema, whose fields have been checked.
 func New(m *schema.JobRecord) *Job {
 	j := &Job{
--- a/fleet/rebalance/rebalance.go
+++ b/fleet/rebalance/rebalance.go
@@ -79,7 +79,9 @@
 	}
 	for _, v := range vms {
 		s.cores[v.Pool] += v.Cores
-		s.count[v.Pool]++
+		if v.Cores > 0 {
+			s.count[v.Pool]++
+		}
 	}
 	slices.SortFunc(s.vms, func(a, b VM) int { return cmp.Or(a.Idle.Compare(b.Idle), cmp.Compare(a.Name, b.Name)) })
 	l := s.grow(pools)
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -146,45 +146,76 @@
 	return m
 }
 
-// neededCores are the cores that the work of each pool asks for.
+// neededCores are the cores that the work of each pool asks for; where memory runs out first, as many as come with
+// the memory that it asks for.
 func (s *Scheduler) neededCores(now time.Time) map[string]float64 {
 	m := map[string]float64{}
 	if s.table == nil {
 		return m
 	}
+	for p, n := range s.demand(now) {
+		m[p] = max(n.cores, n.memory*s.coresPerMB())
+	}
+	return m
+}
+
+// claim is what work asks for at once, in cores and megabytes.
+type claim struct {
+	cores, memory float64
+}
+
+func (c claim) add(o claim) claim {
+	return claim{c.cores + o.cores, c.memory + o.memory}
+}
+
+// demand is what the arrivals and the open tasks of each pool ask for: of finite work the larger of the two, since
+// open tasks are arrivals of a moment ago, and all of the lasting work.
+func (s *Scheduler) demand(now time.Time) map[string]claim {
+	coming, open, steady := map[string]claim{}, map[string]claim{}, map[string]claim{}
 	for _, q := range s.table.Queues {
-		m[q.Pool] += s.rate(q.Name, now)
+		coming[q.Pool] = coming[q.Pool].add(s.rate(q.Name, now))
 	}
-	open := map[string]float64{}
-	steady := map[string]float64{}
 	for _, j := range s.active {
 		p := s.poolOf(j)
-		open[p] += j.openCores()
-		for _, o := range j.occurrences {
-			for _, x := range o.steps {
-				if x.step.Lasting {
-					steady[p] += float64(x.step.Demand().CPU*int64(x.step.Count)) / 1000
-				}
-			}
-		}
+		open[p] = open[p].add(j.claim(false))
+		steady[p] = steady[p].add(j.claim(true))
 	}
-	for p, c := range open {
-		m[p] = max(m[p], c) + steady[p]
+	m := map[string]claim{}
+	for p, c := range coming {
+		o := open[p]
+		m[p] = claim{max(c.cores, o.cores), max(c.memory, o.memory)}.add(steady[p])
 	}
 	return m
 }
 
-// openCores are the cores that the job's tasks could use now.
-func (j *jobState) openCores() float64 {
-	c := int64(0)
+// claim is what the job's lasting or finite tasks could use now.
+func (j *jobState) claim(lasting bool) claim {
+	c := claim{}
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
-			if p.open() && !p.step.Lasting {
-				c += int64(p.left) * p.step.Demand().CPU
+			if !p.open() || p.step.Lasting != lasting {
+				continue
 			}
+			d := p.step.Demand()
+			c = c.add(claim{float64(int64(p.left)*d.CPU) / milli, float64(int64(p.left) * d.MemoryMB)})
 		}
 	}
-	return float64(c) / 1000
+	return c
+}
+
+// milli is how many thousandths of a core a core has.
+const milli = 1000
+
+// coresPerMB is how many cores come with a megabyte of memory on the servers that are known.
+func (s *Scheduler) coresPerMB() float64 {
+	total := claim{}
+	for _, v := range s.servers {
+		total = total.add(claim{float64(v.info.Capacity.CPU) / milli, float64(v.info.Capacity.MemoryMB)})
+	}
+	if total.memory == 0 {
+		return 0
+	}
+	return total.cores / total.memory
 }
 
 // SetComing tells how many cores are on their way to each pool, and how many are idle and could come.
--- a/fleet/scheduler/rate.go
+++ b/fleet/scheduler/rate.go
@@ -13,8 +13,10 @@
 type arrivals struct {
 	fast, slow float64
 	at         time.Time
-	work       float64
-	jobs       int
+	// work is the mean core-seconds of so many jobs, memory the megabytes that come with each of them.
+	work   float64
+	memory float64
+	jobs   int
 	// seen are the jobs that were counted, since refused ones come again.
 	seen map[string]time.Time
 }
@@ -50,7 +52,9 @@
 	a.fast += 1 / fastMemory.Seconds()
 	a.slow += 1 / slowMemory.Seconds()
 	a.jobs++
-	a.work += max(workPart, 1/float64(a.jobs)) * (n.Work() - a.work)
+	part := max(workPart, 1/float64(a.jobs))
+	a.work += part * (n.Work() - a.work)
+	a.memory += part * (n.MemoryWork() - a.memory)
 }
 
 func (a *arrivals) decay(now time.Time) {
@@ -60,11 +64,11 @@
 	a.slow *= math.Exp(-d / slowMemory.Seconds())
 }
 
-// rate is how many cores a queue's arrivals will ask for when a VM that is asked for now has come.
-func (s *Scheduler) rate(queue string, now time.Time) float64 {
+// rate is what a queue's arrivals will ask for when a VM that is asked for now has come.
+func (s *Scheduler) rate(queue string, now time.Time) claim {
 	a := s.rates[queue]
 	if a == nil {
-		return 0
+		return claim{}
 	}
 	a.decay(now)
 	for id, t := range a.seen {
@@ -74,7 +78,8 @@
 	}
 	slope := (a.fast - a.slow) / (slowMemory - fastMemory).Seconds()
 	rise := min(max(slope, 0)*lookAhead.Seconds(), a.fast*mostRise)
-	return (a.fast + rise) * a.work * s.ratio(queue) * headroom
+	x := (a.fast + rise) * s.ratio(queue) * headroom
+	return claim{x * a.work, x * a.memory}
 }
 
 // learning is what was learned of the queues, for the next owner.
@@ -83,7 +88,7 @@
 	for n, a := range s.rates {
 		a.decay(now)
 		m := &schema.QueueLearning{
-			Queue: n, Ratio: s.ratio(n), Fast: a.fast, Slow: a.slow, AtMs: now.UnixMilli(), Work: a.work, Jobs: int32(a.jobs),
+			Queue: n, Ratio: s.ratio(n), Fast: a.fast, Slow: a.slow, AtMs: now.UnixMilli(), Work: a.work, Memory: a.memory, Jobs: int32(a.jobs),
 		}
 		if x := s.learned[n]; x != nil {
 			m.Samples = int32(x.samples)
@@ -98,7 +103,7 @@
 	for _, m := range l {
 		at := now.Add(-max(now.Round(0).Sub(time.UnixMilli(m.AtMs)), 0))
 		s.rates[m.Queue] = &arrivals{
-			fast: m.Fast, slow: m.Slow, at: at, work: m.Work, jobs: int(m.Jobs), seen: map[string]time.Time{},
+			fast: m.Fast, slow: m.Slow, at: at, work: m.Work, memory: m.Memory, jobs: int(m.Jobs), seen: map[string]time.Time{},
 		}
 		if m.Samples > 0 {
 			s.learned[m.Queue] = &learning{ratio: m.Ratio, samples: int(m.Samples)}
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -329,6 +329,11 @@
 		gomega.Expect(w.stopped()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("need the cores that come with their memory where memory runs out first", func() {
+		w.submit(record(1, 6, lasting, func(s *schema.StepRecord) { s.CpuMilli = 1000; s.MemoryMb = 64000 }))
+		gomega.Expect(w.Needs(w.now)["carving"].Cores).To(gomega.BeNumerically("~", 6*32, 1))
+	})
+
 	ginkgo.It("need as many servers as their anti-affinity asks for and one to move to", func() {
 		place(3, 1)
 		gomega.Expect(w.Needs(w.now)["carving"].Servers).To(gomega.Equal(4))
--- a/fleet/wave/decide.go
+++ b/fleet/wave/decide.go
@@ -42,6 +42,8 @@
 	Work float64
 	// Spare says that its pool can do without it now.
 	Spare bool
+	// Lasting says that tasks run there that have to be moved, few at a time.
+	Lasting bool
 }
 
 // Plan is what is to be done for a wave now.
@@ -58,10 +60,13 @@
 	perVM = 6 * time.Second
 	// reserve is kept for what fails.
 	reserve = 4 * time.Second
+	// slowAtOnce is how many VMs of a pool are emptied of lasting tasks at once, from the start of a wave.
+	slowAtOnce = 2
 )
 
 // Decide returns what to do now: VMs that are off or empty go first, at most as many at once as the wave allows;
-// VMs in use are emptied while their pools can do without them, and in any case once time runs short.
+// VMs in use are emptied while their pools can do without them, and in any case once time runs short. Lasting tasks
+// move one after the other, so the VMs that hold them are emptied from the start, few in each pool.
 func Decide(w Wave, began, now time.Time, vms []VM) Plan {
 	p := Plan{Complete: true}
 	away, left := 0, 0
@@ -78,6 +83,7 @@
 	}
 	free := w.Most - away
 	l := candidates(vms)
+	slow := slowNow(vms)
 	urgent := began.Add(w.Time).Sub(now) < perVM*time.Duration((left+max(w.Most, 1)-1)/max(w.Most, 1))+reserve
 	for _, v := range l {
 		if free <= 0 {
@@ -89,6 +95,9 @@
 		case v.Prepared:
 		case v.Spare || urgent:
 			p.Prepare = append(p.Prepare, v.Name)
+		case v.Lasting && slow[v.Pool] < slowAtOnce:
+			slow[v.Pool]++
+			p.Prepare = append(p.Prepare, v.Name)
 		default:
 			continue
 		}
@@ -97,6 +106,17 @@
 	return p
 }
 
+// slowNow counts the VMs of each pool that are being emptied.
+func slowNow(vms []VM) map[string]int {
+	m := map[string]int{}
+	for _, v := range vms {
+		if v.Prepared && !v.Empty {
+			m[v.Pool]++
+		}
+	}
+	return m
+}
+
 // candidates are the VMs that wait, the least costly first.
 func candidates(vms []VM) []VM {
 	l := []VM{}
--- a/fleet/wave/wave_test.go
+++ b/fleet/wave/wave_test.go
@@ -23,6 +23,8 @@
 	busy := wave.VM{Name: "busy", Up: true, Work: 50}
 	spare := wave.VM{Name: "spare", Up: true, Work: 20, Spare: true}
 	needed := wave.VM{Name: "needed", Up: true, Empty: true}
+	hosts := func(name string) wave.VM { return wave.VM{Name: name, Pool: "cups", Up: true, Work: 5, Lasting: true} }
+	emptied := wave.VM{Name: "emptied", Pool: "cups", Up: true, Prepared: true, Lasting: true}
 	away := wave.VM{Name: "away", Condition: wave.Away}
 	asked := wave.VM{Name: "asked", Condition: wave.Asked}
 	done := wave.VM{Name: "done", Condition: wave.Maintained, Up: true}
@@ -36,6 +38,10 @@
 		ginkgo.Entry("VMs in use are emptied while their pool can spare them", time.Second, []wave.VM{busy, spare},
 			wave.Plan{Prepare: []string{"spare"}}),
 		ginkgo.Entry("those that a pool needs wait", time.Second, []wave.VM{busy, needed}, wave.Plan{}),
+		ginkgo.Entry("those with lasting tasks are emptied from the start", time.Second, []wave.VM{hosts("x"), hosts("y")},
+			wave.Plan{Prepare: []string{"x", "y"}}),
+		ginkgo.Entry("but few in each pool", time.Second, []wave.VM{emptied, hosts("x"), hosts("y")},
+			wave.Plan{Prepare: []string{"x"}}),
 		ginkgo.Entry("until time runs short", 25*time.Second, []wave.VM{busy, needed},
 			wave.Plan{Down: []string{"needed"}, Prepare: []string{"busy"}}),
 		ginkgo.Entry("never more at once than it allows", time.Second, []wave.VM{away, off, empty}, wave.Plan{Down: []string{"off"}}),
