--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -68,20 +68,27 @@
 		}
 		for _, r := range v.runs {
 			empty = false
-			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task, now) && placeable(r.task, pools[v.info.Pool], now) {
-				s.note(r.note("evacuated"))
-				s.stop(r, now)
+			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task, now) {
+				s.evacuate(r, pools[v.info.Pool], now)
 			}
 		}
 	}
 	return empty
 }
 
-// placeable says whether the task has a place to go to.
-func placeable(t *task, l []*serverState, now time.Time) bool {
-	return best(t, l, now) != nil
+// evacuate stops a lasting task that has a place to go to; where it has none, its pool lacks a server.
+func (s *Scheduler) evacuate(r *run, l []*serverState, now time.Time) {
+	if best(r.task, l, now) == nil {
+		s.crowded[r.server.info.Pool] = now
+		return
+	}
+	s.note(r.note("evacuated"))
+	s.stop(r, now)
 }
 
+// crowdedFor is for how long a lasting task without a place has its pool ask for one more server.
+const crowdedFor = time.Second
+
 // canMiss says whether one more of the step's lasting tasks may be away.
 func (p *stepState) canMiss(t *task, now time.Time) bool {
 	if p.step.MayMiss <= 0 {
@@ -143,6 +150,12 @@
 		}
 		m[p] = n
 	}
+	for p, at := range s.crowded {
+		if n := m[p]; now.Sub(at) < crowdedFor {
+			n.Servers = max(n.Servers, len(s.pools(now)[p])+1)
+			m[p] = n
+		}
+	}
 	return m
 }
 
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -192,6 +192,9 @@
 		}
 		v := best(t, l, now)
 		if v == nil {
+			if t.step.step.Lasting {
+				s.crowded[s.poolOf(w.state)] = now
+			}
 			return
 		}
 		s.assign(t, v, t.lastRun+1)
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -47,6 +47,8 @@
 	cordoned  map[string]bool
 	rates     map[string]*arrivals
 	supplies  map[string]figure
+	// crowded is when a lasting task last found no place in a pool.
+	crowded map[string]time.Time
 	// ordered are the servers by ID, nil when they have changed.
 	ordered []*serverState
 	// coming are the cores on their way to each pool, reserve those that are idle in all pools.
@@ -61,7 +63,7 @@
 		jobs:   map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		settledAt: now.Add(inheritedHold + b.Hold*leaseMargin/100),
 		advice:    map[string]*permit{}, learned: map[string]*learning{}, cordoned: map[string]bool{},
-		rates: map[string]*arrivals{}, supplies: map[string]figure{},
+		rates: map[string]*arrivals{}, supplies: map[string]figure{}, crowded: map[string]time.Time{},
 	}
 }
 
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -329,6 +329,17 @@
 		gomega.Expect(w.stopped()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("have their pool ask for one more server when one finds no place", func() {
+		l := place(3, 3)
+		w.Evacuate(l[0].Server.VM, w.now)
+		gomega.Expect(w.Needs(w.now)["carving"].Servers).To(gomega.Equal(4))
+		big := func(s *schema.StepRecord) { s.MemoryMb = 90000 }
+		w.submit(record(2, 4, lasting, big))
+		gomega.Expect(w.started()).To(gomega.HaveLen(3))
+		gomega.Expect(w.Needs(w.now)["carving"].Servers).To(gomega.Equal(4))
+		w.pass(100 * time.Millisecond)
+	})
+
 	ginkgo.It("need the cores that come with their memory where memory runs out first", func() {
 		w.submit(record(1, 6, lasting, func(s *schema.StepRecord) { s.CpuMilli = 1000; s.MemoryMb = 64000 }))
 		gomega.Expect(w.Needs(w.now)["carving"].Cores).To(gomega.BeNumerically("~", 6*32, 1))
