--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -67,6 +67,14 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter(name).Inc(1)
 }
 
+// Time records how long something took, by its kind.
+func (m *Metrics) Time(name, kind string, d time.Duration) {
+	m.scope.Tagged(map[string]string{"kind": kind}).Histogram(name, durations).RecordDuration(d)
+}
+
+// durations are the bounds of the histograms' buckets: from a call within a data centre to a request's deadline.
+var durations = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Gauge sets a value.
 func (m *Metrics) Gauge(name string, v float64) {
 	m.scope.Gauge(name).Update(v)
--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -124,6 +124,7 @@
 	if err == nil {
 		r.confirm()
 		r.pace.observe(time.Since(began))
+		r.owner.ports.Metrics.Time("commit_duration", "stored", time.Since(began))
 	}
 	return n, err
 }
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -37,6 +37,11 @@
 	for _, n := range o.Notes {
 		r.log(n)
 	}
+	for k, n := range o.Ends {
+		for range n {
+			r.owner.ports.Metrics.Event("ends", k.String())
+		}
+	}
 	for _, x := range o.Starts {
 		r.spawn(func() { r.start(x) })
 	}
@@ -106,6 +111,7 @@
 		stop()
 		if err == nil {
 			r.ordering.observe(time.Since(began))
+			r.owner.ports.Metrics.Time("order_duration", "answered", time.Since(began))
 			return true
 		}
 		if r.fenced(err) {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -75,6 +75,7 @@
 // Counter counts what the owner does.
 type Counter interface {
 	Event(name, kind string)
+	Time(name, kind string, d time.Duration)
 	Gauge(name string, v float64)
 }
 
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -102,9 +102,10 @@
 
 type silent struct{}
 
-func (silent) Add(decision.Record)   {}
-func (silent) Event(string, string)  {}
-func (silent) Gauge(string, float64) {}
+func (silent) Add(decision.Record)                {}
+func (silent) Event(string, string)               {}
+func (silent) Time(string, string, time.Duration) {}
+func (silent) Gauge(string, float64)              {}
 
 var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "carving", Attempts: 3, Slack: 2, Latency: time.Second}},
 	map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{})
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -107,6 +107,8 @@
 	}
 	r.spawn(func() { mirror.New(o.ports.Store, o.ports.Registry.Prefix(), registrySink{r}).Run(r.ctx) })
 	r.ready.Store(true)
+	o.ports.Metrics.Gauge("owns", 1)
+	defer o.ports.Metrics.Gauge("owns", 0)
 	o.note(decision.Ownership, "in office", r.epoch)
 	if o.ports.Duties != nil {
 		r.spawn(func() { o.ports.Duties.Run(r.ctx, office{r}) })
--- a/fleet/scheduler/load_bench_test.go
+++ b/fleet/scheduler/load_bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
-	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
--- a/fleet/scheduler/order.go
+++ b/fleet/scheduler/order.go
@@ -59,6 +59,8 @@
 	Paces    []Pace
 	Consults []Consult
 	Notes    []Note
+	// Ends counts the runs that ended, by how they did.
+	Ends map[job.End]int
 }
 
 // Take returns the orders since the last call.
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -109,6 +109,10 @@
 func (s *Scheduler) ended(r *run, how job.End, checkpoint string, now time.Time) {
 	t := r.task
 	s.note(r.note("ended " + how.String()))
+	if s.orders.Ends == nil {
+		s.orders.Ends = map[job.End]int{}
+	}
+	s.orders.Ends[how]++
 	s.release(r, now)
 	if checkpoint != "" && t.step.step.Checkpointing {
 		t.checkpoint = checkpoint
