--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -18,7 +18,7 @@
 	// batchRecords leaves room for the mark in a transaction of 32 entries with two expectations.
 	batchRecords = 28
 	// gather is how long changes are gathered for one transaction.
-	gather = 6 * time.Millisecond
+	gather = 12 * time.Millisecond
 	// awayAfter is for how long commits fail before callers are told; a lost answer is settled in less.
 	awayAfter = 350 * time.Millisecond
 	// awayRetry is when a refused caller may come back; outages last some seconds.
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/backlog"
@@ -46,7 +47,10 @@
 		return nil
 	}
 	wait := time.Duration(lack / max(supply.Later, 1) * float64(time.Second))
-	return &Reply{Result: Refused, Reason: "would be late", RetryAfter: min(max(wait, leastRetry), mostRetry)}
+	return &Reply{
+		Result: Refused, RetryAfter: min(max(wait, leastRetry), mostRetry),
+		Reason: fmt.Sprintf("would be late: %.0f core-seconds more than %.0f cores, later %.0f, do in time", lack, supply.Now, supply.Later),
+	}
 }
 
 // possible says whether each step fits a server that is known.
