Move lasting tasks off draining servers; one wait, shorter files, no unused fields

Cause: tasks on draining servers were lost with them and lapsed for five seconds. The test failed before.

--- a/entry/mirror/mirror.go
+++ b/entry/mirror/mirror.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
@@ -81,7 +82,7 @@
 			m.sink.Lost(err)
 		}
 		failed = true
-		pause(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 }
 
@@ -134,12 +135,3 @@
 	}
 	return max(after, at), nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
@@ -36,7 +37,7 @@
 			return
 		case <-r.dirty:
 		}
-		pause(ctx, gather)
+		wait.For(ctx, gather)
 		for ctx.Err() == nil {
 			b := r.next()
 			if b == nil {
@@ -89,7 +90,7 @@
 		}
 		r.pace.missed(limit)
 		limit = min(limit*2, storeLimit)
-		pause(ctx, busyPause)
+		wait.For(ctx, busyPause)
 	}
 	return 0, false
 }
@@ -276,6 +277,6 @@
 			return err
 		}
 		r.owner.note(decision.Dependency, "store not read: "+err.Error(), r.epoch)
-		pause(ctx, busyPause)
+		wait.For(ctx, busyPause)
 	}
 }
--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
@@ -46,7 +47,7 @@
 			continue
 		}
 		if k.Revision == 0 {
-			pause(ctx, o.handicap()+o.stagger())
+			wait.For(ctx, o.handicap()+o.stagger())
 		}
 		if _, still := o.vacant(m); still {
 			o.try(ctx, k)
@@ -88,14 +89,14 @@
 	l, err := o.ports.Store.Grant(c, ownerLife)
 	if err != nil {
 		o.note(decision.Dependency, "no lease for the ownership: "+err.Error(), k.Revision)
-		pause(ctx, electPause)
+		wait.For(ctx, electPause)
 		return
 	}
 	epoch, err := o.take(ctx, k, l)
 	if err != nil {
 		o.note(decision.Ownership, "not taken: "+err.Error(), k.Revision)
 		o.giveBack(l)
-		pause(ctx, electStep)
+		wait.For(ctx, electStep)
 		return
 	}
 	o.note(decision.Ownership, "taken", epoch)
@@ -227,12 +228,3 @@
 		r.depose("the store names another owner or none")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
@@ -214,7 +215,7 @@
 	r.do(func(s *scheduler.Scheduler, now time.Time) {
 		s.Unreachable(h.Server.ID, h.Server.Born, now, err.Error())
 	})
-	pause(r.ctx, holdRetry)
+	wait.For(r.ctx, holdRetry)
 }
 
 // silentAfter is how many listings in a row do not come from a server that is taken as silent.
@@ -240,7 +241,7 @@
 		if !behind {
 			return
 		}
-		pause(r.ctx, settlePoll)
+		wait.For(r.ctx, settlePoll)
 	}
 }
 
--- a/entry/steward/order.go
+++ b/entry/steward/order.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
@@ -25,7 +26,7 @@
 		m := &schema.VmOrders{}
 		if err := proto.Unmarshal(i.Value, m); err != nil {
 			t.note(decision.Record{Reason: "orders cannot be read, all VMs wait: " + err.Error()})
-			pause(ctx, t.steward.bounds.Turn+turnMargin)
+			wait.For(ctx, t.steward.bounds.Turn+turnMargin)
 			return nil
 		}
 		for _, x := range m.Orders {
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -43,7 +44,7 @@
 			return true
 		}
 		t.note(decision.Record{Kind: decision.Dependency, Reason: "progress of waves not read: " + err.Error()})
-		pause(ctx, orderAgain)
+		wait.For(ctx, orderAgain)
 	}
 	return false
 }
--- /dev/null
+++ b/entry/wait/doc.go
@@ -0,0 +1,2 @@
+// Package wait lets time pass in goroutines that may have to end before.
+package wait
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -18,34 +18,20 @@
 	// Slack times a job's chain of work, plus Latency, is the time in which a job should be done.
 	Slack   float64
 	Latency time.Duration
-	// Advice is how the service that permits servers for steps behaves; nil where none is asked.
-	Advice *Advice
-}
-
-// Advice is how long the placement advice service takes and how long its answer holds.
-type Advice struct {
-	Decide time.Duration
-	Each   time.Duration
-	Valid  time.Duration
+	// Advised says that only the advice service knows which servers may run a step.
+	Advised bool
 }
 
 // Pool is what the configuration says of a pool.
 type Pool struct {
 	Name string
-	// Guards says that the pool's servers refuse what does not fit.
-	Guards bool
 	// Standby says that the pool's VMs are off.
 	Standby bool
-	// HealthPath is where a server answers for its health.
-	HealthPath string
 }
 
 // Limits bounds callers' requests.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
+	BodyBytes int64
 }
 
 // Table is one version of the configuration.
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -76,7 +76,7 @@
 	return empty
 }
 
-// evacuate stops a lasting task that has a place to go to; where it has none, its pool lacks a server.
+// evacuate stops a run whose task has a place to go to; where it has none, its pool lacks a server.
 func (s *Scheduler) evacuate(r *run, l []*serverState, now time.Time) {
 	if best(r.task, l, now) == nil {
 		s.crowded[r.server.info.Pool] = now
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -52,11 +52,9 @@
 	// left counts tasks that are not done, blocked the steps waited for that are not.
 	left    int
 	blocked int
-	// failures counts the failed runs of a gang.
-	failures   int
+	// failedRun is the last run of a gang that failed, since each member says so.
 	failedRun  int
 	checkpoint string
-	ready      time.Time
 	// took are the times that tasks of the step took.
 	took []time.Duration
 }
@@ -76,8 +74,6 @@
 	avoided string
 	// straggled says that a run was given up because it was slow; a second one is left to finish.
 	straggled bool
-	// idleSince is when the task last stopped working.
-	idleSince time.Time
 }
 
 func (o *occurrence) tasks() []*task {
@@ -133,7 +129,7 @@
 func (s *Scheduler) openNext(j *jobState, now time.Time) {
 	o := &occurrence{number: j.opened, opened: now}
 	for i := range j.job.Steps {
-		o.steps = append(o.steps, j.newStep(o.number, i, now))
+		o.steps = append(o.steps, j.newStep(o.number, i))
 	}
 	o.left = len(o.steps)
 	j.occurrences = append(j.occurrences, o)
@@ -141,12 +137,12 @@
 	s.unplanned = true
 }
 
-func (j *jobState) newStep(occurrence, i int, now time.Time) *stepState {
-	p := &stepState{step: &j.job.Steps[i], blocked: len(j.job.Steps[i].After), ready: now}
+func (j *jobState) newStep(occurrence, i int) *stepState {
+	p := &stepState{step: &j.job.Steps[i], blocked: len(j.job.Steps[i].After)}
 	p.left = p.step.Count
 	for n := range p.step.Count {
 		p.tasks = append(p.tasks, &task{
-			job: j.job, state: j, step: p, idleSince: now,
+			job: j.job, state: j, step: p,
 			key: job.Task{Job: j.job.ID, Occurrence: occurrence, Step: i, Index: n},
 		})
 	}
@@ -181,7 +177,6 @@
 		for _, a := range p.step.After {
 			if a == t.key.Step {
 				p.blocked--
-				p.ready = now
 			}
 		}
 	}
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -61,6 +61,10 @@
 		s.drop(r, now, "server is silent: speculative task runs elsewhere")
 		return
 	}
+	if v.info.Draining && r.phase == working && v.reachable && s.outlasts(v, r, now) {
+		s.evacuate(r, s.pools(now)[v.info.Pool], now)
+		return
+	}
 	if r.phase != working || !v.reachable || r.pace < fullPace || now.Sub(v.heard) > copyAfter {
 		return
 	}
@@ -79,6 +83,19 @@
 	s.stop(r, now)
 }
 
+// outlasts says whether a run on a draining server is lost or late unless it moves: lasting ones, and those that
+// resume elsewhere from a checkpoint and would not end while the server stays.
+func (s *Scheduler) outlasts(v *serverState, r *run, now time.Time) bool {
+	p := r.task.step.step
+	if p.Lasting {
+		return true
+	}
+	if !p.Checkpointing || p.Gang || r.percent < r.beganAt+projectFrom {
+		return false
+	}
+	return now.Add(r.projected() * time.Duration(100-r.percent) / 100).After(v.drains.Add(v.info.Leaves))
+}
+
 // stalled says whether newer listings show no progress since some time.
 func (s *Scheduler) stalled(v *serverState, r *run) bool {
 	still := v.heard.Sub(r.progressed)
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -77,7 +77,7 @@
 	for _, x := range l.Runs {
 		r := v.runs[x.Task]
 		if r == nil || r.number != x.Number {
-			s.stopStray(v, x, now)
+			s.stopStray(v, x)
 			continue
 		}
 		present[r] = true
@@ -109,7 +109,7 @@
 }
 
 // stopStray stops a run that the store knows nothing of, such as one of a job that was cancelled.
-func (s *Scheduler) stopStray(v *serverState, x server.Run, _ time.Time) {
+func (s *Scheduler) stopStray(v *serverState, x server.Run) {
 	s.note(Note{Job: x.Task.Job, Task: x.Task.String(), Server: v.info.ID, Run: x.Number, Reason: "run is not assigned here: stop"})
 	s.orders.Stops = append(s.orders.Stops, Stop{Server: v.info, Task: x.Task, Number: x.Number})
 }
--- a/fleet/scheduler/pace.go
+++ b/fleet/scheduler/pace.go
@@ -19,12 +19,12 @@
 	for _, v := range s.servers {
 		worst := v.strain()
 		for _, r := range v.runs {
-			if !r.task.step.step.Fills || r.phase != working || v.heard.Sub(r.overAt) < paceEvery {
+			if !r.task.step.step.Fills || r.phase != working || v.heard.Sub(r.pacedAt) < paceEvery {
 				continue
 			}
 			if p := nextPace(r.pace, worst); p != r.pace {
 				r.pace = p
-				r.overAt = now
+				r.pacedAt = now
 				s.note(r.note("paced beside a serving task"))
 				s.orders.Paces = append(s.orders.Paces, Pace{Server: v.info, Task: r.task.key, Number: r.number, Percent: p})
 			}
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -42,8 +42,8 @@
 	beganAt    int
 	tail       int64
 	// pace is the share of its speed that the run was told to keep, in percent.
-	pace   int
-	overAt time.Time
+	pace    int
+	pacedAt time.Time
 }
 
 // assign takes a task to a server; the order is sent once the assignment is stored.
@@ -68,7 +68,6 @@
 	}
 	if r.task.run == r {
 		r.task.run = nil
-		r.task.idleSince = now
 	}
 	s.unplanned = true
 }
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -20,12 +20,6 @@
 	Keep time.Duration
 	// Gang is how long members of a gang wait for the others.
 	Gang time.Duration
-	// Harm is how long a serving task may be over its target.
-	Harm time.Duration
-	// Notice is how long a lasting task that does not work counts as away.
-	Notice time.Duration
-	// CrossRack is how many times as long work takes away from its rack.
-	CrossRack float64
 }
 
 // Scheduler holds the owner's state.
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -28,7 +28,8 @@
 	fullUntil time.Time
 	pausedTo  time.Time
 	health    health
-	drainedAt time.Time
+	// drains is since when the server drains.
+	drains time.Time
 	// idle is since when nothing runs there.
 	idle time.Time
 	// gone says that the platform has ended this life by our order.
@@ -140,7 +141,7 @@
 		s.note(Note{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
 	}
 	if i.Draining && !v.info.Draining {
-		v.drainedAt = now
+		v.drains = now
 		s.note(Note{Server: i.ID, Pool: i.Pool, Reason: "server drains"})
 	}
 	if v.info.Address != i.Address {
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -322,6 +322,18 @@
 		gomega.Expect(w.stopped()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("leave a draining server at once", func() {
+		l := place(1, 1)
+		v := sample(l[0].Server.ID)
+		v.Draining, v.Leaves = true, 2*time.Second
+		w.Register(v, w.now)
+		w.pass(100 * time.Millisecond)
+		gomega.Expect(w.stopped()).To(gomega.HaveLen(1))
+		w.end(v.ID, l[0].Task, 1, job.EndStopped)
+		w.commit()
+		gomega.Expect(w.started()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", gomega.Not(gomega.Equal(v.ID)))))
+	})
+
 	ginkgo.It("stay where they are while there is no other place for them", func() {
 		l := place(3, 3)
 		w.Evacuate(l[0].Server.VM, w.now)
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -24,11 +24,11 @@
 	start  = time.Unix(1_800_000_000, 0)
 	bounds = scheduler.Bounds{
 		Hold: 6 * time.Second, Stop: 400 * time.Millisecond, Early: 250 * time.Millisecond,
-		Keep: 2 * time.Minute, Gang: 3 * time.Second, Harm: 4 * time.Second, CrossRack: 2,
+		Keep: 2 * time.Minute, Gang: 3 * time.Second,
 	}
 	table = queue.New(1, []queue.Queue{{
 		Name: "plans", Host: "workshop", Prefix: "/plans/", Pool: "carving", Attempts: 3, Slack: 1.6, Latency: 600 * time.Millisecond,
-	}}, map[string]queue.Pool{"carving": {Name: "carving", Guards: true}}, queue.Limits{})
+	}}, map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{})
 )
 
 // most is the number of records in a test's commits.
