Count tasks as at work only once an earlier owner's stops would have shown

Servers refuse the earlier owner from the first listing on, and a stop takes 0.4 s at most, so only a listing that is later than that counts. The test failed before. Ruled out: wrong counts of what may be missed, a silent server.

--- a/fleet/job/end.go
+++ b/fleet/job/end.go
@@ -5,7 +5,7 @@
 
 // The ways in which runs end.
 //
-//go:generate enumer -type=End -transform=title-lower
+//go:generate enumer -type=End -trimprefix=End -transform=title-lower
 const (
 	// EndDone means that the task is done.
 	EndDone End = iota
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -68,7 +68,7 @@
 		}
 		for _, r := range v.runs {
 			empty = false
-			if r.task.step.step.Lasting && r.phase == working && r.task.step.canMiss(r.task, now) {
+			if r.task.step.step.Lasting && r.phase == working && s.canMiss(r.task, now) {
 				s.evacuate(r, pools[v.info.Pool], now)
 			}
 		}
@@ -89,24 +89,30 @@
 // crowdedFor is for how long a lasting task without a place has its pool ask for one more server.
 const crowdedFor = time.Second
 
-// canMiss says whether one more of the step's lasting tasks may be away.
-func (p *stepState) canMiss(t *task, now time.Time) bool {
+// canMiss says whether one more lasting task may be away, beside the others of its step.
+func (s *Scheduler) canMiss(t *task, now time.Time) bool {
+	p := t.step
 	if p.step.MayMiss <= 0 {
 		return true
 	}
 	away := 0
 	for _, o := range p.tasks {
-		if o != t && !o.atWork(now) {
+		if o != t && !s.atWork(o, now) {
 			away++
 		}
 	}
 	return away < p.step.MayMiss
 }
 
-// atWork says whether a lasting task is known to do its work.
-func (t *task) atWork(now time.Time) bool {
+// atWork says whether a lasting task is known to do its work: by a listing that is fresh, and late enough after the
+// first one for the stops of an earlier owner to have taken effect; later ones are refused.
+func (s *Scheduler) atWork(t *task, now time.Time) bool {
 	r := t.run
-	return r != nil && r.phase == working && r.percent >= fullPercent && r.server.reachable && now.Sub(r.server.heard) < atWorkFresh
+	if r == nil || r.phase != working || r.percent < fullPercent {
+		return false
+	}
+	v := r.server
+	return v.reachable && now.Sub(v.heard) < atWorkFresh && v.heard.Sub(v.fenced) > s.bounds.Stop
 }
 
 // atWorkFresh is how old the last word of a task at work may be; listings come each second.
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -28,6 +28,7 @@
 	if v.listed == 0 {
 		// An earlier owner may just have held the runs for as long as is allowed.
 		v.lease = max(v.lease, l.Clock+s.bounds.Hold)
+		v.fenced = now
 	}
 	v.reachable = true
 	v.misplaced = false
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -22,6 +22,8 @@
 	listed    time.Duration
 	heard     time.Time
 	reachable bool
+	// fenced is when the first listing came, from which on the server refuses earlier owners.
+	fenced    time.Time
 	runs      map[job.Task]*run
 	used      job.Size
 	ends      endLog
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -291,6 +291,8 @@
 
 	// place starts a step of lasting tasks, one on each server.
 	place := func(count, miss int32) []scheduler.Start {
+		w.pass(time.Second)
+		w.serve("a", "b", "c")
 		w.submit(record(1, count, lasting, func(s *schema.StepRecord) { s.AntiAffinity = 1; s.MayMiss = miss }))
 		l := w.started()
 		for _, s := range l {
@@ -322,6 +324,32 @@
 		gomega.Expect(w.stopped()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("stay until the stops of an earlier owner would have shown", func() {
+		x := newWorld()
+		m := record(1, 2, lasting, func(s *schema.StepRecord) { s.MayMiss = 1 })
+		p := &schema.JobProgress{}
+		for i, n := range []string{"a", "b"} {
+			p.Tasks = append(p.Tasks, &schema.TaskProgress{Index: int32(i), LastRun: 1, Server: n, BornMs: start.UnixMilli()})
+		}
+		x.Restore(m, p, x.now)
+		look := func() {
+			x.serve("c")
+			for i, n := range []string{"a", "b"} {
+				x.Register(sample(n), x.now)
+				x.list(n, server.Run{Task: job.Task{Job: m.Id, Index: i}, Number: 1, Percent: 100})
+			}
+		}
+		look()
+		x.Evacuate("vm-a", x.now)
+		x.take()
+		gomega.Expect(x.stopped()).To(gomega.BeEmpty(), "the other may be about to end by an earlier order")
+		x.pass(600 * time.Millisecond)
+		look()
+		x.Evacuate("vm-a", x.now)
+		x.take()
+		gomega.Expect(x.stopped()).To(gomega.HaveLen(1))
+	})
+
 	ginkgo.It("leave a draining server at once", func() {
 		l := place(1, 1)
 		v := sample(l[0].Server.ID)
