Serve jobs on the product's own interface

POST, GET and DELETE under /v1/jobs, /v1/queues and /v1/owner, in JSON or TOML by the schema; unknown fields, steps that wait for themselves and wrong numbers are refused with their place before anything is passed on. The scheduler tells what each task waits for. tarragonctl has job submit, list, show, explain, wait and cancel, queues and owner. Ruled out: a second copy of the request path's caller package, which is about proxied requests. Proof: table tests of whole answers in entry/submitter, ctl and fleet/scheduler.

--- a/ctl/cmd/tarragonctl/main.go
+++ b/ctl/cmd/tarragonctl/main.go
@@ -101,6 +101,16 @@
 	case "maintenance pause", "maintenance resume", "maintenance halt", "vm drain", "vm undrain", "vm explain":
 		s.AddPositionalValue(&o.Name, "NAME", 1, true, "the pool or VM")
 		return
+	case "job submit":
+		s.AddPositionalValue(&o.Name, "FILE", 1, true, "the job, in TOML or JSON")
+		s.String(&o.ID, "i", "id", "the job's identity, 16 hexadecimal digits, so that asking twice submits once")
+		return
+	case "job list":
+		s.String(&o.Queue, "q", "queue", "only the jobs of this queue")
+		return
+	case "job show", "job explain", "job wait", "job cancel":
+		s.AddPositionalValue(&o.Name, "ID", 1, true, "the job")
+		return
 	default:
 		return
 	}
--- a/ctl/tarragonctl/client.go
+++ b/ctl/tarragonctl/client.go
@@ -74,7 +74,17 @@
 
 // Get reads JSON; it fails with a RefusedError where the entry refuses.
 func (c *Client) Get(ctx context.Context, path string, v any) error {
-	return c.call(ctx, http.MethodGet, path, nil, v)
+	return c.call(ctx, http.MethodGet, path, "", nil, v)
+}
+
+// Delete ends what is at the path and reads the result; it fails with a RefusedError where the entry refuses.
+func (c *Client) Delete(ctx context.Context, path string, v any) error {
+	return c.call(ctx, http.MethodDelete, path, "", nil, v)
+}
+
+// Send posts a text of a type and reads the result; it fails with a RefusedError where the entry refuses.
+func (c *Client) Send(ctx context.Context, path, contentType string, body []byte, v any) error {
+	return c.call(ctx, http.MethodPost, path, contentType, body, v)
 }
 
 // Post asks for a change and reads its result; it fails with a RefusedError where the entry refuses.
@@ -83,14 +93,20 @@
 	if err != nil {
 		return trace.Wrap(err, "encoding the request")
 	}
-	return c.call(ctx, http.MethodPost, path, b, v)
+	return c.call(ctx, http.MethodPost, path, jsonType, b, v)
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, v any) error {
+// jsonType is the content type of what is encoded here.
+const jsonType = "application/json"
+
+func (c *Client) call(ctx context.Context, method, path, contentType string, body []byte, v any) error {
 	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return trace.BadParameter("entry address %s: %s", c.base, err)
 	}
+	if contentType != "" {
+		r.Header.Set("Content-Type", contentType)
+	}
 	if c.token != "" {
 		r.Header.Set("Authorization", "Bearer "+c.token)
 	}
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -30,9 +30,12 @@
 	Mark      string
 	Base      int
 	Revision  int
-	// Name is the pool or VM that the command is about.
+	// Name is the pool, VM, job or file that the command is about.
 	Name string
-	JSON bool
+	// ID is the identity of a job that is submitted, Queue narrows a list of jobs.
+	ID    string
+	Queue string
+	JSON  bool
 }
 
 // commands are all commands by their words.
@@ -55,6 +58,14 @@
 	{"vm drain", "take a VM out of service, within its pool's budget", hold("drain")},
 	{"vm undrain", "give a VM back that was drained", hold("undrain")},
 	{"config collect", "delete sections that no kept configuration names", collect},
+	{"job submit", "have the job in a file accepted", submitJob},
+	{"job list", "the jobs that are known, the latest first", listJobs},
+	{"job show", "where a job stands", showJob},
+	{"job explain", "where each task of a job stands and what it waits for", explainJob},
+	{"job wait", "show a job's progress until it has ended", waitJob},
+	{"job cancel", "cancel a job", cancelJob},
+	{"queues", "the queues that take jobs", queues},
+	{"owner", "the entry that owns all pools", showOwner},
 }
 
 // Commands lists all commands.
--- a/ctl/tarragonctl/command_test.go
+++ b/ctl/tarragonctl/command_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/gravitational/trace"
@@ -28,12 +29,16 @@
 	body   string
 	asked  string
 	token  string
+	query  string
+	kind   string
 }
 
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
 	e.asked = r.Method + " " + r.URL.Path + " " + string(b)
 	e.token = r.Header.Get("Authorization")
+	e.query = r.URL.RawQuery
+	e.kind = r.Header.Get("Content-Type")
 	w.WriteHeader(e.status)
 	_, _ = io.WriteString(w, e.body)
 }
@@ -46,6 +51,10 @@
 	return w.String(), err
 }
 
+const jobBody = `{"id":"a1","queue":"plans","phase":"running","acceptedMs":"5","waiting":1,"running":1,"tasks":[
+	{"task":"a1.0.0.0","state":"working","server":"s-7","run":2,"failures":1,"percent":40,"heardAgeMs":"120"},
+	{"task":"a1.0.1.0","state":"waiting","waitsFor":"steps [0]","heardAgeMs":"0"}]}`
+
 var _ = ginkgo.DescribeTable("a command prints",
 	func(words, body, asked, want string) {
 		e := &entry{status: http.StatusOK, body: body}
@@ -58,6 +67,22 @@
 	ginkgo.Entry("what is paused", "maintenance pause", `{"revision":7}`, "POST /v1/maintenance/cups/pause {}", "revision 7\n"),
 	ginkgo.Entry("what is drained", "vm drain", `{"revision":8}`, "POST /v1/vms/cups/drain {}", "revision 8\n"),
 	ginkgo.Entry("a rollback", "config rollback", `{"revision":9}`, `POST /v1/config/rollback {"author":"","mark":"","revision":4}`, "revision 9\n"),
+	ginkgo.Entry("jobs", "job list", `[{"id":"a1","queue":"plans","phase":"running","waiting":1,"running":2,"done":3}]`,
+		"GET /v1/jobs ", "id  queue  phase    waiting  running  done\na1  plans  running  1        2        3  \n"),
+	ginkgo.Entry("a job", "job show", jobBody, "GET /v1/jobs/cups ", "a1 running: 1 waiting, 1 running, 0 done\n"),
+	ginkgo.Entry("a job's tasks", "job explain", jobBody, "GET /v1/jobs/cups ",
+		"a1 running: 1 waiting, 1 running, 0 done\n"+
+			"task      state    run  failures  percent  server  heard ms ago  waits for\n"+
+			"a1.0.0.0  working  2    1         40       s-7     120           \n"+
+			"a1.0.1.0  waiting  0    0         0                0             steps [0]\n"),
+	ginkgo.Entry("a job that ends", "job wait", strings.Replace(jobBody, "running", "completed", 1), "GET /v1/jobs/cups ",
+		"a1 completed: 1 waiting, 1 running, 0 done\n"),
+	ginkgo.Entry("what was cancelled", "job cancel", `{"id":"a1","phase":"cancelled"}`, "DELETE /v1/jobs/cups ",
+		"a1 cancelled: 0 waiting, 0 running, 0 done\n"),
+	ginkgo.Entry("queues", "queues", `[{"name":"plans","pool":"carving","priority":0,"attempts":3,"pending":4}]`,
+		"GET /v1/queues ", "name   pool     priority  attempts  pending\nplans  carving  0         3         4  \n"),
+	ginkgo.Entry("the owner", "owner", `{"name":"e-1","address":"10.0.0.1:7","revision":9,"config":3,"logsDropped":0}`,
+		"GET /v1/owner ", "name         e-1\naddress      10.0.0.1:7\nrevision     9\nconfig       3\nlogsDropped  0\n"),
 	ginkgo.Entry("what was collected", "config collect", `{"deleted":3}`, "POST /v1/config/collect {}", "deleted 3 sections\n"),
 )
 
@@ -79,6 +104,41 @@
 		gomega.Expect(trace.Unwrap(err)).To(gomega.MatchError("the change is based on revision 1, but revision 2 is in force"))
 	})
 
+	ginkgo.DescribeTable("sends a job as it is written, with an id", func(file, kind string) {
+		f := filepath.Join(ginkgo.GinkgoT().TempDir(), file)
+		gomega.Expect(os.WriteFile(f, []byte("the job"), 0o600)).To(gomega.Succeed())
+		e := &entry{status: http.StatusOK, body: `{"id":"00000000000000aa","phase":"queued"}`}
+		out, err := run(e, "job submit", tarragonctl.Options{Name: f, ID: "00000000000000aa"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect([]string{e.asked, e.query, e.kind, out}).To(gomega.Equal([]string{
+			"POST /v1/jobs the job", "file=" + file + "&id=00000000000000aa", kind, "00000000000000aa queued: 0 waiting, 0 running, 0 done\n",
+		}))
+	},
+		ginkgo.Entry("in TOML", "job.toml", "application/toml"), ginkgo.Entry("in JSON", "job.json", "application/json"))
+
+	ginkgo.It("makes an id for a job without one", func() {
+		f := filepath.Join(ginkgo.GinkgoT().TempDir(), "job.json")
+		gomega.Expect(os.WriteFile(f, []byte("{}"), 0o600)).To(gomega.Succeed())
+		e := &entry{status: http.StatusOK, body: `{}`}
+		_, err := run(e, "job submit", tarragonctl.Options{Name: f})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(e.query).To(gomega.MatchRegexp("^file=job.json&id=[0-9a-f]{16}$"))
+	})
+
+	ginkgo.It("names the job that was not accepted", func() {
+		f := filepath.Join(ginkgo.GinkgoT().TempDir(), "job.json")
+		gomega.Expect(os.WriteFile(f, []byte("{}"), 0o600)).To(gomega.Succeed())
+		e := &entry{status: http.StatusTooManyRequests, body: `{"kind":"refused","error":"would be late"}`}
+		_, err := run(e, "job submit", tarragonctl.Options{Name: f, ID: "00000000000000aa"})
+		gomega.Expect(trace.Unwrap(err)).To(gomega.MatchError("job 00000000000000aa: would be late"))
+	})
+
+	ginkgo.It("fails where a job that is waited for has failed", func() {
+		e := &entry{status: http.StatusOK, body: `{"id":"cups","phase":"failed"}`}
+		_, err := run(e, "job wait", tarragonctl.Options{Name: "cups"})
+		gomega.Expect(trace.Unwrap(err)).To(gomega.MatchError(&tarragonctl.NotDoneError{ID: "cups", Phase: "failed"}))
+	})
+
 	ginkgo.It("is refused where there is none of its words", func() {
 		_, err := run(&entry{}, "config burn", tarragonctl.Options{})
 		gomega.Expect(trace.Unwrap(err)).To(gomega.MatchError(`unknown command "config burn"`))
--- /dev/null
+++ b/ctl/tarragonctl/job.go
@@ -0,0 +1,208 @@
+package tarragonctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// idBytes is the length of a job's identity.
+	idBytes = 8
+	// waitPoll is between looks at a job that is waited for.
+	waitPoll = 500 * time.Millisecond
+	tomlType = "application/toml"
+)
+
+// NotDoneError reports a job that has ended otherwise than by all its tasks being done.
+type NotDoneError struct {
+	ID    string
+	Phase string
+}
+
+// Error describes the failure in one line.
+func (e *NotDoneError) Error() string {
+	return "job " + e.ID + " has ended as " + e.Phase
+}
+
+// SubmissionError reports a job that is not known to be accepted; it may be submitted again under its id.
+type SubmissionError struct {
+	ID     string
+	Reason string
+}
+
+// Error describes the failure in one line.
+func (e *SubmissionError) Error() string {
+	return "job " + e.ID + ": " + e.Reason
+}
+
+// taskStatus is what an entry tells of a task.
+type taskStatus struct {
+	Task     string `json:"task"`
+	State    string `json:"state"`
+	WaitsFor string `json:"waitsFor"`
+	Server   string `json:"server"`
+	Run      int    `json:"run"`
+	Failures int    `json:"failures"`
+	Percent  int    `json:"percent"`
+	// HeardAgeMs comes as text, since it has 64 bits.
+	HeardAgeMs string `json:"heardAgeMs"`
+}
+
+// jobStatus is what an entry tells of a job.
+type jobStatus struct {
+	ID         string       `json:"id"`
+	Queue      string       `json:"queue"`
+	Pool       string       `json:"pool"`
+	Phase      string       `json:"phase"`
+	AcceptedMs string       `json:"acceptedMs"`
+	EndedMs    string       `json:"endedMs"`
+	NextDueMs  string       `json:"nextDueMs"`
+	Waiting    int          `json:"waiting"`
+	Running    int          `json:"running"`
+	Done       int          `json:"done"`
+	Tasks      []taskStatus `json:"tasks,omitempty"`
+}
+
+func (j jobStatus) ended() bool {
+	return j.Phase == "completed" || j.Phase == "failed" || j.Phase == "cancelled"
+}
+
+func submitJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	b, err := os.ReadFile(o.Name)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	kind := jsonType
+	if strings.HasSuffix(o.Name, ".toml") {
+		kind = tomlType
+	}
+	id := o.ID
+	if id == "" {
+		if id, err = newID(); err != nil {
+			return trace.Wrap(err, "making an id")
+		}
+	}
+	q := url.Values{"file": {filepath.Base(o.Name)}, "id": {id}}
+	var v jobStatus
+	if err := c.Send(ctx, "/v1/jobs?"+q.Encode(), kind, b, &v); err != nil {
+		return trace.Wrap(&SubmissionError{ID: id, Reason: trace.Unwrap(err).Error()})
+	}
+	return printJob(w, o, v)
+}
+
+func newID() (string, error) {
+	b := make([]byte, idBytes)
+	_, err := rand.Read(b)
+	return hex.EncodeToString(b), err
+}
+
+func listJobs(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	path := "/v1/jobs"
+	if o.Queue != "" {
+		path += "?queue=" + url.QueryEscape(o.Queue)
+	}
+	return table(ctx, c, o, w, path, "id", "queue", "phase", "waiting", "running", "done")
+}
+
+func jobPath(id string) string {
+	return "/v1/jobs/" + url.PathEscape(id)
+}
+
+func showJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	var v jobStatus
+	if err := c.Get(ctx, jobPath(o.Name), &v); err != nil {
+		return err
+	}
+	return printJob(w, o, v)
+}
+
+func explainJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	var v jobStatus
+	if err := c.Get(ctx, jobPath(o.Name), &v); err != nil {
+		return err
+	}
+	if o.JSON {
+		return encode(w, v)
+	}
+	if err := printJob(w, o, v); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "task\tstate\trun\tfailures\tpercent\tserver\theard ms ago\twaits for")
+	for _, x := range v.Tasks {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n", x.Task, x.State, x.Run, x.Failures, x.Percent, x.Server, x.HeardAgeMs, x.WaitsFor)
+	}
+	return t.Flush()
+}
+
+// waitJob shows each change until the job has ended; it fails with a NotDoneError unless the job is completed.
+func waitJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	last := ""
+	for {
+		var v jobStatus
+		if err := c.Get(ctx, jobPath(o.Name), &v); err != nil {
+			return err
+		}
+		if s := v.summary(); s != last {
+			fmt.Fprintln(w, s)
+			last = s
+		}
+		if v.ended() {
+			if v.Phase != "completed" {
+				return trace.Wrap(&NotDoneError{ID: o.Name, Phase: v.Phase})
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "waiting for job %s", o.Name)
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+func cancelJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	var v jobStatus
+	if err := c.Delete(ctx, jobPath(o.Name), &v); err != nil {
+		return err
+	}
+	return printJob(w, o, v)
+}
+
+func (j jobStatus) summary() string {
+	return fmt.Sprintf("%s %s: %d waiting, %d running, %d done", j.ID, j.Phase, j.Waiting, j.Running, j.Done)
+}
+
+func printJob(w io.Writer, o Options, v jobStatus) error {
+	if o.JSON {
+		return encode(w, v)
+	}
+	_, err := fmt.Fprintln(w, v.summary())
+	return err
+}
+
+func queues(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/queues", "name", "pool", "priority", "attempts", "pending")
+}
+
+func showOwner(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	var v object
+	if err := c.Get(ctx, "/v1/owner", &v); err != nil {
+		return err
+	}
+	if o.JSON {
+		return encode(w, v)
+	}
+	return fields(w, v, "name", "address", "revision", "config", "logsDropped")
+}
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -20,6 +20,8 @@
 	Cancel(ctx context.Context, id string) scheduler.Reply
 	State(id string) scheduler.Reply
 	Pending(queue string) scheduler.Reply
+	List(queue string) scheduler.Reply
+	Explain(id string) scheduler.Reply
 }
 
 // reign is one time that this entry owns the fleet.
@@ -244,3 +246,17 @@
 	defer r.lock.Unlock()
 	return r.scheduler.Pending(queue)
 }
+
+// List tells where the jobs of a queue stand, those of all queues for an empty name.
+func (r *reign) List(queue string) scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.List(queue)
+}
+
+// Explain tells where a job's tasks stand and what they wait for.
+func (r *reign) Explain(id string) scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.Explain(id, time.Now())
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -78,6 +78,10 @@
 		return d.State(c.Id)
 	case schema.JobCall_PENDING:
 		return d.Pending(c.Queue)
+	case schema.JobCall_LIST:
+		return d.List(c.Queue)
+	case schema.JobCall_EXPLAIN:
+		return d.Explain(c.Id)
 	default:
 		return scheduler.Reply{Result: scheduler.Done}
 	}
@@ -122,13 +126,13 @@
 func reply(m *schema.JobReply) scheduler.Reply {
 	return scheduler.Reply{
 		Result: scheduler.Result(m.Result), Phase: job.Phase(m.Phase), Pending: int(m.Pending),
-		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs,
 	}
 }
 
 func message(r scheduler.Reply) *schema.JobReply {
 	return &schema.JobReply{
 		Result: int32(r.Result), Phase: int32(r.Phase), Pending: int32(r.Pending),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs,
 	}
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/entry/relay"
@@ -34,6 +35,12 @@
 func (d *desk) Cancel(context.Context, string) scheduler.Reply { return d.reply }
 func (d *desk) State(string) scheduler.Reply                   { return d.reply }
 func (d *desk) Pending(string) scheduler.Reply                 { return scheduler.Reply{Pending: 7} }
+func (d *desk) List(queue string) scheduler.Reply              { return listed(queue) }
+func (d *desk) Explain(id string) scheduler.Reply              { return listed(id) }
+
+func listed(name string) scheduler.Reply {
+	return scheduler.Reply{Jobs: []*schema.JobStatus{{Id: name, Tasks: []*schema.TaskStatus{{Task: "a", WaitsFor: "room"}}}}}
+}
 
 // local is what an entry knows of the ownership.
 type local struct {
@@ -78,6 +85,11 @@
 		l := &local{known: owner.Record{Name: "there", Address: a, Revision: 5}}
 		gomega.Expect(ask(l, submit)).To(gomega.Equal(want))
 		gomega.Expect(ask(l, &schema.JobCall{Kind: schema.JobCall_PENDING}).Pending).To(gomega.Equal(7))
+		for _, c := range []*schema.JobCall{{Kind: schema.JobCall_LIST, Queue: "plans"}, {Kind: schema.JobCall_EXPLAIN, Id: "plans"}} {
+			got := ask(l, c).Jobs
+			gomega.Expect(got).To(gomega.HaveLen(1))
+			gomega.Expect(proto.Equal(got[0], listed("plans").Jobs[0])).To(gomega.BeTrue())
+		}
 	})
 	ginkgo.It("is refused as not run while nobody owns the fleet", func() {
 		gomega.Expect(ask(&local{}, submit).Result).To(gomega.Equal(scheduler.Refused))
--- /dev/null
+++ b/entry/submitter/submitter_test.go
@@ -0,0 +1,168 @@
+package submitter_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/entry/submitter"
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestSubmitter(t *testing.T) {
+	suite.Run(t, "submitter")
+}
+
+// desk answers every call alike and keeps the last one.
+type desk struct {
+	reply scheduler.Reply
+	call  *schema.JobCall
+}
+
+func (d *desk) Call(_ context.Context, c *schema.JobCall) scheduler.Reply {
+	d.call = c
+	return d.reply
+}
+
+// entry is what the interface shows of an entry; it logs nothing.
+type entry struct{}
+
+func (entry) Table() *queue.Table {
+	return queue.New(4, []queue.Queue{{Name: "plans", Pool: "carving", Priority: 1, Attempts: 3}}, nil, queue.Limits{})
+}
+
+func (entry) Owner() owner.Record {
+	return owner.Record{Name: "njiro-1", Address: netip.MustParseAddrPort("10.0.0.1:7000"), Revision: 12}
+}
+func (entry) LogLinesDropped() uint64 { return 5 }
+func (entry) Add(decision.Record)     {}
+
+// ask sends one request and returns the status, the body and when to come back.
+func ask(d *desk, method, path, kind, body string) (int, string, string) {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", kind)
+	w := httptest.NewRecorder()
+	submitter.New(d, entry{}, entry{}).ServeHTTP(w, r)
+	b, err := io.ReadAll(w.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return w.Code, strings.TrimSpace(string(b)), w.Header().Get("Retry-After")
+}
+
+const (
+	jsonJob = `{"id":"5c0e7a21d94b36f8","queue":"plans","payload":"p","steps":[{"count":2,"cpuMilli":500,"memoryMb":64},{"count":1,"after":[0]}]}`
+	tomlJob = "id = \"5c0e7a21d94b36f8\"\nqueue = \"plans\"\npayload = \"p\"\n" +
+		"[[steps]]\ncount = 2\ncpuMilli = 500\nmemoryMb = 64\n[[steps]]\ncount = 1\nafter = [0]\n"
+)
+
+var accepted = &schema.JobRecord{
+	Id: "5c0e7a21d94b36f8", Queue: "plans", Payload: "p",
+	Steps: []*schema.StepRecord{{Count: 2, CpuMilli: 500, MemoryMb: 64}, {Count: 1, After: []int32{0}}},
+}
+
+var _ = ginkgo.Describe("a submission", func() {
+	ginkgo.DescribeTable("is passed on whole", func(kind, body string) {
+		d := &desk{}
+		status, answer, _ := ask(d, "POST", "/v1/jobs", kind, body)
+		gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(answer).To(gomega.MatchJSON(`{"id":"5c0e7a21d94b36f8","queue":"plans","pool":"","phase":"queued",
+			"acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"tasks":[]}`))
+		gomega.Expect(d.call.Kind).To(gomega.Equal(schema.JobCall_SUBMIT))
+		gomega.Expect(proto.Equal(d.call.Job, accepted)).To(gomega.BeTrue())
+	},
+		ginkgo.Entry("from JSON", "application/json", jsonJob), ginkgo.Entry("from TOML", "application/toml; charset=utf-8", tomlJob))
+
+	ginkgo.DescribeTable("is refused with the place and the reason, and nothing is passed on", func(kind, body string, status int, want string) {
+		d := &desk{}
+		code, answer, _ := ask(d, "POST", "/v1/jobs?file=job.toml", kind, body)
+		gomega.Expect(answer).To(gomega.MatchJSON(want))
+		gomega.Expect(code).To(gomega.Equal(status))
+		gomega.Expect(d.call).To(gomega.BeNil())
+	},
+		ginkgo.Entry("no id", "", strings.Replace(jsonJob, "5c0e7a21d94b36f8", "cup", 1), 400,
+			`{"kind":"job","place":"id","error":"id: not 16 hexadecimal digits"}`),
+		ginkgo.Entry("no queue", "", strings.Replace(jsonJob, "plans", "", 1), 400, `{"kind":"job","place":"queue","error":"queue: not given"}`),
+		ginkgo.Entry("an unknown queue", "", strings.Replace(jsonJob, "plans", "plates", 1), 404,
+			`{"kind":"queue","place":"queue","error":"there is no queue plates"}`),
+		ginkgo.Entry("a cycle of steps", "", strings.Replace(jsonJob, "[0]", "[1]", 1), 400,
+			`{"kind":"job","place":"steps[1]","error":"steps[1]: waits for step 1, which is not an earlier one"}`),
+		ginkgo.Entry("a negative size", "", strings.Replace(jsonJob, "500", "-500", 1), 400,
+			`{"kind":"job","place":"steps[0]","error":"steps[0]: a negative number"}`),
+		ginkgo.Entry("a repetition without an interval", "", strings.Replace(jsonJob, `"payload"`, `"repeat":{"count":2},"payload"`, 1), 400,
+			`{"kind":"job","place":"repeat","error":"repeat: has no interval"}`),
+		ginkgo.Entry("a repetition of none", "", strings.Replace(jsonJob, `"payload"`, `"repeat":{},"payload"`, 1), 400,
+			`{"kind":"job","place":"repeat.count","error":"repeat.count: not at least 1"}`),
+		ginkgo.Entry("an unknown key of TOML", "application/toml", strings.Replace(tomlJob, "memoryMb", "memory", 1), 400,
+			`{"kind":"document","error":"job.toml:7: steps[0].memory: unknown key, expected one of accelerators, after, antiAffinity, checkpointing, colocated, count, cpuMilli, dataRack, estimateMs, fills, gang, image, lasting, mayMiss, memoryMb, requires, speculative, targetMs"}`),
+		ginkgo.Entry("text for a number in TOML", "application/toml", strings.Replace(tomlJob, "count = 1", `count = "one"`, 1), 400,
+			`{"kind":"document","error":"job.toml:9: steps[1].count: expected an integer, found the string \"one\""}`))
+
+	ginkgo.It("may bring its id in the address", func() {
+		d := &desk{}
+		code, _, _ := ask(d, "POST", "/v1/jobs?id=00000000000000aa", "", strings.Replace(jsonJob, `"id":"5c0e7a21d94b36f8",`, "", 1))
+		gomega.Expect([]any{code, d.call.Job.Id}).To(gomega.Equal([]any{http.StatusOK, "00000000000000aa"}))
+	})
+
+	ginkgo.It("is refused with an unknown field of JSON by its place", func() {
+		code, answer, _ := ask(&desk{}, "POST", "/v1/jobs", "application/json", strings.Replace(jsonJob, "memoryMb", "memory", 1))
+		gomega.Expect(code).To(gomega.Equal(http.StatusBadRequest))
+		gomega.Expect(answer).To(gomega.ContainSubstring(`unknown field \"memory\"`))
+	})
+
+	ginkgo.DescribeTable("is told what became of it", func(x scheduler.Reply, status int, want, after string) {
+		code, answer, retry := ask(&desk{reply: x}, "POST", "/v1/jobs", "", jsonJob)
+		gomega.Expect(answer).To(gomega.MatchJSON(want))
+		gomega.Expect([]any{code, retry}).To(gomega.Equal([]any{status, after}))
+	},
+		ginkgo.Entry("refused", scheduler.Reply{Result: scheduler.Refused, Reason: "would be late", RetryAfter: 1200 * time.Millisecond}, 429,
+			`{"kind":"refused","error":"would be late","retryAfterMs":1200}`, "2"),
+		ginkgo.Entry("unsure", scheduler.Reply{Result: scheduler.Unsure, Reason: "no answer"}, 504,
+			`{"kind":"unsure","error":"it may have been done, ask again with the same id: no answer"}`, ""),
+		ginkgo.Entry("invalid", scheduler.Reply{Result: scheduler.Invalid, Reason: "steps: none"}, 400, `{"kind":"job","error":"steps: none"}`, ""))
+})
+
+var _ = ginkgo.Describe("a question", func() {
+	one := scheduler.Reply{Jobs: []*schema.JobStatus{{Id: "a", Phase: "running", Tasks: []*schema.TaskStatus{{Task: "a.0.0.0", WaitsFor: "room"}}}}}
+	ginkgo.DescribeTable("is answered", func(method, path string, x scheduler.Reply, kind schema.JobCall_Kind, id, of, want string) {
+		d := &desk{reply: x}
+		code, answer, _ := ask(d, method, path, "", "")
+		gomega.Expect(code).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(answer).To(gomega.MatchJSON(want))
+		gomega.Expect([]any{d.call.Kind, d.call.Id, d.call.Queue}).To(gomega.Equal([]any{kind, id, of}))
+	},
+		ginkgo.Entry("about the jobs of a queue", "GET", "/v1/jobs?queue=plans", one, schema.JobCall_LIST, "", "plans",
+			`[{"id":"a","queue":"","pool":"","phase":"running","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,
+			"tasks":[{"task":"a.0.0.0","state":"","waitsFor":"room","server":"","run":0,"failures":0,"percent":0,"heardAgeMs":"0"}]}]`),
+		ginkgo.Entry("about a job", "GET", "/v1/jobs/a", one, schema.JobCall_EXPLAIN, "a", "",
+			`{"id":"a","queue":"","pool":"","phase":"running","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,
+			"tasks":[{"task":"a.0.0.0","state":"","waitsFor":"room","server":"","run":0,"failures":0,"percent":0,"heardAgeMs":"0"}]}`),
+		ginkgo.Entry("by cancelling it", "DELETE", "/v1/jobs/a", scheduler.Reply{Phase: job.Cancelled}, schema.JobCall_CANCEL, "a", "",
+			`{"id":"a","queue":"","pool":"","phase":"cancelled","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"tasks":[]}`),
+		ginkgo.Entry("about the queues", "GET", "/v1/queues", scheduler.Reply{Pending: 3}, schema.JobCall_PENDING, "", "plans",
+			`[{"name":"plans","pool":"carving","priority":1,"attempts":3,"pending":3}]`))
+
+	ginkgo.It("about the owner is answered here", func() {
+		_, answer, _ := ask(&desk{}, "GET", "/v1/owner", "", "")
+		gomega.Expect(answer).To(gomega.MatchJSON(`{"name":"njiro-1","address":"10.0.0.1:7000","revision":12,"config":4,"logsDropped":5}`))
+	})
+
+	ginkgo.It("about a job that is not there says so", func() {
+		code, answer, _ := ask(&desk{reply: scheduler.Reply{Result: scheduler.Absent}}, "GET", "/v1/jobs/b", "", "")
+		gomega.Expect(code).To(gomega.Equal(http.StatusNotFound))
+		gomega.Expect(answer).To(gomega.MatchJSON(`{"kind":"absent","error":"there is no such job"}`))
+	})
+})
--- /dev/null
+++ b/fleet/job/request.go
@@ -0,0 +1,23 @@
+package job
+
+import "github.com/tarragonbank/tarragonbank/fleet/schema"
+
+// FromRequest converts a caller's job, without what only its acceptance tells.
+func FromRequest(q *schema.JobRequest) *schema.JobRecord {
+	m := &schema.JobRecord{Id: q.Id, Queue: q.Queue, Payload: q.Payload, Steps: q.Steps}
+	if q.Repeat != nil {
+		m.Repeats, m.FirstDueMs, m.IntervalMs = q.Repeat.Count, q.Repeat.FirstDueMs, q.Repeat.IntervalMs
+	}
+	return m
+}
+
+// CheckRequest says what is wrong with a caller's job, or nothing; it fails with an InvalidError.
+func CheckRequest(q *schema.JobRequest) error {
+	if q.Queue == "" {
+		return &InvalidError{"queue", "not given"}
+	}
+	if q.Repeat != nil && q.Repeat.Count < 1 {
+		return &InvalidError{"repeat.count", "not at least 1"}
+	}
+	return Check(FromRequest(q))
+}
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -26,8 +26,8 @@
 // admit says why a job is refused, or nil. A job is accepted if it can be done in the time that its queue
 // promises without making accepted ones late; what would be late is refused at once.
 func (s *Scheduler) admit(n *job.Job, q *queue.Queue, now time.Time) *Reply {
-	if !s.possible(n) {
-		return &Reply{Result: Refused, Reason: "no server is large enough", RetryAfter: neverRetry}
+	if i := s.impossible(n); i >= 0 {
+		return &Reply{Result: Refused, Reason: fmt.Sprintf("steps[%d]: no server is large enough", i), RetryAfter: neverRetry}
 	}
 	s.offered(n, now)
 	if n.Timed() || n.Lasting() {
@@ -53,17 +53,17 @@
 	}
 }
 
-// possible says whether each step fits a server that is known.
-func (s *Scheduler) possible(n *job.Job) bool {
+// impossible is the first step that fits no server that is known, or -1.
+func (s *Scheduler) impossible(n *job.Job) int {
 	if len(s.servers) == 0 {
-		return true
+		return -1
 	}
 	for i := range n.Steps {
 		if !s.fitsAny(&n.Steps[i]) {
-			return false
+			return i
 		}
 	}
-	return true
+	return -1
 }
 
 func (s *Scheduler) fitsAny(p *job.Step) bool {
--- /dev/null
+++ b/fleet/scheduler/explain_test.go
@@ -0,0 +1,109 @@
+package scheduler_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// told is what an explanation says of each task.
+func (w *world) told(id string) []string {
+	x := w.Explain(id, w.now)
+	gomega.Expect(x.Jobs).To(gomega.HaveLen(1))
+	l := []string{}
+	for _, t := range x.Jobs[0].Tasks {
+		s := t.Task[len(id)+1:] + " " + t.State
+		if t.WaitsFor != "" {
+			s += " for " + t.WaitsFor
+		}
+		l = append(l, s)
+	}
+	return l
+}
+
+var _ = ginkgo.Describe("an explanation", func() {
+	const id = "00000000000000a1"
+	chain := func() *schema.JobRecord {
+		return &schema.JobRecord{Id: id, Queue: "plans", Steps: []*schema.StepRecord{
+			{Count: 2, CpuMilli: 40000, EstimateMs: 1000}, {Count: 1, CpuMilli: 1000, EstimateMs: 1000, After: []int32{0}},
+		}}
+	}
+	var w *world
+	ginkgo.BeforeEach(func() { w = newWorld() })
+
+	ginkgo.It("tells that no server takes work, and why", func() {
+		w.submit(chain())
+		gomega.Expect(w.told(id)).To(gomega.Equal([]string{
+			"0.0.0 waiting for a server of pool carving that takes new work: none is registered",
+			"0.0.1 waiting for a server of pool carving that takes new work: none is registered",
+			"0.1.0 waiting for steps [0]",
+		}))
+		w.serve("s-1", "s-2")
+		w.Unreachable("s-1", start, w.now, "no answer")
+		w.Cordon("vm-s-2", true)
+		gomega.Expect(w.told(id)[0]).To(gomega.Equal("0.0.0 waiting for a server of pool carving that takes new work: " +
+			"1 kept free for maintenance or a move, 1 silent"))
+	})
+
+	ginkgo.It("tells what runs, what lacks room and what is done", func() {
+		w.serve("s-1")
+		w.submit(chain())
+		gomega.Expect(w.told(id)).To(gomega.Equal([]string{
+			"0.0.0 sent", "0.0.1 waiting for room on one of 1 servers of pool carving", "0.1.0 waiting for steps [0]",
+		}))
+		w.started()
+		w.end("s-1", job.Task{Job: id}, 1, job.EndDone)
+		w.commit()
+		w.started()
+		gomega.Expect(w.told(id)).To(gomega.Equal([]string{"0.0.0 done", "0.0.1 working", "0.1.0 waiting for steps [0]"}))
+		s := w.Explain(id, w.now).Jobs[0]
+		gomega.Expect([]int32{s.Waiting, s.Running, s.Done}).To(gomega.Equal([]int32{1, 1, 1}))
+		gomega.Expect(s.Tasks[1].Server).To(gomega.Equal("s-1"))
+	})
+
+	ginkgo.It("tells when a repeated job is due next", func() {
+		m := chain()
+		m.Repeats, m.IntervalMs, m.FirstDueMs = 2, 60000, w.now.Add(-time.Second).UnixMilli()
+		w.submit(m)
+		gomega.Expect(w.told(id)).To(gomega.HaveLen(3))
+		gomega.Expect(w.Explain(id, w.now).Jobs[0].NextDueMs).To(gomega.Equal(w.now.Add(59 * time.Second).UnixMilli()))
+	})
+
+	ginkgo.It("tells that the advice service is asked", func() {
+		w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", Advised: true, Slack: 2, Latency: time.Second}},
+			map[string]queue.Pool{"carving": {}}, queue.Limits{}))
+		w.serve("s-1")
+		w.submit(chain())
+		gomega.Expect(w.told(id)[0]).To(gomega.Equal("0.0.0 waiting for the advice service"))
+	})
+
+	ginkgo.It("knows no job that was never accepted", func() {
+		gomega.Expect(w.Explain(id, w.now).Result).To(gomega.Equal(scheduler.Absent))
+	})
+})
+
+var _ = ginkgo.Describe("a list", func() {
+	ginkgo.It("has the jobs of one queue or of all, the latest first", func() {
+		w := newWorld()
+		w.serve("s-1")
+		for _, id := range []string{"00000000000000a1", "00000000000000a2"} {
+			w.submit(&schema.JobRecord{Id: id, Queue: "plans", Steps: []*schema.StepRecord{{Count: 1, CpuMilli: 1000, EstimateMs: 100}}})
+			w.now = w.now.Add(time.Second)
+		}
+		w.Cancel("00000000000000a1", w.now, func(scheduler.Reply) {})
+		w.commit()
+		l := w.List("plans").Jobs
+		gomega.Expect(l).To(gomega.HaveLen(2))
+		gomega.Expect([]string{l[0].Id, l[0].Phase, l[1].Id, l[1].Phase}).To(gomega.Equal(
+			[]string{"00000000000000a2", "queued", "00000000000000a1", "cancelled"},
+		))
+		gomega.Expect(w.List("cups").Jobs).To(gomega.BeEmpty())
+		gomega.Expect(w.List("").Jobs).To(gomega.HaveLen(2))
+	})
+})
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -9,6 +9,7 @@
 // runPhase is where a run stands.
 type runPhase int
 
+//go:generate enumer -type=runPhase -transform=title-lower
 const (
 	// assigned runs wait until their assignment is stored.
 	assigned runPhase = iota
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -132,6 +132,8 @@
 	Pending    int
 	RetryAfter time.Duration
 	Reason     string
+	// Jobs answers a list, or an explanation with the one job.
+	Jobs []*schema.JobStatus
 }
 
 // Submit takes a job; the reply comes once the job is stored, or at once where it is refused.
