Stand in for the users' platform, and play jobs against it

Its ledger knows what callers asked for and notes two runs at once, a start after an acknowledged end, work that was refused, and the like. bench/jobsite runs tarragonjobs as processes against it, and tarragonbench run jobs takes them through a change, a wave and the loss of the owner. Processes and loopback addresses are now packages of their own, used by both kinds of site. Found while building: a store that counts a revision for each key of a transaction makes every second commit look stale; the platform counts one, and so does the stand-in.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 demo: build
 	bin/tarragonbench run demo --seed 1
+	bin/tarragonbench run jobs --seed 1
 
 test:
 	.ci/test
--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -27,7 +27,8 @@
 
 var _ = ginkgo.BeforeSuite(func() {
 	binaries = ginkgo.GinkgoT().TempDir()
-	out, err := exec.Command("go", "build", "-o", binaries+"/", "../../entry/cmd/tarragond", "../../ctl/cmd/tarragonctl").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", binaries+"/", "../../entry/cmd/tarragond", "../../ctl/cmd/tarragonctl",
+		"../../platform/cmd/tarragonjobs").CombinedOutput()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
 })
 
@@ -53,6 +54,7 @@
 	ginkgo.Entry("entries that are replaced at once", "coldstart"),
 	ginkgo.Entry("operators who race", "race"),
 	ginkgo.Entry("entries that come and go", "churn"),
+	ginkgo.Entry("jobs whose owner is lost", "jobs"),
 )
 
 var _ = ginkgo.Describe("Run", func() {
--- /dev/null
+++ b/bench/jobsite/job.go
@@ -0,0 +1,66 @@
+package jobsite
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/platform/standin"
+)
+
+// taskTime is how long the tasks of an ordinary job's first step take.
+const taskTime = 600 * time.Millisecond
+
+// newJob is the submission of the steps, whose estimates are true.
+func newJob(id, queue string, l []standin.Step) Job {
+	q := &schema.JobRequest{Id: id, Queue: queue, Payload: "job " + id}
+	for _, s := range l {
+		m := &schema.StepRecord{
+			Count: int32(s.Count), CpuMilli: s.Size.CPU, MemoryMb: s.Size.MemoryMB, EstimateMs: s.Time.Milliseconds(),
+			Gang: s.Gang, Checkpointing: s.Checkpointing, Speculative: s.Speculative, Lasting: s.Lasting,
+			AntiAffinity: int32(s.AntiAffinity), MayMiss: int32(s.MayMiss),
+		}
+		for _, a := range s.After {
+			m.After = append(m.After, int32(a))
+		}
+		q.Steps = append(q.Steps, m)
+	}
+	return Job{Request: q, Steps: l}
+}
+
+// Ordinary is a job of two steps, the second of which needs the first.
+func Ordinary(id, queue string, r *rand.Rand) Job {
+	return newJob(id, queue, []standin.Step{
+		{Count: 2 + r.IntN(4), Size: job.Size{CPU: 1500, MemoryMB: 500}, Time: taskTime},
+		{Count: 1, Size: job.Size{CPU: 1000, MemoryMB: 500}, Time: taskTime / 2, After: []int{0}},
+	})
+}
+
+// Lasting is a job whose two tasks run on different servers until it is cancelled; one at a time may be away.
+func Lasting(id, queue string) Job {
+	return newJob(id, queue, []standin.Step{
+		{Count: 2, Size: job.Size{CPU: 1000, MemoryMB: 500}, Time: time.Second, Lasting: true, AntiAffinity: 1, MayMiss: 1},
+	})
+}
+
+// Gang is a job of tasks that work only together.
+func Gang(id, queue string, r *rand.Rand) Job {
+	return newJob(id, queue, []standin.Step{
+		{Count: 2 + r.IntN(3), Size: job.Size{CPU: 2000, MemoryMB: 500}, Time: 2 * taskTime, Gang: true, Checkpointing: true},
+	})
+}
+
+// Resumable is a job of long tasks that resume from checkpoints.
+func Resumable(id, queue string) Job {
+	return newJob(id, queue, []standin.Step{
+		{Count: 3, Size: job.Size{CPU: 2000, MemoryMB: 500}, Time: 5 * taskTime, Checkpointing: true},
+	})
+}
+
+// Copied is a job whose tasks may run twice at the same time.
+func Copied(id, queue string) Job {
+	return newJob(id, queue, []standin.Step{
+		{Count: 3, Size: job.Size{CPU: 1000, MemoryMB: 500}, Time: taskTime, Speculative: true},
+	})
+}
--- /dev/null
+++ b/bench/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback gives each site under test loopback addresses of its own.
+package loopback
--- a/bench/site/entry.go
+++ b/bench/site/entry.go
@@ -8,26 +8,21 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
-)
 
-const (
-	ticksPerSecond = 100
-	pageBytes      = 4096
-	statusTimeout  = time.Second
+	"github.com/tarragonbank/tarragonbank/bench/process"
 )
 
+const statusTimeout = time.Second
+
 // Entry is one entry process of the site.
 type Entry struct {
-	Name       string
+	*process.Process
 	DataCentre string
 	Caller     netip.AddrPort
 	Operator   netip.AddrPort
@@ -35,22 +30,12 @@
 	Peer       netip.AddrPort
 	PeerListen netip.AddrPort
 
-	site    *Site
-	command *exec.Cmd
-	done    chan struct{}
-	code    int
-	broken  atomic.Bool
-	run     atomic.Int64
-}
-
-// Run counts the processes that the entry has had.
-func (e *Entry) Run() int64 {
-	return e.run.Load()
+	site *Site
 }
 
-// Broken says whether a process of the entry ever ended by itself on a broken invariant or a panic.
-func (e *Entry) Broken() bool {
-	return e.broken.Load()
+func (s *Site) newEntry(name, dataCentre string) *Entry {
+	p := process.New(name, filepath.Join(s.Plan.Binaries, "tarragond"), filepath.Join(s.Plan.Out, name+".log"))
+	return &Entry{Process: p, DataCentre: dataCentre, site: s}
 }
 
 // Start starts the process with settings of its own.
@@ -59,29 +44,7 @@
 	if err := os.WriteFile(f, []byte(e.settings()), 0o644); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	w, err := os.OpenFile(filepath.Join(e.site.Plan.Out, e.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	defer w.Close()
-	c := exec.Command(filepath.Join(e.site.Plan.Binaries, "tarragond"), "--settings", f)
-	c.Env = append(os.Environ(), e.site.Plan.Environment...)
-	c.Stdout = w
-	c.Stderr = w
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := c.Start(); err != nil {
-		return trace.Wrap(err, "starting %s", e.Name)
-	}
-	e.command = c
-	e.run.Add(1)
-	e.done = make(chan struct{})
-	go func(done chan struct{}) {
-		_ = c.Wait()
-		e.code = c.ProcessState.ExitCode()
-		e.broken.Store(e.broken.Load() || e.code > 1)
-		close(done)
-	}(e.done)
-	return nil
+	return e.Process.Start([]string{"--settings", f}, e.site.Plan.Environment)
 }
 
 func (e *Entry) settings() string {
@@ -99,33 +62,6 @@
 	return b.String()
 }
 
-// Signal sends a signal to the process.
-func (e *Entry) Signal(s os.Signal) {
-	if e.command != nil {
-		_ = e.command.Process.Signal(s)
-	}
-}
-
-// Kill ends the process at once and waits for its end.
-func (e *Entry) Kill() {
-	if e.command == nil {
-		return
-	}
-	_ = e.command.Process.Kill()
-	<-e.done
-}
-
-// Leave asks the process to leave and returns its exit code, or -1 where it did not end in time.
-func (e *Entry) Leave(limit time.Duration) int {
-	e.Signal(syscall.SIGTERM)
-	select {
-	case <-e.done:
-		return e.code
-	case <-time.After(limit):
-		return -1
-	}
-}
-
 // Status is what the entry says of itself.
 type Status struct {
 	Revision uint64 `json:"revision"`
@@ -173,38 +109,14 @@
 			return nil
 		}
 		select {
-		case <-e.done:
-			return trace.BadParameter("%s ended with code %d", e.Name, e.code)
+		case <-e.Done():
+			return trace.BadParameter("%s ended with code %d", e.Name, e.Code())
 		case <-time.After(statusPoll):
 		}
 	}
 	return trace.LimitExceeded("%s did not start in time", e.Name)
 }
 
-// Usage is what the process has used.
-type Usage struct {
-	CPU    time.Duration
-	Memory int64
-}
-
-// Usage reads the process's processor time and resident memory in bytes.
-func (e *Entry) Usage() (Usage, error) {
-	p := "/proc/" + strconv.Itoa(e.command.Process.Pid)
-	s, err := os.ReadFile(p + "/stat")
-	if err != nil {
-		return Usage{}, trace.ConvertSystemError(err)
-	}
-	m, err := os.ReadFile(p + "/statm")
-	if err != nil {
-		return Usage{}, trace.ConvertSystemError(err)
-	}
-	f := strings.Fields(string(s[strings.LastIndexByte(string(s), ')')+1:]))
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	pages, _ := strconv.ParseInt(strings.Fields(string(m))[1], 10, 64)
-	return Usage{CPU: time.Duration(user+system) * time.Second / ticksPerSecond, Memory: pages * pageBytes}, nil
-}
-
 // Metric sums a counter of the entry over its tags.
 func (e *Entry) Metric(ctx context.Context, name string) (float64, error) {
 	b, err := e.Read(ctx, "/metrics")
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"github.com/tarragonbank/tarragonbank/bench/backend"
 	"github.com/tarragonbank/tarragonbank/bench/load"
+	"github.com/tarragonbank/tarragonbank/bench/loopback"
 	"github.com/tarragonbank/tarragonbank/bench/platform"
 	"github.com/tarragonbank/tarragonbank/bench/proxy"
 	"github.com/tarragonbank/tarragonbank/fleet/config"
@@ -56,7 +56,7 @@
 	Entries  []*Entry
 
 	platformAddress netip.AddrPort
-	octet           int
+	block           loopback.Block
 }
 
 // New starts a site and has its configuration accepted.
@@ -128,26 +128,9 @@
 	portPlatform
 )
 
-// octets is how many sites one machine can hold at once.
-const octets = 200
-
-// claim finds loopback addresses that no other site uses, by listening where the platform will.
-func (s *Site) claim() error {
-	var err error
-	for i := range octets {
-		s.octet = 10 + (os.Getpid()+i)%octets
-		var l net.Listener
-		if l, err = net.Listen("tcp", s.address(groupPlatform, 1, portPlatform).String()); err == nil {
-			return trace.ConvertSystemError(l.Close())
-		}
-	}
-	return trace.ConvertSystemError(err)
-}
-
 // address is a loopback address of the site.
 func (s *Site) address(group, host int, port uint16) netip.AddrPort {
-	a := netip.AddrFrom4([4]byte{127, byte(s.octet), byte(group), byte(host)})
-	return netip.AddrPortFrom(a, port)
+	return s.block.Address(group, host, port)
 }
 
 const (
@@ -160,7 +143,8 @@
 )
 
 func (s *Site) startPlatform() error {
-	if err := s.claim(); err != nil {
+	var err error
+	if s.block, err = loopback.Claim(groupPlatform, 1, portPlatform); err != nil {
 		return err
 	}
 	a := s.address(groupPlatform, 1, portPlatform)
@@ -171,7 +155,6 @@
 	if !s.Plan.Proxies {
 		return nil
 	}
-	var err error
 	s.platformAddress, err = s.proxied(platformProxy, a, groupProxies, 1)
 	return err
 }
@@ -282,7 +265,7 @@
 	dcs := s.dataCentres()
 	for i := range s.Plan.Entries {
 		d := i % len(dcs)
-		e := &Entry{Name: fmt.Sprintf("entry-%d", i+1), DataCentre: dcs[d], site: s}
+		e := s.newEntry(fmt.Sprintf("entry-%d", i+1), dcs[d])
 		e.Caller = s.address(groupEntries+d, i+1, portCaller)
 		e.Operator = s.address(groupEntries+d, i+1, portOperator)
 		e.PeerListen = s.address(groupEntries+d, i+1, portPeer)
