Say not run of a submission without an owner only where the store tells so

No owner has seen the attempt, but an earlier one may have been accepted. The entry now asks the store for the job: stored means accepted, absent means refused, and no answer means that it is not known, with when to come back. Ruled out: remembering answers at the entry, since repeated attempts reach other entries; refusing in any case, which the store's answer shows to be false. Tests that failed first: entry/relay, two cases.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -143,6 +144,21 @@
 	return o.reign
 }
 
+// Stored says whether the store has a job, for an entry that reaches no owner; it fails where the store does not tell.
+func (o *Owner) Stored(ctx context.Context, id string) (bool, error) {
+	c, stop := context.WithTimeout(ctx, storedLimit)
+	defer stop()
+	_, err := o.ports.Store.Get(c, jobKey+id)
+	var absent *store.AbsentError
+	if errors.As(err, &absent) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// storedLimit bounds the look for a job whose caller waits; the store answers within milliseconds.
+const storedLimit = 200 * time.Millisecond
+
 // Leave hands the ownership over and takes it no more.
 func (o *Owner) Leave() {
 	o.lock.Lock()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -16,6 +16,8 @@
 	Current() owner.Desk
 	// Known is who owns the fleet.
 	Known() owner.Record
+	// Stored says whether the store has a job; it fails where the store does not tell.
+	Stored(ctx context.Context, id string) (bool, error)
 	// Heard takes note of an entry that asks this one.
 	Heard(name string, strength float64, now time.Time)
 }
@@ -47,26 +49,54 @@
 func (r *Relay) Call(ctx context.Context, c *schema.JobCall) scheduler.Reply {
 	ctx, stop := context.WithTimeout(ctx, callLimit)
 	defer stop()
+	x, reached := r.pass(ctx, c)
+	if reached || c.Kind != schema.JobCall_SUBMIT {
+		return x
+	}
+	return r.withoutOwner(ctx, c, x)
+}
+
+// withoutOwner answers a submission that no owner has seen. An earlier attempt may have been accepted, which only the
+// store tells: the job is refused as not run where the store does not have it, and else it is not known.
+func (r *Relay) withoutOwner(ctx context.Context, c *schema.JobCall, refused scheduler.Reply) scheduler.Reply {
+	stored, err := r.local.Stored(ctx, c.Id)
+	switch {
+	case err != nil:
+		return scheduler.Reply{Result: scheduler.Unsure, RetryAfter: retryAfter, Reason: refused.Reason + "; " + err.Error()}
+	case stored:
+		return scheduler.Reply{Result: scheduler.Done, Reason: "accepted before"}
+	default:
+		return refused
+	}
+}
+
+// pass answers a call here or at the owner; reached is false where no owner can have seen it.
+func (r *Relay) pass(ctx context.Context, c *schema.JobCall) (x scheduler.Reply, reached bool) {
 	if d := r.local.Current(); d != nil {
-		return Answer(ctx, d, c)
+		return Answer(ctx, d, c), true
 	}
 	k := r.local.Known()
 	if k.Revision == 0 || k.Address == r.self.Address {
-		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "nobody owns the fleet at present"}
+		return absent("nobody owns the fleet at present"), false
 	}
 	m, sent, err := r.link.ask(ctx, k.Address, c)
 	switch {
 	case err == nil && m.Result == notOwner:
-		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "the owner has just changed"}
+		return absent("the owner has just changed"), false
 	case err == nil:
-		return reply(m)
+		return reply(m), true
 	case !sent:
-		return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: "the owner is not reached: " + err.Error()}
+		return absent("the owner is not reached: " + err.Error()), false
 	default:
-		return scheduler.Reply{Result: scheduler.Unsure, Reason: "the owner did not answer: " + err.Error()}
+		return scheduler.Reply{Result: scheduler.Unsure, Reason: "the owner did not answer: " + err.Error()}, true
 	}
 }
 
+// absent refuses a call for want of an owner.
+func absent(reason string) scheduler.Reply {
+	return scheduler.Reply{Result: scheduler.Refused, RetryAfter: retryAfter, Reason: reason}
+}
+
 // Answer has a desk answer a call.
 func Answer(ctx context.Context, d owner.Desk, c *schema.JobCall) scheduler.Reply {
 	switch c.Kind {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonbank/tarragonbank/entry/relay"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
 	"github.com/tarragonbank/tarragonbank/fleet/suite"
 )
 
@@ -47,6 +48,9 @@
 	desk  *desk
 	known owner.Record
 	heard string
+	// stored is the job that the store has.
+	stored string
+	away   error
 }
 
 func (l *local) Current() owner.Desk {
@@ -55,7 +59,10 @@
 	}
 	return l.desk
 }
-func (l *local) Known() owner.Record                       { return l.known }
+func (l *local) Known() owner.Record { return l.known }
+func (l *local) Stored(_ context.Context, id string) (bool, error) {
+	return l.stored == id, l.away
+}
 func (l *local) Heard(name string, _ float64, _ time.Time) { l.heard = name }
 
 // serve runs the owner's side and returns where it is reached.
@@ -68,7 +75,7 @@
 }
 
 var _ = ginkgo.Describe("a call", func() {
-	submit := &schema.JobCall{Kind: schema.JobCall_SUBMIT, Job: &schema.JobRecord{Id: "a"}}
+	submit := &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: "a", Job: &schema.JobRecord{Id: "a"}}
 	ask := func(l *local, c *schema.JobCall) scheduler.Reply {
 		ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer stop()
@@ -103,6 +110,17 @@
 		gomega.Expect(r.Result).To(gomega.Equal(scheduler.Refused))
 		gomega.Expect(r.RetryAfter).To(gomega.BeNumerically(">", 0))
 	})
+	ginkgo.It("is not refused where the store has the job from an earlier attempt", func() {
+		l := &local{stored: "a"}
+		gomega.Expect(ask(l, submit).Result).To(gomega.Equal(scheduler.Done))
+		gomega.Expect(ask(l, &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: "b"}).Result).To(gomega.Equal(scheduler.Refused))
+		gomega.Expect(ask(l, &schema.JobCall{Kind: schema.JobCall_STATE, Id: "a"}).Result).To(gomega.Equal(scheduler.Refused))
+	})
+	ginkgo.It("is not called refused where neither an owner nor the store tells of earlier attempts", func() {
+		r := ask(&local{away: &store.BusyError{Call: "get"}}, submit)
+		gomega.Expect(r.Result).To(gomega.Equal(scheduler.Unsure))
+		gomega.Expect(r.RetryAfter).To(gomega.BeNumerically(">", 0))
+	})
 	ginkgo.It("is refused as not run by an entry that owns the fleet no more", func() {
 		a, stop := serve(&local{})
 		defer stop()
--- a/entry/submitter/answer.go
+++ b/entry/submitter/answer.go
@@ -67,7 +67,9 @@
 	case scheduler.Invalid:
 		refuse(w, http.StatusBadRequest, failure{Kind: "job", Error: x.Reason})
 	default:
-		refuse(w, http.StatusGatewayTimeout, failure{Kind: "unsure", Error: "it may have been done, ask again with the same id: " + x.Reason})
+		refuse(w, http.StatusGatewayTimeout, failure{
+			Kind: "unsure", Error: "it may have been done, ask again with the same id: " + x.Reason, RetryAfterMs: x.RetryAfter.Milliseconds(),
+		})
 	}
 }
 
