--- a/bench/jobsite/caller.go
+++ b/bench/jobsite/caller.go
@@ -45,6 +45,8 @@
 	Phase     string
 	Ended     time.Time
 	Cancelled bool
+	// answered is closed with the last answer.
+	answered chan struct{}
 }
 
 // Callers submit jobs through the product's own interface and follow them.
@@ -63,8 +65,30 @@
 	return &Callers{site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, random: rand.New(rand.NewPCG(seed, 3))}
 }
 
-// Jobs lists what was submitted.
-func (c *Callers) Jobs() []*Submission {
+// Jobs lists what was submitted as it stands now.
+func (c *Callers) Jobs() []Submission {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	l := []Submission{}
+	for _, x := range c.jobs {
+		l = append(l, *x)
+	}
+	return l
+}
+
+// Of is a submission as it stands now.
+func (c *Callers) Of(id string) Submission {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for _, x := range c.jobs {
+		if x.Request.Id == id {
+			return *x
+		}
+	}
+	return Submission{}
+}
+
+func (c *Callers) all() []*Submission {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	return append([]*Submission{}, c.jobs...)
@@ -92,7 +116,7 @@
 
 // Submit hands a job in, on its own; Wait waits for the answers.
 func (c *Callers) Submit(ctx context.Context, j Job) *Submission {
-	x := &Submission{Job: j, Sent: time.Now()}
+	x := &Submission{Job: j, Sent: time.Now(), answered: make(chan struct{})}
 	c.lock.Lock()
 	c.jobs = append(c.jobs, x)
 	c.lock.Unlock()
@@ -100,11 +124,27 @@
 	c.work.Add(1)
 	go func() {
 		defer c.work.Done()
+		defer close(x.answered)
 		c.submit(ctx, x)
 	}()
 	return x
 }
 
+// Again submits a job that may have been accepted once more, which must change nothing.
+func (c *Callers) Again(ctx context.Context, x *Submission) {
+	b, err := protojson.Marshal(x.Request)
+	if err != nil {
+		panic(err)
+	}
+	status, _ := c.attempt(ctx, b)
+	if status != http.StatusTooManyRequests {
+		return
+	}
+	if c.Of(x.Request.Id).Answer == standin.Accepted {
+		c.site.StandIn.Ledger.Blame("job %s is refused, though it was accepted before", x.Request.Id)
+	}
+}
+
 // Wait waits until all submissions have their last answer.
 func (c *Callers) Wait() {
 	c.work.Wait()
@@ -162,14 +202,19 @@
 	return a.StatusCode, time.Duration(n) * time.Second
 }
 
-// Cancel cancels a job until that is acknowledged or the context ends.
+// Cancel cancels a job, unless it was not accepted, until that is acknowledged or the context ends.
 func (c *Callers) Cancel(ctx context.Context, x *Submission) {
-	c.lock.Lock()
-	x.Cancelled = true
-	c.lock.Unlock()
 	c.work.Add(1)
 	go func() {
 		defer c.work.Done()
+		<-x.answered
+		c.lock.Lock()
+		accepted := x.Answer == standin.Accepted
+		x.Cancelled = accepted
+		c.lock.Unlock()
+		if !accepted {
+			return
+		}
 		for ctx.Err() == nil {
 			status, _ := c.ask(ctx, http.MethodDelete, "/v1/jobs/"+x.Request.Id)
 			if status == http.StatusOK || status == http.StatusNotFound {
@@ -181,11 +226,15 @@
 	}()
 }
 
-// ask asks a ready entry.
+// ask asks a ready entry; status 0 means that no answer came.
 func (c *Callers) ask(ctx context.Context, method, path string) (int, []byte) {
+	return c.askEntry(ctx, c.entry(ctx), method, path)
+}
+
+func (c *Callers) askEntry(ctx context.Context, e *Entry, method, path string) (int, []byte) {
 	t, stop := context.WithTimeout(ctx, statusTimeout)
 	defer stop()
-	r, err := http.NewRequestWithContext(t, method, "http://"+c.entry(t).Told.Ready.String()+path, nil)
+	r, err := http.NewRequestWithContext(t, method, "http://"+e.Told.Ready.String()+path, nil)
 	if err != nil {
 		return 0, nil
 	}
@@ -230,7 +279,7 @@
 		m[x.ID] = x.Phase
 	}
 	now := time.Now()
-	for _, x := range c.Jobs() {
+	for _, x := range c.all() {
 		c.take(x, m[x.Request.Id], now)
 	}
 	return true
@@ -251,6 +300,24 @@
 	}
 }
 
+// Explain is what an entry tells of a job's tasks.
+func (c *Callers) Explain(ctx context.Context, id string) string {
+	_, b := c.ask(ctx, http.MethodGet, "/v1/jobs/"+id)
+	return string(b)
+}
+
+// Version is the version of the configuration that an entry has in force, 0 where it does not tell.
+func (c *Callers) Version(ctx context.Context, e *Entry) uint64 {
+	_, b := c.askEntry(ctx, e, http.MethodGet, "/v1/owner")
+	var v struct {
+		Config uint64 `json:"config"`
+	}
+	if json.Unmarshal(b, &v) != nil {
+		return 0
+	}
+	return v.Config
+}
+
 // Owner is the entry that owns all pools as an entry tells, nil where none does.
 func (c *Callers) Owner(ctx context.Context) *Entry {
 	status, b := c.ask(ctx, http.MethodGet, "/v1/owner")
--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -88,9 +88,10 @@
 const (
 	// StandbyPool is the pool whose VMs are off.
 	StandbyPool = "ledger"
-	slack       = 1.6
-	latency     = 2 * time.Second
-	attempts    = 4
+	// Attempts is how many failed runs of a task make its job fail.
+	Attempts = 4
+	slack    = 1.6
+	latency  = 2 * time.Second
 )
 
 // Pools are the pools whose VMs serve; each has a queue of its own name.
@@ -102,7 +103,7 @@
 	for i, p := range Pools {
 		pools[p] = queue.Pool{Name: p}
 		l = append(l, queue.Queue{
-			Name: p, Host: "workshop.example", Prefix: "/" + p + "/", Pool: p, Priority: i, Attempts: attempts,
+			Name: p, Host: "workshop.example", Prefix: "/" + p + "/", Pool: p, Priority: i, Attempts: Attempts,
 			Slack: slack, Latency: latency,
 		})
 	}
--- a/bench/proxy/proxy.go
+++ b/bench/proxy/proxy.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -9,14 +11,23 @@
 	"github.com/gravitational/trace"
 )
 
-const chunkBytes = 32 << 10
+const (
+	chunkBytes = 32 << 10
+	// chunksHeld bounds what one direction of a connection holds back; the sender is blocked beyond it.
+	chunksHeld = 64
+	// holdPoll is between looks at whether a link passes again.
+	holdPoll = 5 * time.Millisecond
+)
 
 // Fault is what is wrong with a link.
 type Fault struct {
 	// Cut refuses new connections and closes those that are open.
 	Cut bool
-	// Hang accepts new connections and passes nothing on.
-	Hang bool
+	// Hold accepts new connections and holds back what is sent until the fault is over, as a partition does; what a
+	// sender has reset meanwhile is lost.
+	Hold bool
+	// HoldAnswers holds back only what the target sends.
+	HoldAnswers bool
 	// Delay holds each chunk back.
 	Delay time.Duration
 }
@@ -39,6 +50,8 @@
 	out    net.Conn
 	lock   sync.Mutex
 	silent bool
+	closed chan struct{}
+	once   sync.Once
 }
 
 // New makes a proxy to the target.
@@ -59,7 +72,9 @@
 
 // Stop closes the listener and all connections.
 func (p *Proxy) Stop() {
-	_ = p.listener.Close()
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 	p.each(func(x *pair) { x.close() })
 }
 
@@ -75,6 +90,11 @@
 	})
 }
 
+// SetFault changes what is wrong for all that connect.
+func (p *Proxy) SetFault(f Fault) {
+	p.SetFaults(func(netip.Addr) Fault { return f })
+}
+
 // Silence has the connections that are open go silent for good, while new ones work.
 func (p *Proxy) Silence() int {
 	n := 0
@@ -87,6 +107,11 @@
 	return n
 }
 
+// Reset closes the connections that are open; new ones work.
+func (p *Proxy) Reset() {
+	p.each(func(x *pair) { x.reset() })
+}
+
 func (p *Proxy) each(f func(*pair)) {
 	p.lock.Lock()
 	l := make([]*pair, 0, len(p.pairs))
@@ -126,13 +151,13 @@
 		c.Close()
 		return
 	}
-	x := &pair{from: from, in: c, out: o}
+	x := &pair{from: from, in: c, out: o, closed: make(chan struct{})}
 	p.lock.Lock()
 	p.pairs[x] = true
 	p.lock.Unlock()
 	done := make(chan struct{}, 2)
-	go p.copy(x, x.in, x.out, done)
-	go p.copy(x, x.out, x.in, done)
+	go p.copy(x, x.in, x.out, false, done)
+	go p.copy(x, x.out, x.in, true, done)
 	<-done
 	x.close()
 	p.lock.Lock()
@@ -140,20 +165,56 @@
 	p.lock.Unlock()
 }
 
-func (p *Proxy) copy(x *pair, from, to net.Conn, done chan<- struct{}) {
+// copy passes on what one side sends. It reads ahead, so that a reset of the sender takes away what is held back.
+func (p *Proxy) copy(x *pair, from, to net.Conn, answers bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
-	b := make([]byte, chunkBytes)
-	for {
-		n, err := from.Read(b)
-		if err != nil {
+	chunks := make(chan []byte, chunksHeld)
+	go x.read(from, chunks)
+	for b := range chunks {
+		time.Sleep(p.fault(x.from).Delay)
+		if !p.await(x, answers) {
 			return
 		}
-		f := p.fault(x.from)
-		time.Sleep(f.Delay)
-		if f.Hang || x.isSilent() {
+		if x.isSilent() {
 			continue
 		}
-		if _, err := to.Write(b[:n]); err != nil {
+		if _, err := to.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+// await waits until the link passes; it says false where the connection was reset meanwhile.
+func (p *Proxy) await(x *pair, answers bool) bool {
+	for {
+		if f := p.fault(x.from); !f.Hold && !(f.HoldAnswers && answers) {
+			return true
+		}
+		select {
+		case <-x.closed:
+			return false
+		case <-time.After(holdPoll):
+		}
+	}
+}
+
+// read takes what one side sends until it ends; a reset ends the whole connection at once.
+func (x *pair) read(from net.Conn, chunks chan<- []byte) {
+	defer close(chunks)
+	for {
+		b := make([]byte, chunkBytes)
+		n, err := from.Read(b)
+		if n > 0 {
+			select {
+			case chunks <- b[:n]:
+			case <-x.closed:
+				return
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				x.close()
+			}
 			return
 		}
 	}
@@ -166,6 +227,18 @@
 }
 
 func (x *pair) close() {
+	x.once.Do(func() { close(x.closed) })
 	x.in.Close()
 	x.out.Close()
 }
+
+// reset closes both sides so that their peers see a reset.
+func (x *pair) reset() {
+	for _, c := range []net.Conn{x.in, x.out} {
+		if t, ok := c.(*net.TCPConn); ok {
+			// A connection that cannot be set is closed all the same.
+			_ = t.SetLinger(0)
+		}
+	}
+	x.close()
+}
