Maintain a VM for each of its waves, and use a VM whose order had been carried out before

A wave now counts only what was ordered for it; a VM that goes on as the same server after its order's time is taken back into use, and its server is held again. Ruled out: storing progress before the order, which would tell maintenance that may never happen. Tests that failed first: entry/steward, two.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -56,6 +56,9 @@
 			r.order(func(c context.Context) error { return r.owner.ports.Servers.Pace(c, x, uint64(r.epoch)) })
 		})
 	}
+	for _, v := range o.Holds {
+		r.ensure(v)
+	}
 	for _, x := range o.Consults {
 		r.spawn(func() { r.consult(x) })
 	}
--- a/entry/steward/steward_test.go
+++ b/entry/steward/steward_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -87,6 +89,10 @@
 	vms    []vm.Sighting
 	orders []string
 	answer steward.Answer
+	// second is a wave beside the first.
+	second *wave.Wave
+	// onOrder is told of each order's VM, under the lock.
+	onOrder func(name string)
 }
 
 func (f *fleet) List(context.Context) ([]vm.Sighting, error) {
@@ -96,17 +102,23 @@
 }
 
 func (f *fleet) Move(_ context.Context, name, pool string, s steward.Stamp) (steward.Answer, error) {
-	return f.order("move " + name + " to " + pool + " by " + s.Holder)
+	return f.order(name, "move "+name+" to "+pool+" by "+s.Holder)
 }
 
-func (f *fleet) Maintain(_ context.Context, name string, _ int, s steward.Stamp) (steward.Answer, error) {
-	return f.order("maintain " + name + " by " + s.Holder)
+func (f *fleet) Maintain(_ context.Context, name string, n int, s steward.Stamp) (steward.Answer, error) {
+	if n > 1 {
+		return f.order(name, fmt.Sprintf("maintain %s by %s for wave %d", name, s.Holder, n))
+	}
+	return f.order(name, "maintain "+name+" by "+s.Holder)
 }
 
-func (f *fleet) order(s string) (steward.Answer, error) {
+func (f *fleet) order(name, s string) (steward.Answer, error) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.orders = append(f.orders, s)
+	if f.onOrder != nil {
+		f.onOrder(name)
+	}
 	return f.answer, nil
 }
 
@@ -118,11 +130,15 @@
 
 type board struct{}
 
-func (board) Status(_ int, complete bool) store.Write {
+func (board) Status(n int, complete bool) store.Write {
+	key := "status"
+	if n > 1 {
+		key = fmt.Sprintf("status %d", n)
+	}
 	if complete {
-		return store.Write{Key: "status", Value: []byte("complete")}
+		return store.Write{Key: key, Value: []byte("complete")}
 	}
-	return store.Write{Key: "status", Value: []byte("running")}
+	return store.Write{Key: key, Value: []byte("running")}
 }
 
 type silent struct{}
@@ -137,9 +153,13 @@
 
 // tell has a VM's server say that nothing runs there.
 func tell(o *office, name string) {
+	tellAs(o, name, "s-"+name)
+}
+
+func tellAs(o *office, name, id string) {
 	o.Do(func(s *scheduler.Scheduler, now time.Time) {
 		v := server.Server{
-			ID: "s-" + name, Born: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: 64000, MemoryMB: 1000},
+			ID: id, Born: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: 64000, MemoryMB: 1000},
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		}
 		s.Register(v, now)
@@ -147,6 +167,27 @@
 	})
 }
 
+// taken notes the orders of a fleet in which VMs go down and come back as other servers after two seconds.
+func (f *fleet) goDown(o *office) {
+	f.onOrder = func(name string) {
+		f.set(name, func(v *vm.Sighting) { v.Standing, v.Server = vm.InUpkeep, "" })
+		time.AfterFunc(2*time.Second, func() {
+			f.lock.Lock()
+			f.set(name, func(v *vm.Sighting) { v.Standing, v.Server = vm.Up, "t-"+name })
+			f.lock.Unlock()
+			tellAs(o, name, "t-"+name)
+		})
+	}
+}
+
+func (f *fleet) set(name string, change func(v *vm.Sighting)) {
+	for i := range f.vms {
+		if f.vms[i].Name == name {
+			change(&f.vms[i])
+		}
+	}
+}
+
 // setting is a site in which a steward runs a wave over VM a.
 type setting func(g *gomega.WithT, o *office, x *fleet)
 
@@ -156,12 +197,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := newOffice()
 		x := &fleet{vms: []vm.Sighting{used("a"), used("b"), used("c")}}
+		prepare(gomega.NewWithT(t), o, x)
 		s := steward.New("e1", x, board{}, silent{}, steward.Bounds{
 			Move: time.Second, Maintenance: 2 * time.Second, Turn: 3 * time.Second,
 		}, func() *queue.Table { return table })
 		s.AddWave(wave.Wave{Number: 1, VMs: []string{"a"}, Time: 10 * time.Second, Most: 1})
+		if x.second != nil {
+			s.AddWave(*x.second)
+		}
 		ctx, stop := context.WithCancel(context.Background())
-		prepare(gomega.NewWithT(t), o, x)
 		go s.Run(ctx, o)
 		defer func() {
 			stop()
@@ -233,3 +277,45 @@
 		g.Expect(o.read("status")).To(gomega.Equal("running"))
 	})
 }
+
+func TestVMOfTwoWavesHasBothMaintenances(t *testing.T) {
+	play(t, func(_ *gomega.WithT, o *office, x *fleet) {
+		for _, n := range []string{"a", "b", "c"} {
+			tell(o, n)
+		}
+		x.second = &wave.Wave{Number: 2, VMs: []string{"a"}, Time: 20 * time.Second, Most: 1}
+		x.goDown(o)
+	}, func(g *gomega.WithT, o *office, x *fleet) {
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(x.ordered()).To(gomega.HaveLen(1))
+		done := 0
+		for _, k := range []string{"status", "status 2"} {
+			if o.read(k) == "complete" {
+				done++
+			}
+		}
+		g.Expect(done).To(gomega.Equal(1), "only the wave for which the VM is down")
+		time.Sleep(8 * time.Second)
+		l := slices.DeleteFunc(x.ordered(), func(s string) bool { return strings.HasPrefix(s, "move") })
+		g.Expect(l).To(gomega.ConsistOf("maintain a by e1", "maintain a by e1 for wave 2"))
+		g.Expect(o.read("status") + o.read("status 2")).To(gomega.Equal("completecomplete"))
+	})
+}
+
+func TestVMWhoseOrderWasCarriedOutBeforeServesAgain(t *testing.T) {
+	play(t, func(_ *gomega.WithT, o *office, _ *fleet) {
+		for _, n := range []string{"a", "b", "c"} {
+			tell(o, n)
+		}
+	}, func(g *gomega.WithT, o *office, x *fleet) {
+		// The order is accepted, but the VM stays as it is: an earlier owner's order has had its effect.
+		time.Sleep(time.Second)
+		g.Expect(x.ordered()).To(gomega.HaveLen(1))
+		time.Sleep(5 * time.Second)
+		tell(o, "a")
+		o.Do(func(s *scheduler.Scheduler, now time.Time) {
+			g.Expect(s.Loads(now)["s-a"].Usable).To(gomega.BeTrue())
+			g.Expect(s.Take().Holds).To(gomega.ContainElement(gomega.HaveField("ID", "s-a")))
+		})
+	})
+}
--- a/entry/steward/term.go
+++ b/entry/steward/term.go
@@ -122,6 +122,11 @@
 			d.seenAway = true
 			continue
 		}
+		if t.stayed(d, v) {
+			t.end(d, "VM has stayed: the order was carried out before")
+			t.office.Do(func(s *scheduler.Scheduler, _ time.Time) { s.StillThere(d.server) })
+			continue
+		}
 		back := d.seenAway || now.Sub(d.accepted) > t.away(d)
 		moved := d.pool == "" || v.Pool == d.pool
 		served := v.Server != d.server || t.standby(v.Pool)
@@ -131,6 +136,15 @@
 	}
 }
 
+// stayed says whether a VM goes on as it was, though the order was accepted: an earlier owner's order has had its
+// effect, which this one did not know.
+func (t *term) stayed(d *duty, v vm.Sighting) bool {
+	return !d.seenAway && v.Server != "" && v.Server == d.server && t.listed.After(d.accepted.Add(t.away(d)+stayedMargin))
+}
+
+// stayedMargin is how much longer than its order takes a VM may seem to stay: the list is read each half second.
+const stayedMargin = time.Second
+
 // away is how long a VM is away for the duty.
 func (t *term) away(d *duty) time.Duration {
 	if d.pool != "" {
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -124,17 +124,17 @@
 	x.Work = load.Work + float64(load.Lasting)
 	x.Spare = spare[v.Pool] || x.Standby
 	x.Lasting = load.Lasting > 0
+	down := d != nil && !d.prepared && d.pool == ""
 	switch {
 	case !known:
 		x.Condition = wave.Gone
-	case d != nil && !d.prepared && d.pool == "" && !d.answered:
-		x.Condition = wave.Asked
-	case d != nil && !d.prepared && d.pool == "", v.Standing == vm.InUpkeep:
+	case p.maintained[name] && (down || v.Standing == vm.InUpkeep):
 		x.Condition = wave.Away
-	case held && !p.maintained[name]:
-		x.Condition = wave.Asked
 	case p.maintained[name]:
 		x.Condition = wave.Maintained
+	case down, held, v.Standing == vm.InUpkeep:
+		// It is down for another wave, or for an order of which it is not known whether it was carried out.
+		x.Condition = wave.Asked
 	}
 	return x
 }
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -117,7 +117,7 @@
 // start sends the order to start a run.
 func (s *Scheduler) start(r *run, now time.Time) {
 	v := r.server
-	if !v.registered || v.info.Draining || !v.reachable {
+	if !v.there() || v.info.Draining || !v.reachable {
 		s.drop(r, now, "server is leaving or silent")
 		return
 	}
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -128,7 +128,7 @@
 func (s *Scheduler) unusable(pool string, now time.Time) string {
 	m := map[string]int{}
 	for _, v := range s.servers {
-		if v.info.Pool == pool && v.registered {
+		if v.info.Pool == pool && v.there() {
 			m[v.hindrance(s.cordoned[v.info.VM], now)]++
 		}
 	}
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -63,7 +63,7 @@
 	empty := true
 	pools := s.pools(now)
 	for _, v := range s.servers {
-		if v.info.VM != name || !v.registered {
+		if v.info.VM != name || !v.there() {
 			continue
 		}
 		for _, r := range v.runs {
@@ -128,10 +128,21 @@
 		return
 	}
 	s.abandon(v, now, "VM was taken down")
-	v.registered = false
 	v.gone = true
 }
 
+// StillThere takes note that a server's life has not ended, though an order that should end it was accepted.
+func (s *Scheduler) StillThere(id string) {
+	v := s.servers[id]
+	if v == nil || !v.gone {
+		return
+	}
+	v.gone = false
+	s.unplanned = true
+	s.orders.Holds = append(s.orders.Holds, v.info)
+	s.note(Note{Server: id, Pool: v.info.Pool, Reason: "server is still there"})
+}
+
 // Need is what the work of a pool asks for.
 type Need struct {
 	Cores float64
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -19,7 +19,7 @@
 				s.drop(r, now, "lease lapsed on a silent server")
 			}
 		}
-		if !v.registered && len(v.runs) == 0 && now.Sub(v.heard) > forgetServer && now.After(s.settledAt) {
+		if !v.there() && len(v.runs) == 0 && now.Sub(v.heard) > forgetServer && now.After(s.settledAt) {
 			delete(s.servers, id)
 			s.ordered = nil
 		}
--- a/fleet/scheduler/order.go
+++ b/fleet/scheduler/order.go
@@ -58,7 +58,9 @@
 	Stops    []Stop
 	Paces    []Pace
 	Consults []Consult
-	Notes    []Note
+	// Holds are servers that are to be held again.
+	Holds []server.Server
+	Notes []Note
 	// Ends counts the runs that ended, by how they did.
 	Ends map[job.End]int
 }
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -114,9 +114,14 @@
 	}
 }
 
+// there says whether the platform lists the server and no order of ours has ended its life.
+func (v *serverState) there() bool {
+	return v.registered && !v.gone
+}
+
 // usable says whether new runs may go to the server.
 func (v *serverState) usable(now time.Time) bool {
-	return v.registered && !v.info.Draining && !v.misplaced && v.reachable &&
+	return v.there() && !v.info.Draining && !v.misplaced && v.reachable &&
 		now.Sub(v.heard) < silence && !now.Before(v.pausedTo) && !now.Before(v.fullUntil)
 }
 
@@ -134,6 +139,7 @@
 		v = nil
 	}
 	if v != nil && v.gone {
+		v.info, v.registered = i, true
 		return
 	}
 	if v == nil {
