--- a/entry/relay/link.go
+++ b/entry/relay/link.go
@@ -63,7 +63,9 @@
 	if m == nil {
 		return nil, true, &peer.FrameError{Detail: "not a reply"}
 	}
-	l.last.Store(time.Now().UnixNano())
+	if m.Result != notOwner {
+		l.last.Store(time.Now().UnixNano())
+	}
 	return m, true, nil
 }
 
