--- a/entry/owner/strength.go
+++ b/entry/owner/strength.go
@@ -22,64 +22,30 @@
 	heardWithin = time.Second
 )
 
-// others follows which entries ask the owner.
+// others follows which stronger entries ask the owner.
 type others struct {
-	lock sync.Mutex
-	// first is since when stronger entries have asked without a pause, last when each entry asked last.
+	lock  sync.Mutex
 	first map[string]time.Time
 	last  map[string]time.Time
 }
 
 // Heard takes note of an entry that asks this one, and of its strength.
 func (o *Owner) Heard(name string, strength float64, now time.Time) {
-	if name == "" {
+	if name == "" || strength < o.self.Strength*strongerBy || o.self.Strength >= ample {
 		return
 	}
 	x := &o.others
 	x.lock.Lock()
 	defer x.lock.Unlock()
-	if x.last == nil {
+	if x.first == nil {
 		x.first, x.last = map[string]time.Time{}, map[string]time.Time{}
 	}
-	stronger := strength >= o.self.Strength*strongerBy && o.self.Strength < ample
-	if stronger && now.Sub(x.last[name]) > heardWithin {
+	if now.Sub(x.last[name]) > heardWithin {
 		x.first[name] = now
 	}
 	x.last[name] = now
 }
 
-// silent says whether most of the entries that used to ask this one do not ask any more.
-func (x *others) silent(now time.Time) bool {
-	x.lock.Lock()
-	defer x.lock.Unlock()
-	known, heard := 0, 0
-	for n, t := range x.last {
-		switch d := now.Sub(t); {
-		case d > knownFor:
-			delete(x.last, n)
-			delete(x.first, n)
-		case d < heardWithin:
-			heard++
-			known++
-		default:
-			known++
-		}
-	}
-	return heard*2 < known
-}
-
-// knownFor is for how long an entry that asks no more counts among the others; restarts take some seconds.
-const knownFor = time.Minute
-
-// CutOff says whether this entry's reign has no word from the store, while most other entries do not ask it either:
-// then another one owns the fleet, or soon will. While the store is away for all, the others go on asking.
-func (o *Owner) CutOff(now time.Time) bool {
-	o.lock.Lock()
-	r := o.reign
-	o.lock.Unlock()
-	return r != nil && r.since() > ownerLife && o.others.silent(now)
-}
-
 // stronger names an entry that should rather own the fleet, or nothing.
 func (o *Owner) stronger(now time.Time) string {
 	x := &o.others
--- a/entry/relay/link.go
+++ b/entry/relay/link.go
@@ -63,9 +63,7 @@
 	if m == nil {
 		return nil, true, &peer.FrameError{Detail: "not a reply"}
 	}
-	if m.Result != notOwner {
-		l.last.Store(time.Now().UnixNano())
-	}
+	l.last.Store(time.Now().UnixNano())
 	return m, true, nil
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -18,8 +18,6 @@
 	Known() owner.Record
 	// Stored says whether the store has a job; it fails where the store does not tell.
 	Stored(ctx context.Context, id string) (bool, error)
-	// CutOff says whether the owner here is cut off from the store and most other entries.
-	CutOff(now time.Time) bool
 	// Heard takes note of an entry that asks this one.
 	Heard(name string, strength float64, now time.Time)
 }
@@ -147,7 +145,7 @@
 // Ready says whether calls can be answered, here or at the owner.
 func (r *Relay) Ready() bool {
 	if r.local.Current() != nil {
-		return !r.local.CutOff(time.Now())
+		return true
 	}
 	return time.Since(r.link.heard()) < pingFresh
 }
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -46,12 +46,9 @@
 	}
 	c, stop := context.WithTimeout(ctx, callLimit)
 	defer stop()
-	now := time.Now()
-	r.local.Heard(e.GetJobCall().From, e.GetJobCall().Strength, now)
+	r.local.Heard(e.GetJobCall().From, e.GetJobCall().Strength, time.Now())
 	m := &schema.JobReply{Result: notOwner}
-	// A ping asks whether callers are served here; what callers themselves ask is answered as well as can be.
-	lost := e.GetJobCall().Kind == schema.JobCall_PING && r.local.CutOff(now)
-	if d := r.local.Current(); d != nil && !lost {
+	if d := r.local.Current(); d != nil {
 		m = message(Answer(c, d, e.GetJobCall()))
 	}
 	// A reply that cannot be delivered shows at the asking entry as a call without an answer.
