--- a/bench/experiment/soak.go
+++ b/bench/experiment/soak.go
@@ -15,7 +15,7 @@
 }
 
 func runSoak(ctx context.Context, e Environment, r *Report) error {
-	x, err := soak.Run(ctx, soak.Plan{Binaries: e.Binaries, Out: e.Out, Seed: e.Seed, Length: e.scaled(soakTime)})
+	x, err := soak.Run(ctx, soak.Plan{Binaries: e.Binaries, Out: e.Out, Seed: e.Seed, Length: e.scaled(soakTime), Untimed: e.Untimed})
 	if err != nil {
 		return err
 	}
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -20,6 +20,8 @@
 	Seed     uint64
 	// Length is for how long faults strike.
 	Length time.Duration
+	// Untimed gives all that must come true at last the same long time, for machines that are busy.
+	Untimed bool
 }
 
 // Result is what a soak found.
@@ -43,6 +45,9 @@
 	faults sync.WaitGroup
 	waves  int
 	began  time.Time
+	// gone and inForce are the times within which the tasks of a cancelled job are gone and a change is in force.
+	gone    time.Duration
+	inForce time.Duration
 
 	lock       sync.Mutex
 	taken      map[*jobsite.Entry]bool
@@ -71,6 +76,7 @@
 	s, err := jobsite.New(ctx, jobsite.Plan{
 		Binaries: p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: leastEntries + random.IntN(mostEntries-leastEntries+1), PerPool: leastVMs + random.IntN(mostVMs-leastVMs+1),
+		Untimed: p.Untimed,
 	})
 	if err != nil {
 		return nil, err
@@ -78,7 +84,10 @@
 	defer s.Stop()
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), random: random, load: rand.New(rand.NewPCG(p.Seed, 12)),
-		taken: map[*jobsite.Entry]bool{}, began: time.Now(),
+		taken: map[*jobsite.Entry]bool{}, began: time.Now(), gone: goneLimit, inForce: changeLimit,
+	}
+	if p.Untimed {
+		r.gone, r.inForce = settleLimit, settleLimit
 	}
 	follow, stop := context.WithCancel(ctx)
 	defer stop()
