--- /dev/null
+++ b/bench/jobsite/jobsite_test.go
@@ -0,0 +1,102 @@
+package jobsite_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/bench/jobsite"
+	"github.com/tarragonbank/tarragonbank/fleet/suite"
+)
+
+func TestJobsite(t *testing.T) {
+	suite.Run(t, "jobsite")
+}
+
+const limit = time.Minute
+
+func start(ctx context.Context) *jobsite.Site {
+	binaries := ginkgo.GinkgoT().TempDir()
+	text, err := exec.Command("go", "build", "-o", binaries+"/", "../../platform/cmd/tarragonjobs").CombinedOutput()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(text))
+	s, err := jobsite.New(ctx, jobsite.Plan{Binaries: binaries, Out: ginkgo.GinkgoT().TempDir(), Seed: 1, Entries: 2, PerPool: 2, Untimed: true})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(s.Stop)
+	return s
+}
+
+// documented are the names in the table of metrics.
+func documented() []string {
+	b, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	_, after, ok := strings.Cut(string(b), "## Metrics")
+	gomega.Expect(ok).To(gomega.BeTrue())
+	l := []string{}
+	for _, row := range regexp.MustCompile(`(?m)^\| ([^|]*) \|`).FindAllStringSubmatch(after, -1) {
+		for _, n := range regexp.MustCompile("`([a-z_]+)`").FindAllStringSubmatch(row[1], -1) {
+			l = append(l, n[1])
+		}
+	}
+	return l
+}
+
+// scraped are the names that an entry serves on its metrics address.
+func scraped(ctx context.Context, e *jobsite.Entry) map[string]bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Told.Ready.String()+"/metrics", nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	a, err := http.DefaultClient.Do(r)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	m := map[string]bool{}
+	for _, x := range regexp.MustCompile(`(?m)^# TYPE tarragond_([a-z_]+) `).FindAllStringSubmatch(string(b), -1) {
+		m[x[1]] = true
+	}
+	return m
+}
+
+// rare are documented names that a short calm run does not show.
+var rare = map[string]bool{"orders": true, "store_failures": true, "advice": true}
+
+var _ = ginkgo.It("serves the metrics that the operators' page lists, and no others", func() {
+	ctx, stop := context.WithTimeout(context.Background(), limit)
+	defer stop()
+	s := start(ctx)
+	gomega.Expect(s.StandIn.Wave(1, []string{"ledger-1"}, limit, 1)).To(gomega.Succeed())
+	c := jobsite.NewCallers(s, 1)
+	j := jobsite.Copied(c.ID(), jobsite.Pools[0])
+	c.Submit(ctx, j)
+	c.Wait()
+	names := documented()
+	gomega.Expect(len(names)).To(gomega.BeNumerically(">", 10))
+	gomega.Eventually(func() []string {
+		found := map[string]bool{}
+		for _, e := range s.Entries {
+			for n := range scraped(ctx, e) {
+				found[n] = true
+			}
+		}
+		wrong := []string{}
+		for _, n := range names {
+			if !found[n] && !rare[n] {
+				wrong = append(wrong, "missing "+n)
+			}
+			delete(found, n)
+		}
+		for n := range found {
+			wrong = append(wrong, "not on the page: "+n)
+		}
+		return wrong
+	}, "30s", "200ms").Should(gomega.BeEmpty())
+})
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -66,6 +66,8 @@
 	{"job cancel", "cancel a job", cancelJob},
 	{"queues", "the queues that take jobs", queues},
 	{"owner", "the entry that owns all pools", showOwner},
+	{"fleet pools", "what the pools that run jobs have, and what their work asks for", jobPools},
+	{"fleet waves", "the waves of maintenance and what they have done", jobWaves},
 }
 
 // Commands lists all commands.
--- a/ctl/tarragonctl/job.go
+++ b/ctl/tarragonctl/job.go
@@ -196,6 +196,15 @@
 	return table(ctx, c, o, w, "/v1/queues", "name", "pool", "priority", "attempts", "pending")
 }
 
+func jobPools(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/pools", "name", "servers", "usable", "silent", "cores", "coresUsed", "coresNeeded",
+		"tasksRunning", "tasksWaiting")
+}
+
+func jobWaves(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	return table(ctx, c, o, w, "/v1/waves", "number", "complete", "maintained")
+}
+
 func showOwner(ctx context.Context, c *Client, o Options, w io.Writer) error {
 	var v object
 	if err := c.Get(ctx, "/v1/owner", &v); err != nil {
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -145,11 +145,13 @@
 	asked := time.Now()
 	m, valid, err := r.owner.ports.Adviser.Advise(c, x.Step, x.Servers)
 	if err != nil {
+		r.owner.ports.Metrics.Event("advice", "failed")
 		if r.ctx.Err() == nil {
 			r.owner.note(decision.Dependency, "no advice on "+x.Step+": "+err.Error(), r.epoch)
 		}
 		return
 	}
+	r.owner.ports.Metrics.Event("advice", "answered")
 	r.do(func(s *scheduler.Scheduler, _ time.Time) { s.Advised(x.Step, m, asked.Add(valid)) })
 }
 
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -22,6 +22,7 @@
 	Pending(queue string) scheduler.Reply
 	List(queue string) scheduler.Reply
 	Explain(id string) scheduler.Reply
+	Pools() scheduler.Reply
 }
 
 // reign is one time that this entry owns the fleet.
@@ -48,6 +49,8 @@
 	away    atomic.Bool
 	// ordering follows how long servers take for an order.
 	ordering pace
+	// reported belongs to the ticking goroutine.
+	reported time.Time
 }
 
 const (
@@ -110,6 +113,7 @@
 	r.spawn(func() { mirror.New(o.ports.Store, o.ports.Registry.Prefix(), registrySink{r}).Run(r.ctx) })
 	r.ready.Store(true)
 	o.ports.Metrics.Gauge("owns", 1)
+	defer o.gauges(&schema.PoolStatus{})
 	defer o.ports.Metrics.Gauge("owns", 0)
 	o.note(decision.Ownership, "in office", r.epoch)
 	if o.ports.Duties != nil {
@@ -193,10 +197,38 @@
 		case <-t.C:
 			r.do(func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
 			r.yield(time.Now())
+			r.report(time.Now())
 		}
 	}
 }
 
+// reportEvery is between updates of the gauges, which are scraped every few seconds.
+const reportEvery = time.Second
+
+// report shows the fleet's figures on the metrics address.
+func (r *reign) report(now time.Time) {
+	if now.Sub(r.reported) < reportEvery {
+		return
+	}
+	r.reported = now
+	t := &schema.PoolStatus{}
+	for _, p := range r.Pools().Pools {
+		t.Usable += p.Usable
+		t.Silent += p.Silent
+		t.TasksRunning += p.TasksRunning
+		t.TasksWaiting += p.TasksWaiting
+	}
+	r.owner.gauges(t)
+}
+
+// gauges shows figures that only the owner has; the others show none.
+func (o *Owner) gauges(t *schema.PoolStatus) {
+	o.ports.Metrics.Gauge("servers_usable", float64(t.Usable))
+	o.ports.Metrics.Gauge("servers_silent", float64(t.Silent))
+	o.ports.Metrics.Gauge("tasks_running", float64(t.TasksRunning))
+	o.ports.Metrics.Gauge("tasks_waiting", float64(t.TasksWaiting))
+}
+
 // Submit takes a job and answers once it is stored or refused.
 func (r *reign) Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply {
 	if r.away.Load() && r.State(m.Id).Result == scheduler.Absent {
@@ -260,3 +292,10 @@
 	defer r.lock.Unlock()
 	return r.scheduler.Explain(id, time.Now())
 }
+
+// Pools tells what each pool has and what its work asks for.
+func (r *reign) Pools() scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.Pools(time.Now())
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -112,6 +112,8 @@
 		return d.List(c.Queue)
 	case schema.JobCall_EXPLAIN:
 		return d.Explain(c.Id)
+	case schema.JobCall_POOLS:
+		return d.Pools()
 	default:
 		return scheduler.Reply{Result: scheduler.Done}
 	}
@@ -156,13 +158,13 @@
 func reply(m *schema.JobReply) scheduler.Reply {
 	return scheduler.Reply{
 		Result: scheduler.Result(m.Result), Phase: job.Phase(m.Phase), Pending: int(m.Pending),
-		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs, Pools: m.Pools,
 	}
 }
 
 func message(r scheduler.Reply) *schema.JobReply {
 	return &schema.JobReply{
 		Result: int32(r.Result), Phase: int32(r.Phase), Pending: int32(r.Pending),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs, Pools: r.Pools,
 	}
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -39,6 +39,10 @@
 func (d *desk) List(queue string) scheduler.Reply              { return listed(queue) }
 func (d *desk) Explain(id string) scheduler.Reply              { return listed(id) }
 
+func (d *desk) Pools() scheduler.Reply {
+	return scheduler.Reply{Pools: []*schema.PoolStatus{{Name: "cups", Servers: 3}}}
+}
+
 func listed(name string) scheduler.Reply {
 	return scheduler.Reply{Jobs: []*schema.JobStatus{{Id: name, Tasks: []*schema.TaskStatus{{Task: "a", WaitsFor: "room"}}}}}
 }
@@ -92,6 +96,7 @@
 		l := &local{known: owner.Record{Name: "there", Address: a, Revision: 5}}
 		gomega.Expect(ask(l, submit)).To(gomega.Equal(want))
 		gomega.Expect(ask(l, &schema.JobCall{Kind: schema.JobCall_PENDING}).Pending).To(gomega.Equal(7))
+		gomega.Expect(ask(l, &schema.JobCall{Kind: schema.JobCall_POOLS}).Pools[0].Servers).To(gomega.BeEquivalentTo(3))
 		for _, c := range []*schema.JobCall{{Kind: schema.JobCall_LIST, Queue: "plans"}, {Kind: schema.JobCall_EXPLAIN, Id: "plans"}} {
 			got := ask(l, c).Jobs
 			gomega.Expect(got).To(gomega.HaveLen(1))
--- a/entry/steward/wave.go
+++ b/entry/steward/wave.go
@@ -18,8 +18,8 @@
 	"github.com/tarragonbank/tarragonbank/fleet/wave"
 )
 
-// progressKey is where the progress of a wave is kept.
-const progressKey = "tarragonbank/wave/"
+// WavePrefix is where the progress of each wave is kept.
+const WavePrefix = "tarragonbank/wave/"
 
 // progress is what is known of a wave.
 type progress struct {
@@ -32,10 +32,23 @@
 	stored       int
 }
 
+// Waves decodes the waves' progress as the store has it under WavePrefix.
+func Waves(l []store.Item) ([]*schema.WaveProgress, error) {
+	r := []*schema.WaveProgress{}
+	for _, i := range l {
+		m := &schema.WaveProgress{}
+		if err := proto.Unmarshal(i.Value, m); err != nil {
+			return nil, err
+		}
+		r = append(r, m)
+	}
+	return r, nil
+}
+
 // load reads the waves' progress.
 func (t *term) load(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		l, err := t.office.Read(ctx, progressKey)
+		l, err := t.office.Read(ctx, WavePrefix)
 		if err == nil {
 			t.restore(l)
 			err = t.loadOrders(ctx)
@@ -243,7 +256,7 @@
 		t.note(decision.Record{Reason: "progress of a wave cannot be encoded: " + err.Error()})
 		return
 	}
-	l := []store.Write{{Key: progressKey + strconv.Itoa(w.Number), Value: b}}
+	l := []store.Write{{Key: WavePrefix + strconv.Itoa(w.Number), Value: b}}
 	if !p.toldRunning || p.toldComplete != p.complete {
 		l = append(l, t.steward.board.Status(w.Number, p.complete))
 	}
--- a/entry/submitter/answer.go
+++ b/entry/submitter/answer.go
@@ -93,7 +93,7 @@
 	write(w, http.StatusOK, json.RawMessage(b))
 }
 
-func messages(w http.ResponseWriter, l []*schema.JobStatus) {
+func messages[M proto.Message](w http.ResponseWriter, l []M) {
 	r := []json.RawMessage{}
 	for _, m := range l {
 		b, err := format.Marshal(m)
--- a/entry/submitter/server.go
+++ b/entry/submitter/server.go
@@ -31,33 +31,44 @@
 	Add(r decision.Record)
 }
 
+// Counter counts what callers were told.
+type Counter interface {
+	Event(name, kind string)
+	Time(name, kind string, d time.Duration)
+}
+
 // Entry is what the interface shows of this entry.
 type Entry interface {
 	// Table is the configuration in force, nil where there is none yet.
 	Table() *queue.Table
 	// Owner is who owns the fleet as the store last told.
 	Owner() owner.Record
+	// Waves is how the waves of maintenance stand, as the store tells.
+	Waves(ctx context.Context) ([]*schema.WaveProgress, error)
 	// LogLinesDropped is how many log lines were lost.
 	LogLinesDropped() uint64
 }
 
 // Server answers HTTP requests about jobs.
 type Server struct {
-	calls Caller
-	entry Entry
-	log   Logger
-	mux   *http.ServeMux
+	calls   Caller
+	entry   Entry
+	log     Logger
+	counter Counter
+	mux     *http.ServeMux
 }
 
 // New makes a server that passes calls on.
-func New(c Caller, e Entry, l Logger) *Server {
-	s := &Server{calls: c, entry: e, log: l, mux: http.NewServeMux()}
+func New(c Caller, e Entry, l Logger, n Counter) *Server {
+	s := &Server{calls: c, entry: e, log: l, counter: n, mux: http.NewServeMux()}
 	s.mux.HandleFunc("POST /v1/jobs", s.submit)
 	s.mux.HandleFunc("GET /v1/jobs", s.list)
 	s.mux.HandleFunc("GET /v1/jobs/{id}", s.explain)
 	s.mux.HandleFunc("DELETE /v1/jobs/{id}", s.cancel)
 	s.mux.HandleFunc("GET /v1/queues", s.queues)
 	s.mux.HandleFunc("GET /v1/owner", s.owner)
+	s.mux.HandleFunc("GET /v1/pools", s.pools)
+	s.mux.HandleFunc("GET /v1/waves", s.waves)
 	return s
 }
 
@@ -98,6 +109,8 @@
 	}
 	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: q.Id, Queue: q.Queue, Job: job.FromRequest(q)})
 	s.note(q.Id, "submission "+x.Result.String()+" "+x.Reason, began)
+	s.counter.Event("submissions", x.Result.String())
+	s.counter.Time("submission_duration", x.Result.String(), time.Since(began))
 	s.reply(w, x, &schema.JobStatus{Id: q.Id, Queue: q.Queue, Phase: x.Phase.String()})
 }
 
@@ -172,6 +185,26 @@
 	write(w, http.StatusOK, v)
 }
 
+func (s *Server) pools(w http.ResponseWriter, r *http.Request) {
+	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_POOLS})
+	if x.Result != scheduler.Done {
+		s.reply(w, x, nil)
+		return
+	}
+	messages(w, x.Pools)
+}
+
+func (s *Server) waves(w http.ResponseWriter, r *http.Request) {
+	ctx, stop := context.WithTimeout(r.Context(), callLimit)
+	defer stop()
+	l, err := s.entry.Waves(ctx)
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, failure{Kind: "store", Error: err.Error()})
+		return
+	}
+	messages(w, l)
+}
+
 func (s *Server) note(id, reason string, began time.Time) {
 	s.log.Add(decision.Record{Time: time.Now(), Kind: decision.Answer, Request: id, Reason: reason, Duration: time.Since(began)})
 }
--- a/entry/submitter/submitter_test.go
+++ b/entry/submitter/submitter_test.go
@@ -50,14 +50,20 @@
 	return owner.Record{Name: "njiro-1", Address: netip.MustParseAddrPort("10.0.0.1:7000"), Revision: 12}
 }
 func (entry) LogLinesDropped() uint64 { return 5 }
-func (entry) Add(decision.Record)     {}
+func (entry) Waves(context.Context) ([]*schema.WaveProgress, error) {
+	return []*schema.WaveProgress{{Number: 2, BeganMs: 7, Maintained: []string{"vm-1"}}}, nil
+}
+func (entry) Add(decision.Record) {}
+
+func (entry) Event(string, string)               {}
+func (entry) Time(string, string, time.Duration) {}
 
 // ask sends one request and returns the status, the body and when to come back.
 func ask(d *desk, method, path, kind, body string) (int, string, string) {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set("Content-Type", kind)
 	w := httptest.NewRecorder()
-	submitter.New(d, entry{}, entry{}).ServeHTTP(w, r)
+	submitter.New(d, entry{}, entry{}, entry{}).ServeHTTP(w, r)
 	b, err := io.ReadAll(w.Body)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return w.Code, strings.TrimSpace(string(b)), w.Header().Get("Retry-After")
@@ -155,6 +161,16 @@
 		ginkgo.Entry("about the queues", "GET", "/v1/queues", scheduler.Reply{Pending: 3}, schema.JobCall_PENDING, "", "plans",
 			`[{"name":"plans","pool":"carving","priority":1,"attempts":3,"pending":3}]`))
 
+	ginkgo.It("about the pools and the waves is answered", func() {
+		d := &desk{reply: scheduler.Reply{Pools: []*schema.PoolStatus{{Name: "cups", Servers: 3, Usable: 2, Cores: 192}}}}
+		_, answer, _ := ask(d, "GET", "/v1/pools", "", "")
+		gomega.Expect(d.call.Kind).To(gomega.Equal(schema.JobCall_POOLS))
+		gomega.Expect(answer).To(gomega.MatchJSON(`[{"name":"cups","servers":3,"usable":2,"silent":0,"cores":192,"coresUsed":0,
+			"coresNeeded":0,"tasksRunning":0,"tasksWaiting":0}]`))
+		_, answer, _ = ask(d, "GET", "/v1/waves", "", "")
+		gomega.Expect(answer).To(gomega.MatchJSON(`[{"number":2,"beganMs":"7","maintained":["vm-1"],"complete":false}]`))
+	})
+
 	ginkgo.It("about the owner is answered here", func() {
 		_, answer, _ := ask(&desk{}, "GET", "/v1/owner", "", "")
 		gomega.Expect(answer).To(gomega.MatchJSON(`{"name":"njiro-1","address":"10.0.0.1:7000","revision":12,"config":4,"logsDropped":5}`))
--- a/fleet/scheduler/explain_test.go
+++ b/fleet/scheduler/explain_test.go
@@ -107,3 +107,17 @@
 		gomega.Expect(w.List("").Jobs).To(gomega.HaveLen(2))
 	})
 })
+
+var _ = ginkgo.Describe("the pools", func() {
+	ginkgo.It("tell what they have and what their work asks for", func() {
+		w := newWorld()
+		w.serve("s-1", "s-2")
+		w.Unreachable("s-2", start, w.now, "no answer")
+		w.submit(&schema.JobRecord{Id: "00000000000000a1", Queue: "plans", Steps: []*schema.StepRecord{{Count: 3, CpuMilli: 30000, EstimateMs: 100}}})
+		p := w.Pools(w.now).Pools
+		gomega.Expect(p).To(gomega.HaveLen(1))
+		gomega.Expect([]any{p[0].Name, p[0].Servers, p[0].Usable, p[0].Silent, p[0].Cores, p[0].CoresUsed, p[0].TasksRunning, p[0].TasksWaiting}).
+			To(gomega.Equal([]any{"carving", int32(2), int32(1), int32(1), 128.0, 60.0, int32(2), int32(1)}))
+		gomega.Expect(p[0].CoresNeeded).To(gomega.BeNumerically(">=", 90))
+	})
+})
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -70,9 +70,9 @@
 	switch {
 	case p.Fills:
 		c = -c
-		c += costDisturb * float64(v.count(serves))
+		c += costDisturb * float64(v.having(serves))
 	case serves(p):
-		c += costDisturb*float64(v.count(fills)) + costPerCopy*float64(v.shared(t))
+		c += costDisturb*float64(v.having(fills)) + costPerCopy*float64(v.shared(t))
 	case p.Lasting:
 		c += costPerCopy * float64(v.shared(t))
 	}
@@ -95,8 +95,8 @@
 	return p.Fills
 }
 
-// count counts the runs on the server whose step is of a kind.
-func (v *serverState) count(kind func(*job.Step) bool) int {
+// having counts the runs on the server whose step is of a kind.
+func (v *serverState) having(kind func(*job.Step) bool) int {
 	n := 0
 	for _, r := range v.runs {
 		if kind(r.task.step.step) {
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -134,6 +134,8 @@
 	Reason     string
 	// Jobs answers a list, or an explanation with the one job.
 	Jobs []*schema.JobStatus
+	// Pools answers a question about the pools.
+	Pools []*schema.PoolStatus
 }
 
 // Submit takes a job; the reply comes once the job is stored, or at once where it is refused.
