--- a/fleet/job/check.go
+++ b/fleet/job/check.go
@@ -13,6 +13,10 @@
 	maxSteps   = 256
 	maxTasks   = 4096
 	maxRepeats = 10000
+	// maxAmount bounds sizes, so that the sum over all tasks of a job fits 64 bits.
+	maxAmount = 1 << 40
+	// maxMillis bounds times, so that they fit a time.Duration; it is some 139 years.
+	maxMillis = 1 << 42
 )
 
 // InvalidError reports a job that cannot be accepted, with the place and the reason.
@@ -39,6 +43,8 @@
 		return &InvalidError{"repeat", fmt.Sprintf("not 0 to %d times", maxRepeats)}
 	case m.Repeats > 1 && m.IntervalMs <= 0:
 		return &InvalidError{"repeat", "has no interval"}
+	case m.IntervalMs < 0 || m.IntervalMs > maxMillis/maxRepeats || m.FirstDueMs < 0 || m.FirstDueMs > maxMillis:
+		return &InvalidError{"repeat", "a time out of range"}
 	}
 	tasks := 0
 	for i, s := range m.Steps {
@@ -60,6 +66,9 @@
 	if s.CpuMilli < 0 || s.MemoryMb < 0 || s.Accelerators < 0 || s.EstimateMs < 0 || s.AntiAffinity < 0 || s.TargetMs < 0 {
 		return &InvalidError{place, "a negative number"}
 	}
+	if max(s.CpuMilli, s.MemoryMb, s.Accelerators) > maxAmount || max(s.EstimateMs, s.TargetMs) > maxMillis {
+		return &InvalidError{place, "a number out of range"}
+	}
 	for _, a := range s.After {
 		if a < 0 || int(a) >= i {
 			return &InvalidError{place, fmt.Sprintf("waits for step %d, which is not an earlier one", a)}
