Count a job's time from its first attempt, and take late ones where the pool has time to spare

Cause: callers count the time from their first attempt; a job that was refused and came back after two seconds was taken as new, and took time from jobs that could still be in time. A job that comes again is due by its first attempt. One that is late already is taken only as far as it fits 0.6 of the pool's time.

--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -19,6 +19,8 @@
 	fill = 0.9
 	// comingTime is how long a VM that is asked for takes to come, with the time to decide it.
 	comingTime = 2 * time.Second
+	// spareTime is the part of the pool's time that work which is late already may fill with what is in time.
+	spareTime = 0.6
 	// reservePart is the part of the idle VMs that a pool can count on.
 	reservePart = 0.7
 )
@@ -29,19 +31,23 @@
 	if i := s.impossible(n); i >= 0 {
 		return &Reply{Result: Refused, Reason: fmt.Sprintf("steps[%d]: no server is large enough", i), RetryAfter: neverRetry}
 	}
-	s.offered(n, now)
+	n.Accepted = s.offered(n, now)
 	if n.Timed() || n.Lasting() {
 		return nil
 	}
 	due := n.Accepted.Add(s.objective(n))
 	chain := time.Duration(float64(n.Chain()) * s.ratio(n.Queue))
-	if now.Add(chain).After(due) {
-		return &Reply{Result: Refused, Reason: "too late already", RetryAfter: leastRetry}
+	hopeless := now.Add(chain).After(due)
+	if hopeless {
+		due = now.Add(s.objective(n))
 	}
 	supply, known := s.supply(q.Pool, now)
 	if !known {
 		return nil
 	}
+	if hopeless {
+		supply.Now, supply.Later = supply.Now*spareTime, supply.Now*spareTime
+	}
 	lack := backlog.Lack(now, s.demands(q.Pool, now), backlog.Demand{Due: due, Work: n.Work() * s.ratio(n.Queue)}, supply)
 	if lack <= 0 {
 		return nil
--- a/fleet/scheduler/rate.go
+++ b/fleet/scheduler/rate.go
@@ -37,15 +37,19 @@
 	workPart = 0.05
 )
 
-// offered counts a job that was asked for, once however often it comes.
-func (s *Scheduler) offered(n *job.Job, now time.Time) {
+// offered counts a job that was asked for, once however often it comes, and returns when it came first: its caller
+// counts the time from there.
+func (s *Scheduler) offered(n *job.Job, now time.Time) time.Time {
 	a := s.rates[n.Queue]
 	if a == nil {
 		a = &arrivals{at: now, seen: map[string]time.Time{}}
 		s.rates[n.Queue] = a
 	}
-	if _, ok := a.seen[n.ID]; ok || n.Timed() || n.Lasting() {
-		return
+	if first, ok := a.seen[n.ID]; ok {
+		return first
+	}
+	if n.Timed() || n.Lasting() {
+		return now
 	}
 	a.seen[n.ID] = now
 	a.decay(now)
@@ -55,6 +59,7 @@
 	part := max(workPart, 1/float64(a.jobs))
 	a.work += part * (n.Work() - a.work)
 	a.memory += part * (n.MemoryWork() - a.memory)
+	return now
 }
 
 func (a *arrivals) decay(now time.Time) {
