--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -41,18 +41,19 @@
 	s.batch++
 	b := &Batch{Number: s.batch, Learning: s.learning(now)}
 	n := 0
-	for n < len(s.dirty) && b.size()+recordsPerJob <= most {
+	for n < len(s.dirty) && b.size() < most {
 		b.add(s.dirty[n])
 		n++
 	}
 	s.dirty = slices.Delete(s.dirty, 0, n)
-	k := min(len(s.removed), (most-b.size())/recordsPerJob)
+	k := min(len(s.removed), (most-b.size())/recordsRemoved)
 	b.Removed = slices.Clone(s.removed[:k])
 	s.removed = s.removed[k:]
 	return b
 }
 
-const recordsPerJob = 2
+// recordsRemoved is how many keys a forgotten job has: the job and its course.
+const recordsRemoved = 2
 
 func (b *Batch) size() int {
 	return len(b.Jobs) + len(b.Course)
@@ -61,10 +62,13 @@
 func (b *Batch) add(j *jobState) {
 	j.dirty = false
 	j.sent = true
-	if !j.stored {
-		b.Jobs = append(b.Jobs, Stored[*schema.JobRecord]{j.job.ID, j.job.Record()})
+	if j.stored {
+		b.Course = append(b.Course, Stored[*schema.JobProgress]{j.job.ID, j.progress()})
+	} else {
+		m := j.job.Record()
+		m.Progress = j.progress()
+		b.Jobs = append(b.Jobs, Stored[*schema.JobRecord]{j.job.ID, m})
 	}
-	b.Course = append(b.Course, Stored[*schema.JobProgress]{j.job.ID, j.progress()})
 	b.marks = append(b.marks, mark{j, j.version})
 }
 
--- a/fleet/scheduler/course_test.go
+++ b/fleet/scheduler/course_test.go
@@ -184,3 +184,39 @@
 		gomega.Expect(next.Number).To(gomega.Equal(2))
 	})
 })
+
+// A turn's start brings dozens of jobs at once, each of which waits for its commit to be answered.
+var _ = ginkgo.Describe("a commit", func() {
+	ginkgo.It("carries as many new jobs as records, each with its course", func() {
+		w := newWorld()
+		w.serve("a", "b")
+		answered := 0
+		for i := range most + 5 {
+			w.Submit(record(i+1, 1), w.now, func(scheduler.Reply) { answered++ })
+		}
+		w.Plan(w.now)
+		b := w.Next(most, w.now)
+		gomega.Expect(b.Jobs).To(gomega.HaveLen(most))
+		gomega.Expect(b.Course).To(gomega.BeEmpty())
+		w.Committed(b, w.now)
+		gomega.Expect(answered).To(gomega.Equal(most))
+
+		next := newWorld()
+		for _, x := range b.Jobs {
+			next.Restore(x.Record, nil, next.now)
+		}
+		t := next.Explain(b.Jobs[0].ID, next.now).Jobs[0].Tasks[0]
+		gomega.Expect([]any{t.State, t.Server, t.Run}).To(gomega.Equal([]any{"unsure", "a", int32(1)}), "its assignment is known")
+	})
+
+	ginkgo.It("writes a course of its own once it changes", func() {
+		w := newWorld()
+		w.serve("a")
+		w.submit(record(1, 1))
+		for _, o := range w.started() {
+			w.end("a", o.Task, o.Number, job.EndDone)
+		}
+		b := w.Next(most, w.now)
+		gomega.Expect([]int{len(b.Jobs), len(b.Course)}).To(gomega.Equal([]int{0, 1}))
+	})
+})
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -8,10 +8,13 @@
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
-// Restore takes a job as the store has it; p is nil where nothing of it was stored but the job.
+// Restore takes a job as the store has it; p is its course, nil where it has not changed since the first commit.
 func (s *Scheduler) Restore(m *schema.JobRecord, p *schema.JobProgress, now time.Time) {
 	j := s.add(job.New(m))
 	j.stored = true
+	if p == nil {
+		p = m.Progress
+	}
 	if p == nil {
 		p = &schema.JobProgress{}
 	}
