--- a/bench/jobsite/caller.go
+++ b/bench/jobsite/caller.go
@@ -19,11 +19,14 @@
 )
 
 const (
-	// attemptLimit bounds one attempt, attempts their number; refused callers come back when they are told to.
-	attemptLimit  = 3 * time.Second
-	mostAttempts  = 5
-	unsurePause   = 300 * time.Millisecond
-	mostRetry     = 3 * time.Second
+	// attemptLimit bounds one attempt, mostAttempts their number, as for the users' callers.
+	attemptLimit = 3 * time.Second
+	mostAttempts = 5
+	// unsurePause is before the next attempt after one without a clear answer; refused callers come back when they
+	// are told to, at most after mostRetry.
+	unsurePause = 300 * time.Millisecond
+	mostRetry   = 3 * time.Second
+	// statePoll is between looks at the jobs' phases, statusTimeout bounds one.
 	statePoll     = 250 * time.Millisecond
 	statusTimeout = 2 * time.Second
 )
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -34,6 +34,7 @@
 	{"storeSilent", onStore(standin.Trouble{Away: true, Silent: true})},
 	{"storeSlow", onStore(standin.Trouble{Delay: slowStore})},
 	{"storeLosesAnswers", onStore(standin.Trouble{LostAnswers: 0.3})},
+	{"storeTurnsAway", onStore(standin.Trouble{TurnedAway: 0.5})},
 	{"storeForgets", storeForgets},
 	{"storeRevokes", storeRevokes},
 	{"listHeld", onListLink(proxy.Fault{Hold: true})},
--- a/entry/steward/steward_test.go
+++ b/entry/steward/steward_test.go
@@ -167,7 +167,7 @@
 	})
 }
 
-// taken notes the orders of a fleet in which VMs go down and come back as other servers after two seconds.
+// goDown has VMs go down with each order, and come back as other servers after two seconds.
 func (f *fleet) goDown(o *office) {
 	f.onOrder = func(name string) {
 		f.set(name, func(v *vm.Sighting) { v.Standing, v.Server = vm.InUpkeep, "" })
