--- a/entry/submitter/submitter_test.go
+++ b/entry/submitter/submitter_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -121,6 +123,15 @@
 		ginkgo.Entry("text for a number in TOML", "application/toml", strings.Replace(tomlJob, "count = 1", `count = "one"`, 1), 400,
 			`{"kind":"document","error":"job.toml:9: steps[1].count: expected an integer, found the string \"one\""}`))
 
+	ginkgo.It("is taken as the example in deploy is written", func() {
+		b, err := os.ReadFile(filepath.Join("..", "..", "deploy", "job.toml"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		d := &desk{}
+		code, answer, _ := ask(d, "POST", "/v1/jobs?id=00000000000000aa", "application/toml", strings.Replace(string(b), "cups", "plans", 1))
+		gomega.Expect(code).To(gomega.Equal(http.StatusOK), answer)
+		gomega.Expect(d.call.Job.Steps[1].After).To(gomega.Equal([]int32{0}))
+	})
+
 	ginkgo.It("may bring its id in the address", func() {
 		d := &desk{}
 		code, _, _ := ask(d, "POST", "/v1/jobs?id=00000000000000aa", "", strings.Replace(jsonJob, `"id":"5c0e7a21d94b36f8",`, "", 1))
