Take an earlier process of this entry as ended when it takes the ownership again

The earlier owner was its own earlier process. Such a one holds nothing any more, if it had owned the fleet for longer (10 s) than one before it could go on holding (5 s): then 6.2 s, the longest lease, are enough. The owner's record tells when it was taken. Ruled out: shortening the time for all takeovers; an owner that is cut off goes on holding for 5 s. Test that failed first: fleet/scheduler/trust_test.go, 11.2 s and 6.2 s.

--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -100,7 +100,7 @@
 		return
 	}
 	o.note(decision.Ownership, "taken", epoch)
-	r := newReign(o, epoch, l)
+	r := newReign(o, k, epoch, l)
 	r.run(ctx)
 	o.setReign(nil)
 	o.forget(epoch)
@@ -126,7 +126,9 @@
 
 // take swaps the owner's key and returns the revision that fences earlier owners.
 func (o *Owner) take(ctx context.Context, k Record, l store.LeaseID) (store.Revision, error) {
-	b, err := proto.Marshal(&schema.OwnerRecord{Name: o.self.Name, Address: o.self.Address.String()})
+	b, err := proto.Marshal(&schema.OwnerRecord{
+		Name: o.self.Name, Address: o.self.Address.String(), TakenMs: time.Now().UnixMilli(),
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -197,7 +199,7 @@
 		s.owner.note(decision.Ownership, "owner's address cannot be read: "+err.Error(), e.Revision)
 		return
 	}
-	s.set(Record{Name: m.Name, Address: a, Revision: e.Revision})
+	s.set(Record{Name: m.Name, Address: a, Revision: e.Revision, Taken: time.UnixMilli(m.TakenMs)})
 	if m.Name != s.owner.self.Name {
 		s.owner.unseat(e.Revision)
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -109,6 +109,8 @@
 	Name     string
 	Address  netip.AddrPort
 	Revision store.Revision
+	// Taken is when it took over, by its own clock.
+	Taken time.Time
 }
 
 // New makes an owner that does not own anything yet.
--- a/entry/owner/reign.go
+++ b/entry/owner/reign.go
@@ -62,11 +62,22 @@
 	actWithin = time.Second
 )
 
-func newReign(o *Owner, epoch store.Revision, l store.LeaseID) *reign {
+// endedBefore says whether nobody can have held servers since now: the earlier owner was an earlier process of this
+// entry, which listened where this one does, and it had owned them for longer than one before it could go on holding.
+func (o *Owner) endedBefore(earlier Record, now time.Time) bool {
+	return earlier.Name == o.self.Name && earlier.Address == o.self.Address && now.Sub(earlier.Taken) > 2*holdWithout
+}
+
+// newReign begins a reign after that of the earlier owner.
+func newReign(o *Owner, earlier Record, epoch store.Revision, l store.LeaseID) *reign {
 	now := time.Now()
+	options := []scheduler.Option{}
+	if o.endedBefore(earlier, now) {
+		options = append(options, scheduler.WithEndedPredecessor())
+	}
 	r := &reign{
 		owner: o, epoch: epoch, lease: l, began: now,
-		scheduler: scheduler.New(o.bounds, now), keepers: map[string]bool{}, dirty: make(chan struct{}, 1),
+		scheduler: scheduler.New(o.bounds, now, options...), keepers: map[string]bool{}, dirty: make(chan struct{}, 1),
 		pace: pace{least: commitLeast, most: storeLimit}, ordering: pace{least: orderLeast, most: orderMost},
 	}
 	r.confirm()
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -50,15 +50,27 @@
 	reserve float64
 }
 
+// Option changes a Scheduler at its making.
+type Option func(s *Scheduler)
+
+// WithEndedPredecessor tells that the earlier owner has ended, and cannot have held servers since the takeover.
+func WithEndedPredecessor() Option {
+	return func(s *Scheduler) { s.settledAt = s.settledAt.Add(-inheritedHold) }
+}
+
 // New makes an empty scheduler for an owner that took over at a time.
-func New(b Bounds, now time.Time) *Scheduler {
-	return &Scheduler{
+func New(b Bounds, now time.Time, l ...Option) *Scheduler {
+	s := &Scheduler{
 		bounds: b,
 		jobs:   map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		settledAt: now.Add(inheritedHold + b.Hold*leaseMargin/100),
 		advice:    map[string]*permit{}, learned: map[string]*learning{}, cordoned: map[string]bool{},
 		rates: map[string]*arrivals{}, supplies: map[string]figure{}, crowded: map[string]time.Time{},
 	}
+	for _, o := range l {
+		o(s)
+	}
+	return s
 }
 
 const (
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -227,6 +227,24 @@
 	return "a"
 }
 
+// A server falls silent for good, then the owner is killed and starts again at once.
+var _ = ginkgo.DescribeTable("what an earlier owner left on a silent server runs elsewhere once its lease has lapsed",
+	func(after time.Duration, l ...scheduler.Option) {
+		w := &world{Scheduler: scheduler.New(bounds, start, l...), now: start, seqs: map[string]uint64{}}
+		w.SetTable(table)
+		w.Restore(record(1, 1, lasting), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, w.now)
+		began := time.Duration(0)
+		for ; began < 20*time.Second && len(w.started()) == 0; began += 100 * time.Millisecond {
+			w.now = start.Add(began)
+			w.serve("b")
+			w.Tick(w.now)
+			w.commit()
+		}
+		gomega.Expect(began).To(gomega.BeNumerically("~", after, 250*time.Millisecond))
+	},
+	ginkgo.Entry("that another entry may still hold", 11240*time.Millisecond),
+	ginkgo.Entry("that only an ended process has held", 6240*time.Millisecond, scheduler.WithEndedPredecessor()))
+
 var _ = ginkgo.Describe("an owner that takes over", func() {
 	var (
 		w *world
