Record when the leases of silent servers expire, for the next owner

Cause: a successor knew nothing of its predecessor's leases, so a long-running task on a server that was silent before a takeover waited for 5 s of unconfirmed renewal and 104% of the longest lease: 11.2 s with leases of 6 s, 15.4 s with 10 s. Now the owner stores when the leases of unreachable servers expire (lease record) and renews none of them before a record without the server is stored; an owner that gives up the ownership by itself releases it, and renews nothing afterwards; the commit mark holds the lease terms; leases are 5 s at most, and are renewed for 2 s (was 5 s) after the last confirmation, counted from the sending of the call. Without any of these the wait is 7.3 s, released 5.3 s. Ruled out: taking a refused connection to the predecessor as its end (a cut may refuse connections); expiry by the wall clock (it jumps); shorter unconfirmed renewal alone (still 7.3 s after a takeover at any server). Proof: trust_test.go (table, lease record), the protocol test with the record and with tasks longer than a lease, a planted fault (a record that claims too early an expiry) is found. The table's old bounds were those of the longer wait.

--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxBatchRecords is the most records in a batch. A transaction has at most 32 entries, of which the commit mark and
-	// the two expected revisions take three.
+	// maxBatchRecords is the most records in a batch. A transaction has at most 32 entries, of which the commit mark, the
+	// lease record and the two expected revisions take four.
 	maxBatchRecords = 28
 	// commitDelay is how long a commit waits for further changes, which the same transaction then stores.
 	commitDelay = 12 * time.Millisecond
@@ -130,7 +130,7 @@
 	began := time.Now()
 	n, err := r.owner.deps.Store.Transact(c, t)
 	if err == nil {
-		r.confirmOwnership()
+		r.confirmOwnership(began)
 		r.commitTimeout.observe(time.Since(began))
 		r.owner.deps.Metrics.Time("commit_duration", "stored", time.Since(began))
 	}
@@ -152,10 +152,18 @@
 
 func (r *term) buildTransaction(b *scheduler.Batch, mark store.Revision) (store.Transaction, error) {
 	t := store.Transaction{Expected: map[string]store.Revision{ownerKey: r.token, commitMarkKey: mark}}
-	m := &schema.CommitMark{Epoch: uint64(r.token), Number: b.Number, Learning: b.Learning}
+	lease, renewal := r.scheduler.LeaseTerms()
+	m := &schema.CommitMark{
+		Epoch: uint64(r.token), Number: b.Number, Learning: b.Learning, LeaseMs: lease.Milliseconds(), RenewalMs: renewal.Milliseconds(),
+	}
 	if err := addWrite(&t, commitMarkKey, m); err != nil {
 		return t, err
 	}
+	if b.Leases != nil {
+		if err := addWrite(&t, leasesKey, b.Leases); err != nil {
+			return t, err
+		}
+	}
 	for _, x := range b.Jobs {
 		if err := addWrite(&t, jobPrefix+x.JobID, x.Record); err != nil {
 			return t, err
@@ -188,6 +196,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := r.readLeases(ctx); err != nil {
+		return 0, err
+	}
 	jobs, err := r.readAll(ctx, jobPrefix)
 	if err != nil {
 		return 0, err
@@ -231,28 +242,74 @@
 	return p
 }
 
-// readCommitMark restores the learned data from the commit mark and returns its revision, 0 if the store has none.
+// readCommitMark restores the learned data and the previous owner's lease terms from the commit mark and returns its
+// revision, 0 if the store has none.
 func (r *term) readCommitMark(ctx context.Context) (store.Revision, error) {
-	var n store.Revision
+	i, err := r.readItem(ctx, commitMarkKey)
+	if err != nil || i.Revision == 0 {
+		return 0, err
+	}
+	m := &schema.CommitMark{}
+	if err := proto.Unmarshal(i.Value, m); err != nil {
+		r.owner.logDecision(decision.Ownership, "malformed commit mark: "+err.Error(), i.Revision)
+	}
+	r.update(func(s *scheduler.Scheduler, now time.Time) {
+		s.SetPredecessor(r.predecessor(m))
+		s.RestoreLearning(m.Learning, now)
+	})
+	return i.Revision, nil
+}
+
+// predecessor returns what the commit mark and the release tell about the previous owner's leases. An owner of an earlier
+// version stores no lease terms: it requested the longest lease and renewed it for earlierRenewal.
+func (r *term) predecessor(m *schema.CommitMark) scheduler.Predecessor {
+	lease, renewal := r.scheduler.LeaseTerms()
+	p := scheduler.Predecessor{
+		Lease:     max(lease, time.Duration(m.LeaseMs)*time.Millisecond),
+		Renewal:   max(renewal, time.Duration(m.RenewalMs)*time.Millisecond),
+		Remaining: time.Duration(r.released.GetRemainingMs()) * time.Millisecond,
+	}
+	if m.LeaseMs == 0 {
+		p.Lease, p.Renewal = r.owner.limits.MaxLease, earlierRenewal
+	}
+	if r.previousEnded {
+		p.Renewal = 0
+	}
+	return p
+}
+
+// earlierRenewal is how long owners of versions without lease terms in the commit mark renew leases without the store.
+const earlierRenewal = 5 * time.Second
+
+// readLeases restores the previous owner's lease record.
+func (r *term) readLeases(ctx context.Context) error {
+	i, err := r.readItem(ctx, leasesKey)
+	if err != nil || i.Revision == 0 {
+		return err
+	}
+	m := &schema.LeaseRecord{}
+	if err := proto.Unmarshal(i.Value, m); err != nil {
+		r.owner.logDecision(decision.Ownership, "malformed lease record: "+err.Error(), i.Revision)
+		return nil
+	}
+	r.update(func(s *scheduler.Scheduler, now time.Time) { s.RestoreLeases(m, now) })
+	return nil
+}
+
+// readItem reads a key. The item has no revision if the key does not exist.
+func (r *term) readItem(ctx context.Context, key string) (store.Item, error) {
+	var i store.Item
 	err := r.retryRead(ctx, func(c context.Context) error {
-		i, err := r.owner.deps.Store.Get(c, commitMarkKey)
+		var err error
+		i, err = r.owner.deps.Store.Get(c, key)
 		var notFound *store.NotFoundError
 		if errors.As(err, &notFound) {
+			i = store.Item{}
 			return nil
 		}
-		if err != nil {
-			return err
-		}
-		n = i.Revision
-		m := &schema.CommitMark{}
-		if err := proto.Unmarshal(i.Value, m); err != nil {
-			r.owner.logDecision(decision.Ownership, "malformed commit mark: "+err.Error(), n)
-			return nil
-		}
-		r.update(func(s *scheduler.Scheduler, now time.Time) { s.RestoreLearning(m.Learning, now) })
-		return nil
+		return err
 	})
-	return n, err
+	return i, err
 }
 
 func (r *term) readAll(ctx context.Context, prefix string) ([]store.Item, error) {
--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -22,6 +22,9 @@
 	commitMarkKey  = keyPrefix + "mark"
 	jobPrefix      = keyPrefix + "job/"
 	progressPrefix = keyPrefix + "course/"
+	// leasesKey holds the lease record, releaseKey the release of an owner that gave up the ownership by itself.
+	leasesKey  = keyPrefix + "leases"
+	releaseKey = keyPrefix + "released"
 
 	// ownerLeaseTTL is how long the ownership outlives a failed owner. It is shorter than a third of a server's lease, so
 	// that runs outlast the gap.
@@ -86,29 +89,41 @@
 	return time.Duration(h.Sum32()%electionSlots) * electionSlotInterval
 }
 
+// acquisition is the result of taking the ownership. askedAt is when the call was sent that started the owner lease.
+// released is the release of the previous owner, nil if that did not give up the ownership by itself.
+type acquisition struct {
+	token    store.Revision
+	lease    store.LeaseID
+	askedAt  time.Time
+	released *schema.OwnerRelease
+}
+
 // acquireAndServe tries to acquire the ownership and, if it succeeds, serves the term until it ends.
 func (o *Owner) acquireAndServe(ctx context.Context, k Record) {
 	c, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	l, err := o.deps.Store.Grant(c, ownerLeaseTTL)
-	if err != nil {
+	a := acquisition{askedAt: time.Now()}
+	var err error
+	if a.lease, err = o.deps.Store.Grant(c, ownerLeaseTTL); err != nil {
 		o.logDecision(decision.Dependency, "owner lease not granted: "+err.Error(), k.Revision)
 		wait.For(ctx, electionInterval)
 		return
 	}
-	token, err := o.acquire(ctx, k, l)
-	if err != nil {
+	if err := o.acquire(ctx, k, &a); err != nil {
 		o.logDecision(decision.Ownership, "ownership not acquired: "+err.Error(), k.Revision)
-		o.revokeLease(l)
+		o.revokeLease(a.lease)
 		wait.For(ctx, electionSlotInterval)
 		return
 	}
-	o.logDecision(decision.Ownership, "taken", token)
-	r := newTerm(o, k, token, l)
+	o.logDecision(decision.Ownership, "taken", a.token)
+	r := newTerm(o, k, a)
 	r.run(ctx)
 	o.setTerm(nil)
-	o.clearOwnRecord(token)
-	o.revokeLease(l)
+	o.clearOwnRecord(a.token)
+	if r.voluntary.Load() {
+		r.release()
+	}
+	o.revokeLease(a.lease)
 }
 
 // clearOwnRecord treats this entry's record as removed after its term, until the store reports otherwise.
@@ -128,28 +143,77 @@
 	}
 }
 
-// acquire replaces the owner record by compare-and-swap and returns its revision, the fencing token of the new term.
-func (o *Owner) acquire(ctx context.Context, k Record, l store.LeaseID) (store.Revision, error) {
+// acquire replaces the owner record by compare-and-swap and sets its revision, the fencing token of the new term. It
+// removes the release of the previous owner, which says nothing about later ones.
+func (o *Owner) acquire(ctx context.Context, k Record, a *acquisition) error {
 	b, err := proto.Marshal(&schema.OwnerRecord{
 		Name: o.self.Name, Address: o.self.Address.String(), TakenMs: time.Now().UnixMilli(),
 	})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	c, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	n, err := o.deps.Store.Transact(c, store.Transaction{
-		Expected: map[string]store.Revision{ownerKey: k.Revision},
-		Writes:   []store.Write{{Key: ownerKey, Value: b, Lease: l}},
-	})
-	if err == nil {
-		return n, nil
+	released, at, err := o.readRelease(c)
+	if err != nil {
+		return err
+	}
+	t := store.Transaction{
+		Expected: map[string]store.Revision{ownerKey: k.Revision, releaseKey: at},
+		Writes:   []store.Write{{Key: ownerKey, Value: b, Lease: a.lease}},
+	}
+	if at != 0 {
+		t.Deletes = []string{releaseKey}
 	}
+	a.token, err = o.deps.Store.Transact(c, t)
 	var unknown *store.UnavailableError
-	if !errors.As(err, &unknown) {
-		return 0, err
+	if errors.As(err, &unknown) {
+		a.token, err = o.verifyAcquired(ctx, k, a.lease, err)
+	}
+	if err == nil && k.Revision == 0 {
+		a.released = released
+	}
+	return err
+}
+
+// readRelease returns the release of the previous owner and its revision, 0 if there is none.
+func (o *Owner) readRelease(ctx context.Context) (*schema.OwnerRelease, store.Revision, error) {
+	i, err := o.deps.Store.Get(ctx, releaseKey)
+	var notFound *store.NotFoundError
+	if errors.As(err, &notFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	m := &schema.OwnerRelease{}
+	if err := proto.Unmarshal(i.Value, m); err != nil {
+		o.logDecision(decision.Ownership, "malformed release: "+err.Error(), i.Revision)
+		return nil, i.Revision, nil
+	}
+	return m, i.Revision, nil
+}
+
+// release gives the ownership back after the term has ended, with what the next owner needs to know of the leases. If the
+// call fails, the owner lease is revoked all the same, and the next owner waits for longer.
+func (r *term) release() {
+	now := time.Now()
+	leases, remaining := r.scheduler.Release(now)
+	t := store.Transaction{Expected: map[string]store.Revision{ownerKey: r.token}, Deletes: []string{ownerKey}}
+	err := addWrite(&t, leasesKey, leases)
+	if err == nil {
+		err = addWrite(&t, releaseKey, &schema.OwnerRelease{RemainingMs: remaining.Milliseconds() + 1})
+	}
+	if err == nil {
+		c, stop := context.WithTimeout(context.Background(), storeTimeout)
+		defer stop()
+		_, err = r.owner.deps.Store.Transact(c, t)
+	}
+	if err != nil {
+		r.owner.logDecision(decision.Ownership, "ownership not released: "+err.Error(), r.token)
+		return
 	}
-	return o.verifyAcquired(ctx, k, l, err)
+	r.owner.logDecision(decision.Ownership, "released", r.token)
 }
 
 // verifyAcquired reads the owner key after a transaction without an answer. The transaction took effect if the key holds
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -180,7 +180,7 @@
 }
 
 // nextPoll returns the next poll of the server. The result is false if the scheduler needs no further polls. No lease is
-// renewed once the ownership has been unconfirmed for maxUnconfirmedRenewal.
+// renewed once the ownership has been unconfirmed for scheduler.MaxUnconfirmedRenewal.
 func (r *term) nextPoll(id string) (scheduler.PollRequest, bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -188,7 +188,7 @@
 	if !ok {
 		delete(r.pollers, id)
 	}
-	if r.confirmationAge() > maxUnconfirmedRenewal {
+	if r.confirmationAge() > scheduler.MaxUnconfirmedRenewal {
 		h.LeaseUntil = 0
 	}
 	return h, ok
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -174,7 +174,7 @@
 	r := o.term
 	o.lock.Unlock()
 	if r != nil {
-		r.stepDown("this entry is leaving")
+		r.leave("this entry is leaving")
 	}
 	o.wake()
 }
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
@@ -42,6 +43,8 @@
 	runs         []activeRun
 	ends         []server.EndedRun
 	lastSequence uint64
+	// renewedAt is when a poll last renewed the lease.
+	renewedAt time.Time
 	// loseAnswers starts runs without an answer, and answers repeated orders with retryAnswer.
 	loseAnswers bool
 	retryAnswer scheduler.StartAnswer
@@ -118,6 +121,9 @@
 	if err := s.checkToken(token); err != nil {
 		return server.Listing{}, err
 	}
+	if h.LeaseUntil > 0 {
+		s.renewedAt = time.Now()
+	}
 	for len(s.ends) > 0 && s.ends[0].Sequence <= h.AcknowledgedEnd {
 		s.ends = s.ends[1:]
 	}
@@ -127,6 +133,13 @@
 	}, nil
 }
 
+// renewedSince reports whether the lease was renewed after t.
+func (s *fakeServer) renewedSince(t time.Time) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.renewedAt.After(t)
+}
+
 // fencingToken returns the highest token that the server has accepted.
 func (s *fakeServer) fencingToken() uint64 {
 	s.lock.Lock()
@@ -365,3 +378,44 @@
 		g.Expect(s.server.fencingToken()).To(gomega.BeNumerically(">", token))
 	})
 }
+
+// Without the release, the next owner has to allow for further renewals by an owner that has only lost its key.
+func TestLeavingOwnerReleasesTheOwnership(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		o, _ := s.startEntry("e1")
+		time.Sleep(5 * time.Second)
+		o.Leave()
+		time.Sleep(100 * time.Millisecond)
+		m := &schema.OwnerRelease{}
+		i, err := s.store.Get(s.ctx, "tarragonbank/released")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(proto.Unmarshal(i.Value, m)).To(gomega.Succeed())
+		g.Expect(m.RemainingMs).To(gomega.BeNumerically("~", 5300, 300), "the longest lease on a slow clock")
+		next, stop := s.startEntry("e2")
+		time.Sleep(time.Second)
+		g.Expect(next.Current()).NotTo(gomega.BeNil())
+		_, err = s.store.Get(s.ctx, "tarragonbank/released")
+		g.Expect(err).To(gomega.BeAssignableToTypeOf(&store.NotFoundError{}), "it says nothing of the second owner")
+		stop()
+		time.Sleep(2 * time.Second)
+		_, err = s.store.Get(s.ctx, "tarragonbank/released")
+		g.Expect(err).To(gomega.HaveOccurred(), "an owner that is killed releases nothing")
+	})
+}
+
+// An answer to a renewal that the store handled long ago confirms the ownership only up to the time of the call.
+func TestLeasesAreNotRenewedLongAfterTheLastConfirmation(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		s.startEntry("e1")
+		time.Sleep(time.Second)
+		g.Expect(s.server.renewedSince(time.Now().Add(-time.Second))).To(gomega.BeTrue())
+		s.store.update(func() { s.store.unavailable = true })
+		time.Sleep(scheduler.MaxUnconfirmedRenewal + 500*time.Millisecond)
+		began := time.Now()
+		time.Sleep(time.Second)
+		g.Expect(s.server.renewedSince(began)).To(gomega.BeFalse())
+		s.store.update(func() { s.store.unavailable = false })
+		time.Sleep(3 * time.Second)
+		g.Expect(s.server.renewedSince(began)).To(gomega.BeTrue())
+	})
+}
--- a/entry/owner/strength.go
+++ b/entry/owner/strength.go
@@ -68,7 +68,7 @@
 	}
 	if n := r.owner.handoverCandidate(now); n != "" {
 		r.owner.logDecision(decision.Ownership, "handing over to entries with more cores, such as "+n, r.token)
-		r.stepDown("an entry with more cores is available")
+		r.leave("an entry with more cores is available")
 	}
 }
 
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -39,6 +39,12 @@
 	// confirmedAt is when the store last confirmed the ownership.
 	confirmedAt atomic.Pointer[time.Time]
 	startedAt   time.Time
+	// released is the release of the previous owner, nil if there is none. previousEnded is true if that owner renews no
+	// lease any more.
+	released      *schema.OwnerRelease
+	previousEnded bool
+	// voluntary is true once this entry gives up the ownership by itself.
+	voluntary atomic.Bool
 	// pollers are the IDs of the servers that a goroutine polls.
 	pollers        map[string]bool
 	goroutines     sync.WaitGroup
@@ -57,9 +63,6 @@
 }
 
 const (
-	// maxUnconfirmedRenewal is how long server leases are renewed without a confirmation of the ownership by the store.
-	// The next owner's scheduler waits as long for them (previousOwnerRenewal).
-	maxUnconfirmedRenewal = 5 * time.Second
 	// tickInterval is the time between calls of the scheduler's Tick.
 	tickInterval = 100 * time.Millisecond
 	// maxConfirmationAge is how old the store's confirmation may be for orders that cannot be fenced.
@@ -71,30 +74,30 @@
 // than its own predecessor could have kept renewing.
 func (o *Owner) previousOwnerEnded(previous Record, now time.Time) bool {
 	return previous.Name == o.self.Name && previous.Address == o.self.Address &&
-		now.Sub(previous.TakenAt) > 2*maxUnconfirmedRenewal
+		now.Sub(previous.TakenAt) > 2*scheduler.MaxUnconfirmedRenewal
 }
 
 // newTerm returns a term that follows the previous owner's; run serves it.
-func newTerm(o *Owner, previous Record, token store.Revision, l store.LeaseID) *term {
+func newTerm(o *Owner, previous Record, a acquisition) *term {
 	now := time.Now()
-	options := []scheduler.Option{}
-	if o.previousOwnerEnded(previous, now) {
-		options = append(options, scheduler.WithPreviousOwnerEnded())
-	}
 	r := &term{
-		owner: o, token: token, lease: l, startedAt: now,
-		scheduler: scheduler.New(o.limits, now, options...), pollers: map[string]bool{},
+		owner: o, token: a.token, lease: a.lease, startedAt: now, released: a.released,
+		previousEnded: a.released != nil || o.previousOwnerEnded(previous, now),
+		scheduler:     scheduler.New(o.limits, now), pollers: map[string]bool{},
 		commitRequests: make(chan struct{}, 1),
 		commitTimeout:  adaptiveTimeout{minimum: minCommitTimeout, maximum: storeTimeout},
 		orderTimeout:   adaptiveTimeout{minimum: minOrderTimeout, maximum: maxOrderTimeout},
 	}
-	r.confirmOwnership()
+	r.confirmOwnership(a.askedAt)
 	return r
 }
 
-func (r *term) confirmOwnership() {
-	t := time.Now()
-	r.confirmedAt.Store(&t)
+// confirmOwnership records that the store has confirmed the ownership in answer to a call that was sent at t. The owner
+// lease runs from the arrival of such a call, so the age of a confirmation counts from then.
+func (r *term) confirmOwnership(t time.Time) {
+	if old := r.confirmedAt.Load(); old == nil || t.After(*old) {
+		r.confirmedAt.Store(&t)
+	}
 }
 
 // confirmationAge returns how long ago the store confirmed the ownership. The monotonic clock stops while the machine is
@@ -160,6 +163,12 @@
 	r.stop()
 }
 
+// leave ends the term by this entry's own decision, so that the next owner need not wait for the owner lease to expire.
+func (r *term) leave(reason string) {
+	r.voluntary.Store(true)
+	r.stepDown(reason)
+}
+
 // renew renews the owner lease every renewInterval.
 func (r *term) renew() {
 	t := time.NewTicker(renewInterval)
@@ -177,11 +186,12 @@
 func (r *term) renewOnce() {
 	c, stop := context.WithTimeout(r.ctx, storeTimeout)
 	defer stop()
+	began := time.Now()
 	err := r.owner.deps.Store.KeepAlive(c, r.lease)
 	var expired *store.LeaseExpiredError
 	switch {
 	case err == nil:
-		r.confirmOwnership()
+		r.confirmOwnership(began)
 	case errors.As(err, &expired):
 		r.stepDown("the owner lease has expired")
 	case r.ctx.Err() == nil:
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -19,6 +19,8 @@
 	Removed []string
 	// Learning holds the estimates that were learned for each queue.
 	Learning []*schema.QueueLearning
+	// Leases is the new lease record, or nil if the stored one stands.
+	Leases   *schema.LeaseRecord
 	versions []jobVersion
 }
 
@@ -37,11 +39,14 @@
 // NextBatch returns the next batch to store, of at most limit records, or nil if nothing has changed. Jobs that do not
 // fit wait for the following batch.
 func (s *Scheduler) NextBatch(limit int, now time.Time) *Batch {
-	if len(s.dirtyJobs) == 0 && len(s.removedJobs) == 0 {
+	if len(s.dirtyJobs) == 0 && len(s.removedJobs) == 0 && !s.leaseRecord.due {
 		return nil
 	}
 	s.lastBatch++
 	b := &Batch{Number: s.lastBatch, Learning: s.exportLearning(now)}
+	if s.leaseRecord.due {
+		b.Leases = s.buildLeaseRecord(b.Number, now)
+	}
 	n := 0
 	for n < len(s.dirtyJobs) && b.recordCount() < limit {
 		b.add(s.dirtyJobs[n])
@@ -84,6 +89,9 @@
 		m.job.answerWaiters()
 		s.startAssigned(m.job, now)
 	}
+	if b.Leases != nil {
+		s.leaseRecordCommitted(b.Number)
+	}
 }
 
 // updateReportedPhase sets the phase that callers see: an end only once the newest version is stored, and running once
@@ -127,7 +135,7 @@
 // sendStart sends the order to start a run, or drops the run if its server may no longer take it.
 func (s *Scheduler) sendStart(r *run, now time.Time) {
 	v := r.server
-	if !v.exists() || v.info.Draining || !v.reachable {
+	if !v.exists() || v.info.Draining || !v.reachable || v.leaseRecorded {
 		s.drop(r, now, "server is draining, unregistered or unreachable")
 		return
 	}
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	if r.inherited && v.listingClock == 0 {
-		return now.After(s.previousLeasesExpireAt)
+		return now.After(s.previousExpiry(v))
 	}
 	return v.lastClock > 0 && v.minClock(now) > v.leaseUntil+leaseExpiryMargin
 }
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -27,11 +27,14 @@
 		s.needsPlan = true
 	}
 	if v.listingClock == 0 {
-		// A previous owner may just have renewed the lease for the longest time allowed.
-		v.leaseUntil = max(v.leaseUntil, l.Clock+s.limits.MaxLease)
+		// A previous owner may just have renewed the lease.
+		v.leaseUntil = max(v.leaseUntil, l.Clock+s.previousLease)
 		v.fencedAt = now
 	}
 	v.reachable = true
+	if v.leaseRecorded {
+		s.leaseRecord.due = true
+	}
 	v.addressTaken = false
 	v.listedAt = now
 	v.listingClock = l.Clock
--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -19,6 +19,8 @@
 	noFencing, noOrderExpiry bool
 	// noCommitFencing makes the store accept commits of previous owners.
 	noCommitFencing bool
+	// leaseUnderstated makes owners record that leases have already expired.
+	leaseUnderstated bool
 	// leaseOverrun makes servers keep runs for longer than their owner's lease.
 	leaseOverrun bool
 }
@@ -72,6 +74,7 @@
 	fencingToken uint64
 	jobs         map[string]*schema.JobRecord
 	progress     map[string]*schema.JobProgress
+	leases       *schema.LeaseRecord
 	messages     []message
 	acknowledged map[job.Task]bool
 	violations   []string
@@ -113,6 +116,7 @@
 	m.fencingToken++
 	o := &modelOwner{Scheduler: scheduler.New(bounds, m.now), fencingToken: m.fencingToken, lastCurrent: m.now, polling: map[string]bool{}}
 	o.SetTable(table)
+	o.RestoreLeases(proto.CloneOf(m.leases), m.now)
 	for id, r := range m.jobs {
 		o.Restore(proto.CloneOf(r), proto.CloneOf(m.progress[id]), m.now)
 	}
@@ -221,7 +225,7 @@
 // runOwner makes an owner commit, send its orders and poll its servers.
 func (m *model) runOwner(o *modelOwner) {
 	current := o.fencingToken == m.fencingToken
-	if !current && m.now.Sub(o.lastCurrent) > 5*time.Second && !m.disabled.noCommitFencing {
+	if !current && m.now.Sub(o.lastCurrent) > scheduler.MaxUnconfirmedRenewal && !m.disabled.noCommitFencing {
 		o.dead = true
 		return
 	}
@@ -259,6 +263,14 @@
 	for _, x := range b.Progress {
 		m.progress[x.JobID] = x.Record
 	}
+	if b.Leases != nil {
+		m.leases = b.Leases
+		if m.disabled.leaseUnderstated {
+			for _, l := range m.leases.Servers {
+				l.RemainingMs = 0
+			}
+		}
+	}
 }
 
 // accepts reports whether the server accepts an order of the owner, and records the owner's fencing token.
@@ -292,7 +304,11 @@
 		return scheduler.Started
 	}
 	m.checkInvariants(s, x.Task)
-	s.runs[x.Task] = &modelRun{number: x.Number, endsAt: m.now.Add(time.Duration(200+m.rand.IntN(1500)) * time.Millisecond)}
+	d := time.Duration(200+m.rand.IntN(1500)) * time.Millisecond
+	if m.chance(0.1) {
+		d += 8 * time.Second
+	}
+	s.runs[x.Task] = &modelRun{number: x.Number, endsAt: m.now.Add(d)}
 	s.extendLease(s.at(x.Until))
 	m.starts++
 	return scheduler.Started
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -68,7 +68,7 @@
 func (s *Scheduler) inheritedServer(id string, startedAt time.Time) *serverState {
 	v := s.servers[id]
 	if v == nil {
-		v = &serverState{info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{}}
+		v = &serverState{info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{}, unreachableSince: s.startedAt}
 		s.servers[id] = v
 		s.sortedServers = nil
 	}
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -32,8 +32,12 @@
 	dirtyJobs   []*jobState
 	removedJobs []string
 	orders      Orders
-	// previousLeasesExpireAt is when every lease that a previous owner can have renewed has expired.
+	// startedAt is when the owner took over. previousLeasesExpireAt is when every lease that a previous owner can have
+	// renewed has expired, previousLease the longest lease that it can have requested.
+	startedAt              time.Time
 	previousLeasesExpireAt time.Time
+	previousLease          time.Duration
+	leaseRecord            leaseRecordState
 	lastBatch              uint64
 	needsPlan              bool
 	advice                 map[string]*placementAdvice
@@ -50,39 +54,18 @@
 	reserveCores  float64
 }
 
-// Option configures a new Scheduler.
-type Option func(s *Scheduler)
-
-// WithPreviousOwnerEnded states that the previous owner's process has ended, so that it can have renewed no lease
-// since the takeover. This shortens the wait for its leases to expire.
-func WithPreviousOwnerEnded() Option {
-	return func(s *Scheduler) { s.previousLeasesExpireAt = s.previousLeasesExpireAt.Add(-previousOwnerRenewal) }
-}
-
 // New returns an empty scheduler for an owner that took over at the time now.
-func New(x Limits, now time.Time, l ...Option) *Scheduler {
+func New(x Limits, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: x,
+		limits: x, startedAt: now,
 		jobs:   map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
-		previousLeasesExpireAt: now.Add(previousOwnerRenewal + x.MaxLease*leaseExpiryPercent/100),
-		advice:                 map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
+		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, unplacedAt: map[string]time.Time{},
 	}
-	for _, o := range l {
-		o(s)
-	}
+	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
 }
 
-const (
-	// previousOwnerRenewal is how long an owner that cannot reach the store keeps renewing server leases. Package owner
-	// enforces the same limit (maxUnconfirmedRenewal).
-	previousOwnerRenewal = 5 * time.Second
-	// leaseExpiryPercent is the percentage of a lease's duration after which it has expired even on a server whose clock
-	// runs 2% slow.
-	leaseExpiryPercent = 104
-)
-
 // SetTable applies the queue table of a newer configuration and ignores one that is not newer.
 func (s *Scheduler) SetTable(t *queue.Table) {
 	if s.table != nil && t.Version <= s.table.Version {
@@ -96,6 +79,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.openDueOccurrences(now)
 	s.expireLeases(now)
+	s.updateLeaseRecord(now)
 	s.checkRuns(now)
 	s.purgeEndedJobs(now)
 	s.pace(now)
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -23,6 +23,14 @@
 	listingClock time.Duration
 	listedAt     time.Time
 	reachable    bool
+	// unreachableSince is when the server became unreachable or, if it never answered, became known.
+	unreachableSince time.Time
+	// leaseRecorded is true while the stored lease record may list the server. unrecordedBy is the number of the last batch
+	// whose lease record left it out.
+	leaseRecorded bool
+	unrecordedBy  uint64
+	// previousExpiry is when the lease has expired by the previous owner's record, zero if that did not list the server.
+	previousExpiry time.Time
 	// fencedAt is when the first listing arrived. The server has seen this owner's fencing token since then and refuses
 	// previous owners.
 	fencedAt    time.Time
@@ -124,7 +132,7 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *serverState) usable(now time.Time) bool {
-	return v.exists() && !v.info.Draining && !v.addressTaken && v.reachable &&
+	return v.exists() && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded &&
 		now.Sub(v.listedAt) < listingTimeout && !now.Before(v.pausedUntil) && !now.Before(v.fullUntil)
 }
 
@@ -147,7 +155,7 @@
 		return
 	}
 	if v == nil {
-		v = &serverState{runs: map[job.Task]*run{}, idleSince: now}
+		v = &serverState{runs: map[job.Task]*run{}, idleSince: now, unreachableSince: now}
 		s.servers[i.ID] = v
 		s.sortedServers = nil
 		s.addDecision(Decision{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
@@ -194,6 +202,7 @@
 	}
 	if v.reachable {
 		s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server is unreachable: " + reason, Age: now.Sub(v.listedAt)})
+		v.unreachableSince = now
 	}
 	v.reachable = false
 }
@@ -210,7 +219,7 @@
 }
 
 // PreparePoll returns the next poll of a server; the result is false if the server needs no further polls. The lease of
-// an unreachable server is not renewed, so that the time of its expiry is known.
+// an unreachable server, or of one in the stored lease record, is not renewed, so that the time of its expiry is known.
 func (s *Scheduler) PreparePoll(id string, now time.Time) (PollRequest, bool) {
 	v := s.servers[id]
 	if v == nil || v.terminated {
@@ -218,8 +227,8 @@
 	}
 	v.endLog.advance()
 	h := PollRequest{Server: v.info, AcknowledgedEnd: v.endLog.stored, ExpectsEnds: v.hasFiniteRun()}
-	if v.lastClock > 0 && v.reachable {
-		h.LeaseUntil = v.expectedClock(now) + s.limits.MaxLease*leaseRenewalPercent/100
+	if v.lastClock > 0 && v.reachable && !v.leaseRecorded {
+		h.LeaseUntil = v.expectedClock(now) + s.limits.leaseDuration()
 		v.leaseUntil = max(v.leaseUntil, h.LeaseUntil)
 	}
 	return h, v.registered || len(v.runs) > 0 || len(v.endLog.pending) > 0
@@ -235,10 +244,6 @@
 	return false
 }
 
-// leaseRenewalPercent is the percentage of the longest lease that is requested. A shorter lease lets the tasks of a
-// lost server restart sooner.
-const leaseRenewalPercent = 83
-
 // HasUnstoredEnds reports whether the server has reported run ends that are not stored yet.
 func (s *Scheduler) HasUnstoredEnds(id string) bool {
 	v := s.servers[id]
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -228,11 +228,11 @@
 }
 
 // Guards against restarting a run before its lease has expired, or much later, when the new owner knows the run only
-// from the store: its server becomes unreachable for good, then the owner is killed and restarts at once.
+// from the store: its server becomes unreachable for good, then the owner is lost.
 var _ = ginkgo.DescribeTable("a previous owner's run on an unreachable server restarts elsewhere once its lease has expired",
-	func(after time.Duration, l ...scheduler.Option) {
-		w := &harness{Scheduler: scheduler.New(bounds, start, l...), now: start, endSequences: map[string]uint64{}}
-		w.SetTable(table)
+	func(after time.Duration, prepare func(w *harness)) {
+		w := newHarness()
+		prepare(w)
 		w.Restore(newRecord(1, 1, longRunning), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, w.now)
 		began := time.Duration(0)
 		for ; began < 20*time.Second && len(w.acceptStarts()) == 0; began += 100 * time.Millisecond {
@@ -243,8 +243,92 @@
 		}
 		gomega.Expect(began).To(gomega.BeNumerically("~", after, 250*time.Millisecond))
 	},
-	ginkgo.Entry("when another entry may still renew it", 11240*time.Millisecond),
-	ginkgo.Entry("when the previous owner's process has ended", 6240*time.Millisecond, scheduler.WithPreviousOwnerEnded()))
+	ginkgo.Entry("when another entry may still renew it", 7280*time.Millisecond, func(*harness) {}),
+	ginkgo.Entry("when the previous owner has ended", 5280*time.Millisecond, func(w *harness) {
+		w.SetPredecessor(scheduler.Predecessor{Lease: 4980 * time.Millisecond})
+	}),
+	ginkgo.Entry("when an earlier owner may renew it for longer than the last one", 9*time.Second, func(w *harness) {
+		w.SetPredecessor(scheduler.Predecessor{Lease: 4980 * time.Millisecond, Remaining: 9 * time.Second})
+	}),
+	ginkgo.Entry("when the last owner recorded its expiry", 1200*time.Millisecond, func(w *harness) {
+		w.RestoreLeases(&schema.LeaseRecord{Servers: []*schema.ServerLease{{Server: "a", BornMs: start.UnixMilli(), RemainingMs: 1200}}}, w.now)
+	}))
+
+// The next owner restarts the runs of a recorded server when its lease has expired. An owner that renews the lease once the
+// server answers again, without having stored that, would make it run a task twice.
+var _ = ginkgo.Describe("the lease record", func() {
+	var w *harness
+	var l []scheduler.StartOrder
+	ginkgo.BeforeEach(func() {
+		w = newHarness()
+		w.addServers("a")
+		w.submit(newRecord(1, 1, longRunning))
+		l = w.acceptStarts()
+		w.reportRuns("a", listedRun(l[0], 100))
+		w.reportRuns("a", listedRun(l[0], 100))
+	})
+
+	silence := func(d time.Duration) *schema.LeaseRecord {
+		var m *schema.LeaseRecord
+		w.ServerUnreachable("a", start, w.now, "cut")
+		for until := w.now.Add(d); w.now.Before(until); {
+			w.now = w.now.Add(100 * time.Millisecond)
+			w.Tick(w.now)
+			for b := w.NextBatch(batchLimit, w.now); b != nil; b = w.NextBatch(batchLimit, w.now) {
+				if b.Leases != nil {
+					m = b.Leases
+				}
+				w.BatchCommitted(b, w.now)
+			}
+		}
+		return m
+	}
+
+	ginkgo.It("lists an unreachable server with runs until it answers", func() {
+		m := silence(time.Second)
+		gomega.Expect(m.GetServers()).To(gomega.HaveLen(1))
+		left := time.Duration(m.Servers[0].RemainingMs) * time.Millisecond
+		gomega.Expect(left).To(gomega.BeNumerically("~", 4300*time.Millisecond, 400*time.Millisecond), "renewed for 4.98 s, 0.6 to 1 s ago")
+		w.reportRuns("a", listedRun(l[0], 100))
+		b := w.NextBatch(batchLimit, w.now)
+		gomega.Expect(b.Leases.GetServers()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("leaves out a server that is silent for less than the delay", func() {
+		gomega.Expect(silence(300 * time.Millisecond)).To(gomega.BeNil())
+	})
+
+	ginkgo.It("is stored without a server before the server's lease is renewed or it gets new runs", func() {
+		silence(time.Second)
+		w.ListingReceived("a", server.Listing{StartedAt: start, Clock: w.clock(), Runs: []server.Run{listedRun(l[0], 100)}}, w.now)
+		h, _ := w.PreparePoll("a", w.now)
+		gomega.Expect(h.LeaseUntil).To(gomega.BeZero())
+		b := w.NextBatch(batchLimit, w.now)
+		h, _ = w.PreparePoll("a", w.now)
+		gomega.Expect(h.LeaseUntil).To(gomega.BeZero(), "the batch is not known to be stored")
+		w.Submit(newRecord(2, 1), w.now, func(scheduler.Reply) {})
+		w.Plan(w.now)
+		w.collectOrders()
+		gomega.Expect(w.orders.Starts).To(gomega.BeEmpty())
+		w.BatchCommitted(b, w.now)
+		h, _ = w.PreparePoll("a", w.now)
+		gomega.Expect(h.LeaseUntil).To(gomega.BeNumerically(">", w.clock()))
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("of the previous owner keeps its servers' leases from being renewed", func() {
+		x := newHarness()
+		x.RestoreLeases(silence(time.Second), x.now)
+		x.Register(newServer("a"), x.now)
+		x.ListingReceived("a", server.Listing{StartedAt: start, Clock: x.clock()}, x.now)
+		h, _ := x.PreparePoll("a", x.now)
+		gomega.Expect(h.LeaseUntil).To(gomega.BeZero())
+		x.commit()
+		h, _ = x.PreparePoll("a", x.now)
+		gomega.Expect(h.LeaseUntil).To(gomega.BeNumerically(">", 0))
+	})
+})
 
 var _ = ginkgo.Describe("a takeover", func() {
 	var (
@@ -277,11 +361,11 @@
 
 	ginkgo.It("waits for an unreachable server until no previous owner can have renewed its lease", func() {
 		w.addServers("b")
-		w.advance(10 * time.Second)
+		w.advance(scheduler.MaxUnconfirmedRenewal + 4980*time.Millisecond)
 		w.reportRuns("b")
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
-		w.advance(1500 * time.Millisecond)
+		w.advance(500 * time.Millisecond)
 		w.reportRuns("b")
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
