--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -58,7 +58,7 @@
 func New(x Limits, now time.Time) *Scheduler {
 	s := &Scheduler{
 		limits: x, startedAt: now,
-		jobs:   map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
+		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, unplacedAt: map[string]time.Time{},
 	}
