Let other entries send the owner's orders to backend servers

Now an owner with more than 150 servers a core hands its calls to the entries that are connected to it (executors): they keep nothing, the owner's fencing token and the absolute times of leases and orders go with each call, so a call that is carried out late is as harmless as one that the network delays. A call without a result is repeated directly; an executor without results is left alone for 2 s. Ruled out: an owner for each pool (the turns make one pool ask five times its mean while the others ask a twentieth, so its owner would be at the same limit).

--- /dev/null
+++ b/entry/executor/pool.go
@@ -0,0 +1,236 @@
+package executor
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/entry/channel"
+	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+)
+
+const (
+	// directPeriod is how long the owner calls a server itself after a call through an executor had no result.
+	directPeriod = 3 * time.Second
+	// maxFailures is the number of calls in a row without a result after which an executor is not used for suspension.
+	maxFailures = 8
+	suspension  = 2 * time.Second
+	// routeRetention is how long a server counts after its last call. sweepInterval is the time between checks.
+	routeRetention = 5 * time.Second
+	sweepInterval  = time.Second
+)
+
+// Pool sends the owner's orders to backend servers, through other entries if there are many servers. It implements
+// owner.Servers. A call that had no result through an executor goes directly when it is repeated; orders are idempotent.
+type Pool struct {
+	direct owner.Servers
+	cores  float64
+
+	// lock guards the fields below and is not held during calls.
+	lock sync.Mutex
+	// members are sorted by name. version counts their changes.
+	members []*member
+	version int
+	routes  map[string]*route
+	sweptAt time.Time
+}
+
+// member is an entry with a channel.
+type member struct {
+	Candidate
+	channel        *channel.Channel
+	failures       int
+	suspendedUntil time.Time
+}
+
+// route is how a server is called.
+type route struct {
+	member      *member
+	version     int
+	directUntil time.Time
+	usedAt      time.Time
+}
+
+// New returns a pool without members, for an owner with the cores. Calls go through direct until members join.
+func New(direct owner.Servers, cores float64) *Pool {
+	return &Pool{direct: direct, cores: cores, routes: map[string]*route{}}
+}
+
+// Join adds an entry that has a channel to this one, until the channel closes.
+func (p *Pool) Join(c Candidate, x *channel.Channel) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, m := range p.members {
+		if m.channel == x {
+			return
+		}
+	}
+	p.members = append(p.members, &member{Candidate: c, channel: x})
+	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
+	p.version++
+	go func() {
+		<-x.Done()
+		p.leave(x)
+	}()
+}
+
+func (p *Pool) leave(x *channel.Channel) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.members = slices.DeleteFunc(p.members, func(m *member) bool { return m.channel == x })
+	p.version++
+}
+
+// Members returns the number of entries that have joined.
+func (p *Pool) Members() int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return len(p.members)
+}
+
+// executor returns the member that calls a server, or nil if the owner calls it itself.
+func (p *Pool) executor(v server.Server, now time.Time) *member {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.sweep(now)
+	r := p.routes[v.ID]
+	if r == nil {
+		r = &route{version: -1}
+		p.routes[v.ID] = r
+	}
+	r.usedAt = now
+	if !Needed(len(p.routes), p.cores) || now.Before(r.directUntil) {
+		return nil
+	}
+	if r.version != p.version || r.member != nil && now.Before(r.member.suspendedUntil) {
+		r.member, r.version = p.choose(v, now), p.version
+	}
+	return r.member
+}
+
+// choose returns the best member for a server among those that are not suspended, or nil.
+func (p *Pool) choose(v server.Server, now time.Time) *member {
+	l, c := []*member{}, []Candidate{}
+	for _, m := range p.members {
+		if !now.Before(m.suspendedUntil) {
+			l, c = append(l, m), append(c, m.Candidate)
+		}
+	}
+	if i := Choose(v.ID, v.DataCentre, c); i >= 0 {
+		return l[i]
+	}
+	return nil
+}
+
+// sweep forgets the servers that are no longer called.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepInterval {
+		return
+	}
+	p.sweptAt = now
+	for id, r := range p.routes {
+		if now.Sub(r.usedAt) > routeRetention {
+			delete(p.routes, id)
+		}
+	}
+}
+
+// recordResult records whether a call through a member had a result.
+func (p *Pool) recordResult(v server.Server, m *member, ok bool, now time.Time) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if ok {
+		m.failures = 0
+		return
+	}
+	if r := p.routes[v.ID]; r != nil {
+		r.directUntil = now.Add(directPeriod)
+	}
+	if m.failures++; m.failures >= maxFailures {
+		m.failures = 0
+		m.suspendedUntil = now.Add(suspension)
+		p.version++
+	}
+}
+
+// call sends a call through a member. The result is nil if there was none.
+func (p *Pool) call(ctx context.Context, v server.Server, m *member, c *schema.Call) (*schema.Reply, error) {
+	r, _, err := m.channel.Call(ctx, c)
+	failure := r.GetOrder().GetFailure()
+	if failure == nil {
+		failure = r.GetPoll().GetFailure()
+	}
+	switch {
+	case err != nil:
+	case failure.GetFenced():
+		err = &owner.FencedError{Server: v.ID}
+	case failure != nil:
+		err = &NoResultError{Executor: m.Name, Detail: failure.Detail}
+	}
+	var fenced *owner.FencedError
+	p.recordResult(v, m, err == nil || errors.As(err, &fenced), time.Now())
+	return r, err
+}
+
+// NoResultError reports a call through an executor that the server did not answer.
+type NoResultError struct {
+	Executor string
+	Detail   string
+}
+
+// Error names the executor.
+func (e *NoResultError) Error() string {
+	return "no result through " + e.Executor + ": " + e.Detail
+}
+
+// Start implements owner.Servers.
+func (p *Pool) Start(ctx context.Context, o scheduler.StartOrder, token uint64) (scheduler.StartAnswer, time.Duration, error) {
+	m := p.executor(o.Server, time.Now())
+	if m == nil {
+		return p.direct.Start(ctx, o, token)
+	}
+	r, err := p.call(ctx, o.Server, m, &schema.Call{Body: &schema.Call_Order{Order: encodeStart(o, token)}})
+	if err != nil {
+		return scheduler.NoAnswer, 0, err
+	}
+	return scheduler.StartAnswer(r.GetOrder().GetAnswer()), time.Duration(r.GetOrder().GetClockMs()) * time.Millisecond, nil
+}
+
+// Stop implements owner.Servers.
+func (p *Pool) Stop(ctx context.Context, o scheduler.StopOrder, token uint64) error {
+	m := p.executor(o.Server, time.Now())
+	if m == nil {
+		return p.direct.Stop(ctx, o, token)
+	}
+	_, err := p.call(ctx, o.Server, m, &schema.Call{Body: &schema.Call_Order{Order: encodeStop(o, token)}})
+	return err
+}
+
+// Pace implements owner.Servers.
+func (p *Pool) Pace(ctx context.Context, o scheduler.PaceOrder, token uint64) error {
+	m := p.executor(o.Server, time.Now())
+	if m == nil {
+		return p.direct.Pace(ctx, o, token)
+	}
+	_, err := p.call(ctx, o.Server, m, &schema.Call{Body: &schema.Call_Order{Order: encodePace(o, token)}})
+	return err
+}
+
+// Poll implements owner.Servers.
+func (p *Pool) Poll(ctx context.Context, h scheduler.PollRequest, token uint64, wait time.Duration) (server.Listing, error) {
+	m := p.executor(h.Server, time.Now())
+	if m == nil {
+		return p.direct.Poll(ctx, h, token, wait)
+	}
+	r, err := p.call(ctx, h.Server, m, &schema.Call{Body: &schema.Call_Poll{Poll: encodePoll(h, token, wait)}})
+	if err != nil {
+		return server.Listing{}, err
+	}
+	return decodeListing(r.GetPoll())
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -87,8 +87,9 @@
 
 // Identity describes this entry to the others. Address is where its peers reach it.
 type Identity struct {
-	Name    string
-	Address netip.AddrPort
+	Name       string
+	Address    netip.AddrPort
+	DataCentre string
 	// Cores is the number of CPU cores that the entry may use.
 	Cores float64
 }
--- a/entry/relay/ownerconn.go
+++ b/entry/relay/ownerconn.go
@@ -11,7 +11,7 @@
 
 	"github.com/hashicorp/yamux"
 
-	"github.com/tarragonbank/tarragonbank/entry/peer"
+	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
@@ -20,14 +20,20 @@
 	dialTimeout = 500 * time.Millisecond
 	// writeTimeout bounds writes and the opening of streams when the peer no longer responds.
 	writeTimeout = time.Second
+	// silenceTimeout is how long an entry and the owner keep a connection on which nothing arrives. The entry pings the
+	// owner every pingInterval.
+	silenceTimeout = 1500 * time.Millisecond
 )
 
-// ownerConn is this entry's multiplexed connection to the owner.
+// ownerConn is this entry's connection to the owner, which carries calls in both directions.
 type ownerConn struct {
-	// lock guards address and session. It is held while connecting, so that concurrent calls share one attempt.
+	// handle answers the owner's calls.
+	handle channel.Handler
+
+	// lock guards address and channel. It is held while connecting, so that concurrent calls share one attempt.
 	lock        sync.Mutex
 	address     netip.AddrPort
-	session     *yamux.Session
+	channel     *channel.Channel
 	lastReplyNs atomic.Int64
 }
 
@@ -35,49 +41,34 @@
 	return time.Unix(0, o.lastReplyNs.Load())
 }
 
-// call sends one call on its own stream and waits for the reply. The boolean reports whether the owner may have received
-// the call.
+// call sends one call and waits for the reply. The boolean reports whether the owner may have received the call.
 func (o *ownerConn) call(ctx context.Context, a netip.AddrPort, c *schema.JobCall) (*schema.JobReply, bool, error) {
-	s, err := o.connect(ctx, a)
-	if err != nil {
-		return nil, false, err
-	}
-	t, err := s.Open()
+	x, err := o.connect(ctx, a)
 	if err != nil {
-		o.drop(s)
 		return nil, false, err
 	}
-	defer t.Close()
-	if d, ok := ctx.Deadline(); ok {
-		_ = t.SetDeadline(d)
-	}
-	if _, err := peer.WriteFrame(t, &schema.Envelope{Body: &schema.Envelope_JobCall{JobCall: c}}); err != nil {
-		o.drop(s)
-		return nil, true, err
-	}
-	e, _, err := peer.ReadFrame(t)
+	r, sent, err := x.Call(ctx, &schema.Call{Body: &schema.Call_Job{Job: c}})
 	if err != nil {
-		o.drop(s)
-		return nil, true, err
-	}
-	m := e.GetJobReply()
-	if m == nil {
-		return nil, true, &peer.FrameError{Detail: "not a reply"}
+		return nil, sent, err
 	}
 	o.lastReplyNs.Store(time.Now().UnixNano())
-	return m, true, nil
+	return r.GetJob(), true, nil
 }
 
-// connect returns the open session with the owner at this address, or opens one.
-func (o *ownerConn) connect(ctx context.Context, a netip.AddrPort) (*yamux.Session, error) {
+// connect returns the open channel to the owner at this address, or opens one.
+func (o *ownerConn) connect(ctx context.Context, a netip.AddrPort) (*channel.Channel, error) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	if o.session != nil && o.address == a && !o.session.IsClosed() {
-		return o.session, nil
-	}
-	if o.session != nil {
-		o.session.Close()
-		o.session = nil
+	if o.channel != nil {
+		select {
+		case <-o.channel.Done():
+		default:
+			if o.address == a {
+				return o.channel, nil
+			}
+			o.channel.Close()
+		}
+		o.channel = nil
 	}
 	c, stop := context.WithTimeout(ctx, dialTimeout)
 	defer stop()
@@ -90,18 +81,17 @@
 		n.Close()
 		return nil, err
 	}
-	o.session, o.address = s, a
-	return s, nil
-}
-
-// drop closes a failed session and forgets it, unless a newer one has replaced it.
-func (o *ownerConn) drop(s *yamux.Session) {
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	if o.session == s {
-		o.session = nil
+	t, err := s.Open()
+	if err != nil {
+		s.Close()
+		return nil, err
 	}
-	s.Close()
+	o.channel, o.address = channel.New(context.Background(), t, silenceTimeout, o.handle), a
+	go func(x *channel.Channel) {
+		<-x.Done()
+		s.Close()
+	}(o.channel)
+	return o.channel, nil
 }
 
 func yamuxConfig() *yamux.Config {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -4,10 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/entry/channel"
+	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
 // Ownership is what this entry knows of the fleet's owner.
@@ -22,10 +25,17 @@
 	RecordContact(name string, strength float64, now time.Time)
 }
 
+// Executors are the entries that can send the owner's orders to backend servers.
+type Executors interface {
+	// Join adds an entry until its channel closes. Joining again has no effect.
+	Join(c executor.Candidate, x *channel.Channel)
+}
+
 // Relay answers calls at this entry if it owns the fleet, and forwards them to the owner otherwise.
 type Relay struct {
 	ownership Ownership
 	self      owner.Identity
+	executors Executors
 	owner     *ownerConn
 }
 
@@ -35,14 +45,17 @@
 	// retryAfter is the retry delay that callers are told while no owner is reached; a takeover takes about 2 s.
 	retryAfter   = 1500 * time.Millisecond
 	pingInterval = 400 * time.Millisecond
-	pingTimeout  = 600 * time.Millisecond
+	// ownerCheckInterval is the time between checks whether the owner has changed.
+	ownerCheckInterval = 100 * time.Millisecond
+	pingTimeout        = 600 * time.Millisecond
 	// maxReplyAge is how old the owner's last reply may be while this entry counts as ready.
 	maxReplyAge = 1500 * time.Millisecond
 )
 
-// New returns a relay for this entry.
-func New(o Ownership, self owner.Identity) *Relay {
-	return &Relay{ownership: o, self: self, owner: &ownerConn{}}
+// New returns a relay for this entry. Entries that call it join the executors; handle answers the calls that the owner
+// makes on this entry's connection.
+func New(o Ownership, self owner.Identity, x Executors, handle channel.Handler) *Relay {
+	return &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}}
 }
 
 // Call answers a call here or forwards it to the owner, within 2 s. Failures are part of the reply: Refused means that the
@@ -120,29 +133,38 @@
 	}
 }
 
-// Run pings the owner until the context ends; Ready depends on its replies.
+// Run pings the owner until the context ends; Ready depends on its replies. A new owner is pinged at once, so that it knows
+// its executors.
 func (r *Relay) Run(ctx context.Context) {
-	t := time.NewTicker(pingInterval)
+	t := time.NewTicker(ownerCheckInterval)
 	defer t.Stop()
+	var pinged store.Revision
+	var pingedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.ping(ctx)
 		}
+		k := r.ownership.Known()
+		if k.Revision == pinged && time.Since(pingedAt) < pingInterval {
+			continue
+		}
+		pinged, pingedAt = k.Revision, time.Now()
+		r.ping(ctx, k)
 	}
 }
 
-func (r *Relay) ping(ctx context.Context) {
-	k := r.ownership.Known()
+func (r *Relay) ping(ctx context.Context, k owner.Record) {
 	if k.Revision == 0 || k.Address == r.self.Address {
 		return
 	}
 	c, stop := context.WithTimeout(ctx, pingTimeout)
 	defer stop()
 	// A failed ping leaves the time of the last reply as it is, which Ready checks.
-	_, _, _ = r.owner.call(c, k.Address, &schema.JobCall{Kind: schema.JobCall_PING, From: r.self.Name, Strength: r.self.Cores})
+	_, _, _ = r.owner.call(c, k.Address, &schema.JobCall{
+		Kind: schema.JobCall_PING, From: r.self.Name, Strength: r.self.Cores, DataCentre: r.self.DataCentre,
+	})
 }
 
 // Ready reports whether this entry owns the fleet or the owner replied within the last 1.5 s.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 	"github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonbank/tarragonbank/entry/channel"
+	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/entry/relay"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
@@ -74,16 +77,58 @@
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
-	go relay.New(o, owner.Identity{}).Serve(ctx, n)
+	go relay.New(o, owner.Identity{}, &fakeExecutors{}, nil).Serve(ctx, n)
 	return netip.MustParseAddrPort(n.Addr().String()), func() { stop(); n.Close() }
 }
 
+// fakeExecutors records the entries that join.
+type fakeExecutors struct {
+	lock   sync.Mutex
+	joined map[string]*channel.Channel
+}
+
+func (x *fakeExecutors) Join(c executor.Candidate, h *channel.Channel) {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	if x.joined == nil {
+		x.joined = map[string]*channel.Channel{}
+	}
+	x.joined[c.Name+" in "+c.DataCentre] = h
+}
+
+func (x *fakeExecutors) channel(name string) *channel.Channel {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	return x.joined[name]
+}
+
+var _ = ginkgo.Describe("an entry that pings the owner", func() {
+	ginkgo.It("joins the executors and answers the owner's calls on the same connection", func() {
+		n, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		x := &fakeExecutors{}
+		go relay.New(&fakeOwnership{owner: &fakeOwner{}}, owner.Identity{}, x, nil).Serve(ctx, n)
+		o := &fakeOwnership{known: owner.Record{Name: "there", Address: netip.MustParseAddrPort(n.Addr().String()), Revision: 5}}
+		r := relay.New(o, owner.Identity{Name: "here", DataCentre: "west"}, &fakeExecutors{}, func(context.Context, *schema.Call) *schema.Reply {
+			return &schema.Reply{Body: &schema.Reply_Order{Order: &schema.OrderReply{ClockMs: 7}}}
+		})
+		go r.Run(ctx)
+		gomega.Eventually(func() *channel.Channel { return x.channel("here in west") }).ShouldNot(gomega.BeNil())
+		m, _, err := x.channel("here in west").Call(ctx, &schema.Call{Body: &schema.Call_Order{Order: &schema.ServerOrder{}}})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(m.GetOrder().ClockMs).To(gomega.BeEquivalentTo(7))
+		gomega.Eventually(r.Ready).Should(gomega.BeTrue())
+	})
+})
+
 var _ = ginkgo.Describe("a call", func() {
 	submit := &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: "a", Job: &schema.JobRecord{Id: "a"}}
 	ask := func(o *fakeOwnership, c *schema.JobCall) scheduler.Reply {
 		ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer stop()
-		return relay.New(o, owner.Identity{Name: "here"}).Call(ctx, c)
+		return relay.New(o, owner.Identity{Name: "here"}, &fakeExecutors{}, nil).Call(ctx, c)
 	}
 
 	ginkgo.It("is answered here if this entry is the owner", func() {
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -7,7 +7,8 @@
 
 	"github.com/hashicorp/yamux"
 
-	"github.com/tarragonbank/tarragonbank/entry/peer"
+	"github.com/tarragonbank/tarragonbank/entry/channel"
+	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
@@ -27,30 +28,41 @@
 	}
 }
 
+// serveSession serves the one channel of a session.
 func (r *Relay) serveSession(ctx context.Context, s *yamux.Session) {
 	defer s.Close()
-	for {
-		t, err := s.Accept()
-		if err != nil {
-			return
-		}
-		go r.serveCall(ctx, t)
+	t, err := s.Accept()
+	if err != nil {
+		return
 	}
+	x := &entryChannel{relay: r, ready: make(chan struct{})}
+	x.channel = channel.New(ctx, t, silenceTimeout, x.answer)
+	close(x.ready)
+	<-x.channel.Done()
 }
 
-func (r *Relay) serveCall(ctx context.Context, t net.Conn) {
-	defer t.Close()
-	e, _, err := peer.ReadFrame(t)
-	if err != nil || e.GetJobCall() == nil {
-		return
+// entryChannel is the channel of another entry to this one.
+type entryChannel struct {
+	relay   *Relay
+	channel *channel.Channel
+	// ready is closed once channel is set.
+	ready chan struct{}
+}
+
+// answer answers a call of the other entry.
+func (x *entryChannel) answer(ctx context.Context, c *schema.Call) *schema.Reply {
+	m := c.GetJob()
+	if m == nil {
+		return nil
+	}
+	if m.Kind == schema.JobCall_PING {
+		x.relay.ownership.RecordContact(m.From, m.Strength, time.Now())
+		<-x.ready
+		x.relay.executors.Join(executor.Candidate{Name: m.From, DataCentre: m.DataCentre, Cores: m.Strength}, x.channel)
 	}
-	c, stop := context.WithTimeout(ctx, callTimeout)
-	defer stop()
-	r.ownership.RecordContact(e.GetJobCall().From, e.GetJobCall().Strength, time.Now())
-	m := &schema.JobReply{Result: notOwner}
-	if d := r.ownership.Current(); d != nil {
-		m = encodeReply(Invoke(c, d, e.GetJobCall()))
+	reply := &schema.JobReply{Result: notOwner}
+	if d := x.relay.ownership.Current(); d != nil {
+		reply = encodeReply(Invoke(ctx, d, m))
 	}
-	// If the reply is not delivered, the calling entry reports the outcome as unknown.
-	_, _ = peer.WriteFrame(t, &schema.Envelope{Body: &schema.Envelope_JobReply{JobReply: m}})
+	return &schema.Reply{Body: &schema.Reply_Job{Job: reply}}
 }
--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -231,8 +231,8 @@
 
 func TestServerWithoutListingIsNotIdle(t *testing.T) {
 	run(t, func(*gomega.WithT, *fakeOwner, *fakeFleet) {}, func(g *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
-		time.Sleep(8 * time.Second)
-		g.Expect(x.ordered()).To(gomega.BeEmpty())
+		time.Sleep(scheduler.MaxUnconfirmedRenewal + 4980*time.Millisecond)
+		g.Expect(x.ordered()).To(gomega.BeEmpty(), "a previous owner may have renewed the leases of its runs")
 		time.Sleep(5 * time.Second)
 		g.Expect(x.ordered()).To(gomega.ContainElement("maintain a by e1"), "once no run of a previous owner can be left")
 	})
