Delete the records of ended jobs, and give reads of a slow link more time

Now an ended job leaves only its progress (phase, queue, times), its record is deleted in the same transaction; jobs, progress, leases and mark are read at the same time; each try of a read may take twice as long as the one before, up to 8 s. Ruled out: smaller pages (the store chooses their size).

--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -174,6 +174,9 @@
 			return t, err
 		}
 	}
+	for _, id := range b.Ended {
+		t.Deletes = append(t.Deletes, jobPrefix+id)
+	}
 	for _, id := range b.Removed {
 		t.Deletes = append(t.Deletes, jobPrefix+id, progressPrefix+id)
 	}
@@ -192,23 +195,27 @@
 // load restores the jobs, their progress and what the scheduler has learned, and returns the revision of the commit mark,
 // which the first commit expects. Previous owners cannot commit any more, since the owner key has changed.
 func (r *term) load(ctx context.Context) (store.Revision, error) {
-	mark, err := r.readCommitMark(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if err := r.readLeases(ctx); err != nil {
-		return 0, err
-	}
-	jobs, err := r.readAll(ctx, jobPrefix)
-	if err != nil {
-		return 0, err
-	}
-	progress, err := r.readAll(ctx, progressPrefix)
-	if err != nil {
-		return 0, err
+	var jobs, progress, leases []store.Item
+	var mark store.Item
+	reads := []func() error{
+		func() (err error) { jobs, err = r.readAll(ctx, jobPrefix); return err },
+		func() (err error) { progress, err = r.readAll(ctx, progressPrefix); return err },
+		func() (err error) { leases, err = r.readAll(ctx, leasesKey); return err },
+		func() (err error) { mark, err = r.readItem(ctx, commitMarkKey); return err },
+	}
+	failures := make(chan error, len(reads))
+	for _, f := range reads {
+		go func() { failures <- f() }()
+	}
+	for range reads {
+		if err := <-failures; err != nil {
+			return 0, err
+		}
 	}
+	r.restoreMark(mark)
+	r.restoreLeases(leases)
 	r.restore(jobs, progress)
-	return mark, nil
+	return mark.Revision, nil
 }
 
 // restore adds the stored jobs to the scheduler and skips records that are malformed.
@@ -225,6 +232,12 @@
 				continue
 			}
 			s.Restore(m, r.decodeProgress(progressByJob[m.Id]), now)
+			delete(progressByJob, m.Id)
+		}
+		for id, i := range progressByJob {
+			if p := r.decodeProgress(i); p != nil && !s.RestoreEnded(id, p, now) {
+				r.owner.logDecision(decision.Job, "progress without a job record: "+i.Key, i.Revision)
+			}
 		}
 	})
 }
@@ -242,12 +255,10 @@
 	return p
 }
 
-// readCommitMark restores the learned data and the previous owner's lease terms from the commit mark and returns its
-// revision, 0 if the store has none.
-func (r *term) readCommitMark(ctx context.Context) (store.Revision, error) {
-	i, err := r.readItem(ctx, commitMarkKey)
-	if err != nil || i.Revision == 0 {
-		return 0, err
+// restoreMark restores the learned data and the previous owner's lease terms from the commit mark, if there is one.
+func (r *term) restoreMark(i store.Item) {
+	if i.Revision == 0 {
+		return
 	}
 	m := &schema.CommitMark{}
 	if err := proto.Unmarshal(i.Value, m); err != nil {
@@ -257,7 +268,6 @@
 		s.SetPredecessor(r.predecessor(m))
 		s.RestoreLearning(m.Learning, now)
 	})
-	return i.Revision, nil
 }
 
 // predecessor returns what the commit mark and the release tell about the previous owner's leases. An owner of an earlier
@@ -281,19 +291,16 @@
 // earlierRenewal is how long owners of versions without lease terms in the commit mark renew leases without the store.
 const earlierRenewal = 5 * time.Second
 
-// readLeases restores the previous owner's lease record.
-func (r *term) readLeases(ctx context.Context) error {
-	i, err := r.readItem(ctx, leasesKey)
-	if err != nil || i.Revision == 0 {
-		return err
-	}
-	m := &schema.LeaseRecord{}
-	if err := proto.Unmarshal(i.Value, m); err != nil {
-		r.owner.logDecision(decision.Ownership, "malformed lease record: "+err.Error(), i.Revision)
-		return nil
+// restoreLeases restores the previous owner's lease record, if there is one.
+func (r *term) restoreLeases(l []store.Item) {
+	for _, i := range l {
+		m := &schema.LeaseRecord{}
+		if err := proto.Unmarshal(i.Value, m); err != nil {
+			r.owner.logDecision(decision.Ownership, "malformed lease record: "+err.Error(), i.Revision)
+			continue
+		}
+		r.update(func(s *scheduler.Scheduler, now time.Time) { s.RestoreLeases(m, now) })
 	}
-	r.update(func(s *scheduler.Scheduler, now time.Time) { s.RestoreLeases(m, now) })
-	return nil
 }
 
 // readItem reads a key. The item has no revision if the key does not exist.
@@ -333,10 +340,11 @@
 	}
 }
 
-// retryRead repeats a call that reads from the store until it succeeds or the context ends.
+// retryRead repeats a call that reads from the store until it succeeds or the context ends. Each attempt may take twice as
+// long as the one before, since a page of 1 MB takes seconds on a slow link.
 func (r *term) retryRead(ctx context.Context, f func(context.Context) error) error {
-	for {
-		c, stop := context.WithTimeout(ctx, storeTimeout)
+	for timeout := storeTimeout; ; timeout = min(2*timeout, maxReadTimeout) {
+		c, stop := context.WithTimeout(ctx, timeout)
 		err := f(c)
 		stop()
 		if err == nil || ctx.Err() != nil {
@@ -346,3 +354,6 @@
 		wait.For(ctx, storeRetryInterval)
 	}
 }
+
+// maxReadTimeout bounds one attempt to read a page.
+const maxReadTimeout = 8 * time.Second
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -316,6 +316,37 @@
 	})
 }
 
+// The payloads of ended jobs would make up most of what a new owner has to read.
+func TestEndedJobsLeaveOnlyTheirProgress(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		o, stop := s.startEntry("e1")
+		time.Sleep(time.Second)
+		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
+		time.Sleep(2 * time.Second)
+		_, err := s.store.Get(s.ctx, "tarragonbank/job/"+firstID)
+		g.Expect(err).To(gomega.BeAssignableToTypeOf(&store.NotFoundError{}))
+		next, _ := s.startEntry("e2")
+		stop()
+		time.Sleep(3 * time.Second)
+		g.Expect(next.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(submit(next, firstID).Result).To(gomega.Equal(scheduler.Done), "it is still known")
+		l := next.Current().List("plans").Jobs
+		g.Expect(l).To(gomega.HaveLen(1))
+		g.Expect(l[0].AcceptedMs).To(gomega.BeNumerically(">", 0))
+		g.Expect(s.server.startOrders()).To(gomega.HaveLen(2))
+	})
+}
+
+// A page of 1 MB takes seconds on a slow link. With a fixed timeout it would never be read.
+func TestNewOwnerReadsThroughASlowLink(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		s.store.update(func() { s.store.readDelay = 3 * time.Second })
+		o, _ := s.startEntry("e1")
+		time.Sleep(15 * time.Second)
+		g.Expect(o.Current()).NotTo(gomega.BeNil())
+	})
+}
+
 // A transaction that times out may take effect after its retry and later commits, and must not overwrite them.
 func TestLateCommitIsRejected(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -26,8 +26,10 @@
 	heldUntil chan struct{}
 	commits   int
 	// delay is the latency of transactions. attempts counts all transactions, commits those that took effect.
-	delay    time.Duration
-	attempts int
+	delay time.Duration
+	// readDelay is the latency of reads of a prefix.
+	readDelay time.Duration
+	attempts  int
 }
 
 func newFakeStore() *fakeStore {
@@ -74,8 +76,13 @@
 }
 
 func (m *fakeStore) remove(key string) {
-	delete(m.items, key)
 	m.revision++
+	m.removeAt(key)
+}
+
+// removeAt removes a key with the current revision, which all changes of a transaction share.
+func (m *fakeStore) removeAt(key string) {
+	delete(m.items, key)
 	m.appendEvent(store.Event{Item: store.Item{Key: key, Revision: m.revision}, Deleted: true})
 }
 
@@ -99,7 +106,15 @@
 	return i, nil
 }
 
-func (m *fakeStore) Range(_ context.Context, prefix, after string) (store.Page, error) {
+func (m *fakeStore) Range(ctx context.Context, prefix, after string) (store.Page, error) {
+	m.lock.Lock()
+	d := m.readDelay
+	m.lock.Unlock()
+	select {
+	case <-ctx.Done():
+		return store.Page{}, &store.UnavailableError{Call: "range", Detail: "slow"}
+	case <-time.After(d):
+	}
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.expire()
@@ -191,7 +206,7 @@
 		m.appendEvent(store.Event{Item: i})
 	}
 	for _, k := range t.Deletes {
-		m.remove(k)
+		m.removeAt(k)
 	}
 	if m.lostAnswers > 0 {
 		m.lostAnswers--
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -15,7 +15,9 @@
 	Number   uint64
 	Jobs     []Write[*schema.JobRecord]
 	Progress []Write[*schema.JobProgress]
-	// Removed are the IDs of jobs whose records are deleted.
+	// Ended are the IDs of jobs whose record is deleted, since only their progress is still needed. Removed are the IDs of
+	// jobs whose record and progress are deleted.
+	Ended   []string
 	Removed []string
 	// Learning holds the estimates that were learned for each queue.
 	Learning []*schema.QueueLearning
@@ -48,7 +50,7 @@
 		b.Leases = s.buildLeaseRecord(b.Number, now)
 	}
 	n := 0
-	for n < len(s.dirtyJobs) && b.recordCount() < limit {
+	for n < len(s.dirtyJobs) && b.recordCount()+s.dirtyJobs[n].recordCount() <= limit {
 		b.add(s.dirtyJobs[n])
 		n++
 	}
@@ -63,7 +65,15 @@
 const recordsPerRemovedJob = 2
 
 func (b *Batch) recordCount() int {
-	return len(b.Jobs) + len(b.Progress)
+	return len(b.Jobs) + len(b.Progress) + len(b.Ended)
+}
+
+// recordCount returns the number of store keys that the job takes in a batch.
+func (j *jobState) recordCount() int {
+	if j.stored && j.phase.Ended() {
+		return 2
+	}
+	return 1
 }
 
 func (b *Batch) add(j *jobState) {
@@ -71,6 +81,9 @@
 	j.sent = true
 	if j.stored {
 		b.Progress = append(b.Progress, Write[*schema.JobProgress]{j.job.ID, j.progress()})
+		if j.phase.Ended() {
+			b.Ended = append(b.Ended, j.job.ID)
+		}
 	} else {
 		m := j.job.Record()
 		m.Progress = j.progress()
@@ -168,6 +181,7 @@
 	p := &schema.JobProgress{Phase: int32(j.phase)}
 	if j.phase.Ended() {
 		p.EndedMs = j.endedAt.UnixMilli()
+		p.Queue, p.Pool, p.AcceptedMs = j.job.Queue, j.job.Pool, j.job.AcceptedAt.UnixMilli()
 		return p
 	}
 	for _, o := range j.occurrences {
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -35,6 +35,15 @@
 	s.needsPlan = true
 }
 
+// RestoreEnded adds an ended job from its stored progress. The result is false if the job has not ended.
+func (s *Scheduler) RestoreEnded(id string, p *schema.JobProgress, now time.Time) bool {
+	if !job.Phase(p.Phase).Ended() {
+		return false
+	}
+	s.Restore(&schema.JobRecord{Id: id, Queue: p.Queue, Pool: p.Pool, AcceptedMs: p.AcceptedMs}, p, now)
+	return true
+}
+
 func (s *Scheduler) restoreTask(j *jobState, m *schema.TaskProgress, now time.Time) {
 	for j.openedOccurrences <= int(m.Occurrence) && j.openedOccurrences < j.job.Occurrences() {
 		s.openNextOccurrence(j, now)
