--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -157,12 +157,15 @@
 func (o *Owner) Stored(ctx context.Context, id string) (bool, error) {
 	c, stop := context.WithTimeout(ctx, storedTimeout)
 	defer stop()
-	_, err := o.deps.Store.Get(c, jobPrefix+id)
-	var notFound *store.NotFoundError
-	if errors.As(err, &notFound) {
-		return false, nil
+	// The record of an ended job is deleted in the transaction that stores its end, so its progress is read second.
+	for _, key := range []string{jobPrefix + id, progressPrefix + id} {
+		_, err := o.deps.Store.Get(c, key)
+		var notFound *store.NotFoundError
+		if !errors.As(err, &notFound) {
+			return err == nil, err
+		}
 	}
-	return err == nil, err
+	return false, nil
 }
 
 // storedTimeout bounds the lookup of a job while its caller waits; the store usually answers within milliseconds.
