--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -1,6 +1,7 @@
 package jobsite
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -28,6 +29,9 @@
 	Entries  int
 	// VMsPerPool is the number of VMs of each pool, the standby pool included.
 	VMsPerPool int
+	// EntryCores is the number of cores that the settings give each entry, 0.4 if it is 0. An entry with few cores for the
+	// number of servers lets other entries send its orders.
+	EntryCores float64
 	// Untimed extends the time after a cancellation in which task starts are still allowed, for busy machines.
 	Untimed bool
 }
@@ -75,7 +79,7 @@
 const (
 	dataCentres          = 3
 	vmsPerRack           = 4
-	entryCores           = 0.4
+	defaultEntryCores    = 0.4
 	maxLease             = 6 * time.Second
 	gangTimeout          = 3 * time.Second
 	heartbeatInterval    = 1500 * time.Millisecond
@@ -194,7 +198,7 @@
 	e := &Entry{
 		Process: process.New(name, filepath.Join(s.Options.Binaries, "tarragonjobs"), filepath.Join(s.Options.Out, name+".log")),
 		Spec: simulator.EntrySpec{
-			Name: name, DataCentre: fmt.Sprintf("dc-%d", i%dataCentres+1), Cores: entryCores,
+			Name: name, DataCentre: fmt.Sprintf("dc-%d", i%dataCentres+1), Cores: cmp.Or(s.Options.EntryCores, defaultEntryCores),
 			CallerAddress: at(portCaller), ReadinessAddress: at(portReadiness), PeerAddress: at(portPeer), StoreAddress: at(portStore), CloudAddress: at(portCloud),
 		},
 		StoreProxy: proxy.New(s.Platform.Options.StoreAddress), CloudProxy: proxy.New(s.Platform.Options.CloudAddress), site: s,
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -72,13 +72,20 @@
 	defaultCancelLimit = 3400 * time.Millisecond
 	// defaultChangeLimit bounds the time until a configuration change is in force at entries without faults.
 	defaultChangeLimit = 3 * time.Second
+	// fewCores is the number of cores of an owner that needs executors for this number of servers. Odd seeds have it.
+	fewCores = 0.02
 )
 
 // Run starts a site, injects random faults under a load of jobs and checks the site's guarantees after the last fault. It
 // returns an error if the site cannot be started.
 func Run(ctx context.Context, p Options) (*Result, error) {
 	random := rand.New(rand.NewPCG(p.Seed, 11))
+	cores := 0.0
+	if p.Seed%2 == 1 {
+		cores = fewCores
+	}
 	s, err := jobsite.New(ctx, jobsite.Options{
+		EntryCores: cores,
 		Binaries: p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: minEntries + random.IntN(maxEntries-minEntries+1), VMsPerPool: minVMsPerPool + random.IntN(maxVMsPerPool-minVMsPerPool+1),
 		Untimed: p.Untimed,
