Store the progress of jobs under way in a log, one entry a commit

Now a commit adds one entry with the changed tasks of any number of jobs; a new entry beyond 64 replaces up to two old ones and takes over what is still needed of them. A job's record is written when it is accepted and deleted when it ends. Ruled out: several commits at a time (each expects the mark of the one before, which is what rejects late ones).

--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -16,9 +17,9 @@
 )
 
 const (
-	// maxBatchRecords is the most records in a batch. A transaction has at most 32 entries, of which the commit mark, the
-	// lease record and the two expected revisions take four.
-	maxBatchRecords = 28
+	// maxBatchKeys is the most keys of jobs in a batch. A transaction has at most 32 entries, of which the commit mark, the
+	// lease record, the log entry, the two entries that it replaces and the two expected revisions take seven.
+	maxBatchKeys = 25
 	// commitDelay is how long a commit waits for further changes, which the same transaction then stores.
 	commitDelay = 12 * time.Millisecond
 	// storeUnavailableAfter is how long commits fail before submissions are refused. A lost answer is resolved sooner.
@@ -60,7 +61,7 @@
 	r.lock.Lock()
 	now := time.Now()
 	r.scheduler.Plan(now)
-	b = r.scheduler.NextBatch(maxBatchRecords, now)
+	b = r.scheduler.NextBatch(maxBatchKeys, now)
 	orders := r.scheduler.TakeOrders()
 	r.lock.Unlock()
 	r.sendOrders(orders)
@@ -169,13 +170,19 @@
 			return t, err
 		}
 	}
-	for _, x := range b.Progress {
+	for _, x := range b.Ended {
 		if err := addWrite(&t, progressPrefix+x.JobID, x.Record); err != nil {
 			return t, err
 		}
+		t.Deletes = append(t.Deletes, jobPrefix+x.JobID)
 	}
-	for _, id := range b.Ended {
-		t.Deletes = append(t.Deletes, jobPrefix+id)
+	if b.Log != nil {
+		if err := addWrite(&t, logKey(b.Log.Sequence), b.Log); err != nil {
+			return t, err
+		}
+	}
+	for _, n := range b.CleanedEntries {
+		t.Deletes = append(t.Deletes, logKey(n))
 	}
 	for _, id := range b.Removed {
 		t.Deletes = append(t.Deletes, jobPrefix+id, progressPrefix+id)
@@ -183,6 +190,11 @@
 	return t, nil
 }
 
+// logKey returns the key of the log entry with the sequence number.
+func logKey(sequence uint64) string {
+	return fmt.Sprintf("%s%016x", logPrefix, sequence)
+}
+
 func addWrite(t *store.Transaction, key string, m proto.Message) error {
 	v, err := proto.Marshal(m)
 	if err != nil {
@@ -195,11 +207,12 @@
 // load restores the jobs, their progress and what the scheduler has learned, and returns the revision of the commit mark,
 // which the first commit expects. Previous owners cannot commit any more, since the owner key has changed.
 func (r *term) load(ctx context.Context) (store.Revision, error) {
-	var jobs, progress, leases []store.Item
+	var jobs, progress, log, leases []store.Item
 	var mark store.Item
 	reads := []func() error{
 		func() (err error) { jobs, err = r.readAll(ctx, jobPrefix); return err },
 		func() (err error) { progress, err = r.readAll(ctx, progressPrefix); return err },
+		func() (err error) { log, err = r.readAll(ctx, logPrefix); return err },
 		func() (err error) { leases, err = r.readAll(ctx, leasesKey); return err },
 		func() (err error) { mark, err = r.readItem(ctx, commitMarkKey); return err },
 	}
@@ -214,10 +227,25 @@
 	}
 	r.restoreMark(mark)
 	r.restoreLeases(leases)
+	r.restoreLog(log)
 	r.restore(jobs, progress)
 	return mark.Revision, nil
 }
 
+// restoreLog restores the log of progress and skips entries that are malformed.
+func (r *term) restoreLog(l []store.Item) {
+	entries := []*schema.LogEntry{}
+	for _, i := range l {
+		m := &schema.LogEntry{}
+		if err := proto.Unmarshal(i.Value, m); err != nil || logKey(m.Sequence) != i.Key {
+			r.owner.logDecision(decision.Job, "malformed log entry: "+i.Key, i.Revision)
+			continue
+		}
+		entries = append(entries, m)
+	}
+	r.update(func(s *scheduler.Scheduler, _ time.Time) { s.RestoreLog(entries) })
+}
+
 // restore adds the stored jobs to the scheduler and skips records that are malformed.
 func (r *term) restore(jobs, progress []store.Item) {
 	progressByJob := map[string]store.Item{}
--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -22,6 +22,7 @@
 	commitMarkKey  = keyPrefix + "mark"
 	jobPrefix      = keyPrefix + "job/"
 	progressPrefix = keyPrefix + "course/"
+	logPrefix      = keyPrefix + "log/"
 	// leasesKey holds the lease record, releaseKey the release of an owner that gave up the ownership by itself.
 	leasesKey  = keyPrefix + "leases"
 	releaseKey = keyPrefix + "released"
--- /dev/null
+++ b/fleet/scheduler/changelog_test.go
@@ -0,0 +1,146 @@
+package scheduler_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+// stored is what the store holds after a number of commits.
+type stored struct {
+	jobs    map[string]*schema.JobRecord
+	ended   map[string]*schema.JobProgress
+	log     map[uint64]*schema.LogEntry
+	batches []*scheduler.Batch
+}
+
+func newStored() *stored {
+	return &stored{jobs: map[string]*schema.JobRecord{}, ended: map[string]*schema.JobProgress{}, log: map[uint64]*schema.LogEntry{}}
+}
+
+func (x *stored) apply(b *scheduler.Batch) {
+	x.batches = append(x.batches, b)
+	for _, w := range b.Jobs {
+		x.jobs[w.JobID] = w.Record
+	}
+	for _, w := range b.Ended {
+		x.ended[w.JobID] = w.Record
+		delete(x.jobs, w.JobID)
+	}
+	if b.Log != nil {
+		x.log[b.Log.Sequence] = b.Log
+	}
+	for _, n := range b.CleanedEntries {
+		delete(x.log, n)
+	}
+}
+
+// successor returns a scheduler that has restored what is stored.
+func (x *stored) successor(now time.Time) *harness {
+	w := &harness{Scheduler: scheduler.New(bounds, now), now: now, endSequences: map[string]uint64{}}
+	w.SetTable(table)
+	l := []*schema.LogEntry{}
+	for _, e := range x.log {
+		l = append(l, proto.CloneOf(e))
+	}
+	w.RestoreLog(l)
+	for _, m := range x.jobs {
+		w.Restore(proto.CloneOf(m), nil, now)
+	}
+	for id, p := range x.ended {
+		w.RestoreEnded(id, p, now)
+	}
+	return w
+}
+
+// commitTo commits all changes to x.
+func (w *harness) commitTo(x *stored) {
+	w.Plan(w.now)
+	for b := w.NextBatch(batchLimit, w.now); b != nil; b = w.NextBatch(batchLimit, w.now) {
+		x.apply(b)
+		w.BatchCommitted(b, w.now)
+	}
+	w.collectOrders()
+}
+
+// At the peak of a turn, some 1,600 tasks start and end each second. With a key for the progress of each job, a commit of
+// 28 keys held the changes of 28 jobs only, and starts waited for their commit.
+var _ = ginkgo.Describe("the log of progress", func() {
+	ginkgo.It("holds the changes of all jobs under way in one entry of a commit", func() {
+		w, x := newHarness(), newStored()
+		w.addServers("a", "b", "c", "d", "e", "f", "g", "h")
+		for i := range 3 * batchLimit {
+			w.Submit(newRecord(i+1, 2, func(s *schema.StepRecord) { s.CpuMilli = 1000 }), w.now, func(scheduler.Reply) {})
+		}
+		w.commitTo(x)
+		l := w.acceptStarts()
+		gomega.Expect(l).To(gomega.HaveLen(6 * batchLimit))
+		commits := len(x.batches)
+		for _, o := range l {
+			if o.Task.Index == 0 {
+				w.reportEnd(o.Server.ID, o.Task, o.Number, job.EndDone)
+			}
+		}
+		w.commitTo(x)
+		gomega.Expect(x.batches).To(gomega.HaveLen(commits + 1))
+		gomega.Expect(x.batches[commits].Log.Changes).To(gomega.HaveLen(3 * batchLimit))
+		for _, c := range x.batches[commits].Log.Changes {
+			gomega.Expect(c.Tasks).To(gomega.HaveLen(1), "only the task that has changed")
+		}
+	})
+
+	ginkgo.It("tells a successor everything, however many entries have replaced others", func() {
+		w, x := newHarness(), newStored()
+		w.addServers("a", "b")
+		w.Submit(newRecord(1, 2, longRunning), w.now, func(scheduler.Reply) {})
+		w.Submit(newRecord(2, 3), w.now, func(scheduler.Reply) {})
+		w.commitTo(x)
+		done, restarted := 0, 0
+		for _, o := range w.acceptStarts() {
+			if o.Task.Job == newRecord(2, 1).Id && done == 0 {
+				done++
+				w.reportEnd(o.Server.ID, o.Task, o.Number, job.EndDone)
+				w.commitTo(x)
+			}
+		}
+		for range 500 {
+			w.now = w.now.Add(100 * time.Millisecond)
+			w.Submit(newRecord(100+restarted, 1), w.now, func(scheduler.Reply) {})
+			w.addServers("c")
+			w.commitTo(x)
+			for _, o := range w.acceptStarts() {
+				if o.Task.Job == newRecord(2, 1).Id {
+					continue
+				}
+				restarted++
+				reason := job.EndDone
+				if restarted%2 == 0 {
+					reason = job.EndFailed
+				}
+				w.reportEnd(o.Server.ID, o.Task, o.Number, reason)
+			}
+			w.commitTo(x)
+		}
+		gomega.Expect(restarted).To(gomega.BeNumerically(">", 400))
+		gomega.Expect(len(x.log)).To(gomega.BeNumerically("<", 80), "old entries are replaced")
+		s := x.successor(w.now)
+		for _, id := range []int{1, 2} {
+			want, got := w.Explain(newRecord(id, 1).Id, w.now).Jobs[0], s.Explain(newRecord(id, 1).Id, w.now).Jobs[0]
+			gomega.Expect(got.Tasks).To(gomega.HaveLen(len(want.Tasks)))
+			for i, t := range want.Tasks {
+				gomega.Expect([]any{got.Tasks[i].Run, got.Tasks[i].Server, got.Tasks[i].Failures}).To(gomega.Equal([]any{t.Run, t.Server, t.Failures}))
+				gomega.Expect(got.Tasks[i].State == "done").To(gomega.Equal(t.State == "done"))
+			}
+		}
+		s.Submit(newRecord(3, 1), s.now, func(scheduler.Reply) {})
+		s.addServers("c")
+		s.commitTo(x)
+		gomega.Expect(x.batches[len(x.batches)-1].Log.GetSequence()).To(gomega.Or(gomega.BeZero(), gomega.BeNumerically(">", 500)), "numbers go on")
+	})
+})
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -12,18 +12,23 @@
 
 // Batch holds the changes that one transaction stores.
 type Batch struct {
-	Number   uint64
-	Jobs     []Write[*schema.JobRecord]
-	Progress []Write[*schema.JobProgress]
-	// Ended are the IDs of jobs whose record is deleted, since only their progress is still needed. Removed are the IDs of
-	// jobs whose record and progress are deleted.
-	Ended   []string
+	Number uint64
+	// Jobs are the records of new jobs.
+	Jobs []Write[*schema.JobRecord]
+	// Ended is the progress of ended jobs, whose records are deleted since only their progress is still needed.
+	Ended []Write[*schema.JobProgress]
+	// Removed are the IDs of jobs whose record and progress are deleted.
 	Removed []string
+	// Log holds the changes of the other jobs, nil if there are none. CleanedEntries are the sequence numbers of entries
+	// that are deleted.
+	Log            *schema.LogEntry
+	CleanedEntries []uint64
 	// Learning holds the estimates that were learned for each queue.
 	Learning []*schema.QueueLearning
 	// Leases is the new lease record, or nil if the stored one stands.
-	Leases   *schema.LeaseRecord
-	versions []jobVersion
+	Leases      *schema.LeaseRecord
+	versions    []jobVersion
+	loggedTasks int
 }
 
 // Write is a record to store for a job.
@@ -38,8 +43,8 @@
 	version uint64
 }
 
-// NextBatch returns the next batch to store, of at most limit records, or nil if nothing has changed. Jobs that do not
-// fit wait for the following batch.
+// NextBatch returns the next batch to store, or nil if nothing has changed. It has at most limit keys of jobs; jobs that
+// do not fit wait for the following batch.
 func (s *Scheduler) NextBatch(limit int, now time.Time) *Batch {
 	if len(s.dirtyJobs) == 0 && len(s.removedJobs) == 0 && !s.leaseRecord.due {
 		return nil
@@ -49,45 +54,55 @@
 	if s.leaseRecord.due {
 		b.Leases = s.buildLeaseRecord(b.Number, now)
 	}
-	n := 0
-	for n < len(s.dirtyJobs) && b.recordCount()+s.dirtyJobs[n].recordCount() <= limit {
-		b.add(s.dirtyJobs[n])
-		n++
+	waiting := s.dirtyJobs[:0]
+	for _, j := range s.dirtyJobs {
+		if b.keyCount()+j.keyCount() > limit || b.loggedTasks > maxLoggedTasks {
+			waiting = append(waiting, j)
+			continue
+		}
+		s.addToBatch(b, j)
 	}
-	s.dirtyJobs = slices.Delete(s.dirtyJobs, 0, n)
-	k := min(len(s.removedJobs), (limit-b.recordCount())/recordsPerRemovedJob)
+	clear(s.dirtyJobs[len(waiting):])
+	s.dirtyJobs = waiting
+	s.cleanLog(b)
+	k := min(len(s.removedJobs), (limit-b.keyCount())/keysPerEndedJob)
 	b.Removed = slices.Clone(s.removedJobs[:k])
 	s.removedJobs = s.removedJobs[k:]
 	return b
 }
 
-// recordsPerRemovedJob is the number of store keys of a job: its record and its progress.
-const recordsPerRemovedJob = 2
+// keysPerEndedJob is the number of store keys that a job takes in a batch when it has ended or is removed: its record and
+// its progress.
+const keysPerEndedJob = 2
 
-func (b *Batch) recordCount() int {
-	return len(b.Jobs) + len(b.Progress) + len(b.Ended)
+func (b *Batch) keyCount() int {
+	return len(b.Jobs) + keysPerEndedJob*len(b.Ended)
 }
 
-// recordCount returns the number of store keys that the job takes in a batch.
-func (j *jobState) recordCount() int {
-	if j.stored && j.phase.Ended() {
-		return 2
+// keyCount returns the number of store keys that the job takes in a batch, besides the log entry.
+func (j *jobState) keyCount() int {
+	switch {
+	case !j.stored:
+		return 1
+	case j.phase.Ended():
+		return keysPerEndedJob
+	default:
+		return 0
 	}
-	return 1
 }
 
-func (b *Batch) add(j *jobState) {
+func (s *Scheduler) addToBatch(b *Batch, j *jobState) {
 	j.dirty = false
 	j.sent = true
-	if j.stored {
-		b.Progress = append(b.Progress, Write[*schema.JobProgress]{j.job.ID, j.progress()})
-		if j.phase.Ended() {
-			b.Ended = append(b.Ended, j.job.ID)
-		}
-	} else {
+	switch {
+	case !j.stored:
 		m := j.job.Record()
 		m.Progress = j.progress()
 		b.Jobs = append(b.Jobs, Write[*schema.JobRecord]{j.job.ID, m})
+	case j.phase.Ended():
+		b.Ended = append(b.Ended, Write[*schema.JobProgress]{j.job.ID, j.progress()})
+	default:
+		s.addChange(b, j, false)
 	}
 	b.versions = append(b.versions, jobVersion{j, j.version})
 }
@@ -196,21 +211,6 @@
 	return p
 }
 
-func (t *task) progress() *schema.TaskProgress {
-	p := &schema.TaskProgress{
-		Occurrence: int32(t.key.Occurrence), Step: int32(t.key.Step), Index: int32(t.key.Index),
-		LastRun: int32(t.lastRun), Failures: int32(t.failures), Done: t.done,
-	}
-	if !t.done {
-		p.Checkpoint = t.checkpoint
-	}
-	if t.run != nil {
-		p.Server = t.run.server.info.ID
-		p.BornMs = t.run.server.info.StartedAt.UnixMilli()
-	}
-	return p
-}
-
 // RefuseUnsent refuses the jobs that no transaction has included yet and answers their callers with the reason and the
 // time to wait before they retry. The other jobs may or may not be stored, so they keep waiting.
 func (s *Scheduler) RefuseUnsent(reason string, after time.Duration, now time.Time) {
--- a/fleet/scheduler/course_test.go
+++ b/fleet/scheduler/course_test.go
@@ -198,7 +198,7 @@
 		w.Plan(w.now)
 		b := w.NextBatch(batchLimit, w.now)
 		gomega.Expect(b.Jobs).To(gomega.HaveLen(batchLimit))
-		gomega.Expect(b.Progress).To(gomega.BeEmpty())
+		gomega.Expect(b.Log).To(gomega.BeNil())
 		w.BatchCommitted(b, w.now)
 		gomega.Expect(answered).To(gomega.Equal(batchLimit))
 
@@ -210,7 +210,7 @@
 		gomega.Expect([]any{t.State, t.Server, t.Run}).To(gomega.Equal([]any{"unsure", "a", int32(1)}), "the assignment is restored")
 	})
 
-	ginkgo.It("writes a separate progress record once the progress changes", func() {
+	ginkgo.It("of an end deletes the job's record and stores its progress", func() {
 		w := newHarness()
 		w.addServers("a")
 		w.submit(newRecord(1, 1))
@@ -218,6 +218,6 @@
 			w.reportEnd("a", o.Task, o.Number, job.EndDone)
 		}
 		b := w.NextBatch(batchLimit, w.now)
-		gomega.Expect([]int{len(b.Jobs), len(b.Progress)}).To(gomega.Equal([]int{0, 1}))
+		gomega.Expect([]int{len(b.Jobs), len(b.Ended)}).To(gomega.Equal([]int{0, 1}))
 	})
 })
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -19,9 +19,11 @@
 	sent    bool
 	started bool
 	// version counts the changes, committedVersion is the newest version in the store.
-	version           uint64
-	committedVersion  uint64
-	dirty             bool
+	version          uint64
+	committedVersion uint64
+	dirty            bool
+	// wholeSince is the sequence number of the log entry that has all of the job's tasks. Older entries say nothing more.
+	wholeSince        uint64
 	openedOccurrences int
 	occurrences       []*occurrence
 	waiters           []waiter
@@ -71,6 +73,8 @@
 	lastRun    int
 	failures   int
 	checkpoint string
+	// recorded is the state that the store holds once the last batch is stored.
+	recorded taskRecord
 	// avoidedServer is the ID of the server on which the task last failed, stalled or was slow.
 	avoidedServer string
 	// straggled is true once a run was stopped for being slow; the next run is left to finish, since the task itself may
--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -19,6 +19,8 @@
 	noFencing, noOrderExpiry bool
 	// noCommitFencing makes the store accept commits of previous owners.
 	noCommitFencing bool
+	// noLog makes owners ignore the log of their predecessors.
+	noLog bool
 	// leaseUnderstated makes owners record that leases have already expired.
 	leaseUnderstated bool
 	// leaseOverrun makes servers keep runs for longer than their owner's lease.
@@ -74,6 +76,7 @@
 	fencingToken uint64
 	jobs         map[string]*schema.JobRecord
 	progress     map[string]*schema.JobProgress
+	log          map[uint64]*schema.LogEntry
 	leases       *schema.LeaseRecord
 	messages     []message
 	acknowledged map[job.Task]bool
@@ -85,7 +88,7 @@
 func newModel(seed uint64, f disabledSafeguards) *model {
 	m := &model{
 		rand: rand.New(rand.NewPCG(seed, seed)), disabled: f, now: start,
-		jobs: map[string]*schema.JobRecord{}, progress: map[string]*schema.JobProgress{}, acknowledged: map[job.Task]bool{},
+		jobs: map[string]*schema.JobRecord{}, progress: map[string]*schema.JobProgress{}, log: map[uint64]*schema.LogEntry{}, acknowledged: map[job.Task]bool{},
 	}
 	for i := range 4 {
 		s := &modelServer{id: fmt.Sprintf("s%d", i), startedAt: start.Add(-time.Minute), clockRate: 1 - 0.02*m.rand.Float64()}
@@ -117,6 +120,13 @@
 	o := &modelOwner{Scheduler: scheduler.New(bounds, m.now), fencingToken: m.fencingToken, lastCurrent: m.now, polling: map[string]bool{}}
 	o.SetTable(table)
 	o.RestoreLeases(proto.CloneOf(m.leases), m.now)
+	entries := []*schema.LogEntry{}
+	for _, e := range m.log {
+		entries = append(entries, proto.CloneOf(e))
+	}
+	if !m.disabled.noLog {
+		o.RestoreLog(entries)
+	}
 	for id, r := range m.jobs {
 		o.Restore(proto.CloneOf(r), proto.CloneOf(m.progress[id]), m.now)
 	}
@@ -260,9 +270,15 @@
 	for _, x := range b.Jobs {
 		m.jobs[x.JobID] = x.Record
 	}
-	for _, x := range b.Progress {
+	for _, x := range b.Ended {
 		m.progress[x.JobID] = x.Record
 	}
+	if b.Log != nil {
+		m.log[b.Log.Sequence] = b.Log
+	}
+	for _, n := range b.CleanedEntries {
+		delete(m.log, n)
+	}
 	if b.Leases != nil {
 		m.leases = b.Leases
 		if m.disabled.leaseUnderstated {
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -19,6 +19,7 @@
 	if p == nil {
 		p = &schema.JobProgress{}
 	}
+	p = s.loggedProgress(m.Id, p)
 	j.phase = job.Phase(p.Phase)
 	if j.phase.Ended() {
 		j.endedAt = time.UnixMilli(p.EndedMs)
@@ -53,6 +54,7 @@
 		return
 	}
 	j.started = true
+	t.restoreRecord(m)
 	t.lastRun = int(m.LastRun)
 	t.failures = int(m.Failures)
 	t.checkpoint = m.Checkpoint
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	previousLeasesExpireAt time.Time
 	previousLease          time.Duration
 	leaseRecord            leaseRecordState
+	log                    changelog
 	lastBatch              uint64
 	needsPlan              bool
 	advice                 map[string]*placementAdvice
