Encode log lines from a struct instead of a map

Cause: logrus.JSONFormatter builds and sorts a map for each line; on the owner's profile 8 to 12% of its processor. Lines are the same, in the same order.

--- /dev/null
+++ b/entry/decision/format.go
@@ -0,0 +1,45 @@
+package decision
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// recordField is the name of the log entry's field that holds the Record.
+const recordField = "record"
+
+// line is a record as it is written, with its fields in alphabetical order.
+type line struct {
+	AgeMs      int64     `json:"ageMs,omitempty"`
+	Attempt    int       `json:"attempt,omitempty"`
+	DurationMs float64   `json:"durationMs,omitempty"`
+	Kind       string    `json:"kind"`
+	Level      string    `json:"level"`
+	Message    string    `json:"msg"`
+	Pool       string    `json:"pool,omitempty"`
+	Reason     string    `json:"reason"`
+	Request    string    `json:"request,omitempty"`
+	Revision   uint64    `json:"revision,omitempty"`
+	Run        int       `json:"run,omitempty"`
+	Service    string    `json:"service,omitempty"`
+	Task       string    `json:"task,omitempty"`
+	Time       time.Time `json:"time"`
+	VM         string    `json:"vm,omitempty"`
+}
+
+// lineFormatter formats log entries of records as JSON lines. logrus.JSONFormatter takes several times as long, since it
+// sorts a map of the fields for each line.
+type lineFormatter struct{}
+
+// Format implements logrus.Formatter.
+func (lineFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	r, _ := e.Data[recordField].(Record)
+	b, err := json.Marshal(line{
+		AgeMs: r.Age.Milliseconds(), Attempt: r.Attempt, DurationMs: float64(r.Duration.Microseconds()) / 1000, Kind: r.Kind.String(),
+		Level: e.Level.String(), Message: e.Message, Pool: r.Pool, Reason: r.Reason, Request: r.Request, Revision: r.Revision,
+		Run: r.Run, Service: r.Service, Task: r.Task, Time: e.Time, VM: r.VM,
+	})
+	return append(b, '\n'), err
+}
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -78,7 +78,7 @@
 	g := logrus.New()
 	g.SetOutput(b)
 	g.SetLevel(level)
-	g.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	g.SetFormatter(lineFormatter{})
 	l := &Log{logger: g, buffer: b, queue: make(chan Record, queueCapacity), done: make(chan struct{})}
 	go l.run()
 	return l
@@ -144,12 +144,11 @@
 func (l *Log) write(r Record) {
 	l.addRecent(r)
 	l.written.Add(1)
-	e := l.logger.WithTime(r.Time).WithFields(r.fields())
+	level := logrus.InfoLevel
 	if r.Kind == Health || r.Kind == Membership {
-		e.Warn("decision")
-		return
+		level = logrus.WarnLevel
 	}
-	e.Info("decision")
+	l.logger.WithTime(r.Time).WithField(recordField, r).Log(level, "decision")
 }
 
 func (l *Log) addRecent(r Record) {
@@ -158,28 +157,3 @@
 	l.recent[l.nextRecent] = r
 	l.nextRecent = (l.nextRecent + 1) % recentCount
 }
-
-func (r Record) fields() logrus.Fields {
-	f := logrus.Fields{"kind": r.Kind.String(), "reason": r.Reason}
-	for k, v := range map[string]string{"request": r.Request, "service": r.Service, "pool": r.Pool, "vm": r.VM, "task": r.Task} {
-		if v != "" {
-			f[k] = v
-		}
-	}
-	if r.Attempt > 0 {
-		f["attempt"] = r.Attempt
-	}
-	if r.Duration > 0 {
-		f["durationMs"] = float64(r.Duration.Microseconds()) / 1000
-	}
-	if r.Revision > 0 {
-		f["revision"] = r.Revision
-	}
-	if r.Run > 0 {
-		f["run"] = r.Run
-	}
-	if r.Age > 0 {
-		f["ageMs"] = r.Age.Milliseconds()
-	}
-	return f
-}
--- a/entry/decision/log_test.go
+++ b/entry/decision/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +69,22 @@
 		gomega.Expect([]int{len(r), r[0].Attempt, r[len(r)-1].Attempt}).To(gomega.Equal([]int{64, 36, 99}))
 	})
 })
+
+// BenchmarkWrite measures one log line. The owner writes two for each task, some 3,000 a second at the peak of a turn.
+func BenchmarkWrite(b *testing.B) {
+	l := decision.New(io.Discard, logrus.InfoLevel)
+	r := decision.Record{
+		Time: time.Now(), Kind: decision.Task, Request: "7777482451dd9806", Task: "7777482451dd9806.0.2.20", VM: "i-22e55a1973", Pool: "cups",
+		Run: 1, Reason: "start ordered", Age: time.Millisecond, Revision: 3,
+	}
+	n := uint64(0)
+	for b.Loop() {
+		l.Add(r)
+		if n++; n%4096 == 0 {
+			for l.Written() < n {
+				runtime.Gosched()
+			}
+		}
+	}
+	l.Close()
+}
