Look up one server's load to decide whether its VM is idle

Cause: each move and each maintenance computed the loads of all servers under the scheduler's lock to look at one; at the start of a turn some 200 VMs move at once, with 540 servers and their runs each time. Same decisions.

--- a/entry/vmcontroller/wave.go
+++ b/entry/vmcontroller/wave.go
@@ -233,7 +233,7 @@
 	idle := false
 	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) {
 		s.Cordon(name, true)
-		idle = t.isIdle(v, s.ServerLoads(now)[v.ServerID])
+		idle = t.isIdle(v, s.ServerLoad(v.ServerID, now))
 	})
 	if !idle && t.openOrders[name] == nil {
 		t.uncordon(name)
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -29,23 +29,32 @@
 // ServerLoads returns the load of each server by its ID.
 func (s *Scheduler) ServerLoads(now time.Time) map[string]ServerLoad {
 	m := map[string]ServerLoad{}
-	for id, v := range s.servers {
-		l := ServerLoad{Pool: v.info.Pool, Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now)}
-		for _, r := range v.runs {
-			if r.task.step.step.LongRunning {
-				l.LongRunning++
-				continue
-			}
-			l.RemainingWork += s.remainingTaskWork(r.task, now)
-		}
-		if l.Runs == 0 {
-			l.IdleSince = v.idleSince
-		}
-		m[id] = l
+	for id := range s.servers {
+		m[id] = s.ServerLoad(id, now)
 	}
 	return m
 }
 
+// ServerLoad returns the load of a server, the zero value if it is unknown.
+func (s *Scheduler) ServerLoad(id string, now time.Time) ServerLoad {
+	v := s.servers[id]
+	if v == nil {
+		return ServerLoad{}
+	}
+	l := ServerLoad{Pool: v.info.Pool, Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now)}
+	for _, r := range v.runs {
+		if r.task.step.step.LongRunning {
+			l.LongRunning++
+			continue
+		}
+		l.RemainingWork += s.remainingTaskWork(r.task, now)
+	}
+	if l.Runs == 0 {
+		l.IdleSince = v.idleSince
+	}
+	return l
+}
+
 // Cordon excludes a VM from the placement of new runs if on is true, and includes it again otherwise.
 func (s *Scheduler) Cordon(name string, on bool) {
 	if on {
