Count overdue work for a quarter of its need, and drain busy VMs for a pool whose turn begins

Now steps that can no longer be on time count for a quarter, and where idle and switched-off VMs don't suffice, a VM with finite tasks only is cordoned and moves once they have ended, within 3 s. Ruled out: dropping overdue work (it was accepted).

--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -27,8 +27,8 @@
 	"github.com/tarragonbank/tarragonbank/fleet/wave"
 )
 
-var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "cups"}}, map[string]queue.Pool{
-	"cups": {Name: "cups"}, "off": {Name: "off", Standby: true},
+var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "cups"}, {Name: "carvings", Pool: "saws"}}, map[string]queue.Pool{
+	"cups": {Name: "cups"}, "saws": {Name: "saws"}, "off": {Name: "off", Standby: true},
 }, queue.Limits{})
 
 // fakeOwner is an owner's term with a scheduler, and a store in memory whose writes can fail.
@@ -238,6 +238,55 @@
 	})
 }
 
+// A pool whose turn begins takes a VM of another pool that runs tasks, but only once these have ended.
+func TestBusyVMIsDrainedBeforeItsMove(t *testing.T) {
+	record := func(id, queue string, count int32, cpu int64) *schema.JobRecord {
+		return &schema.JobRecord{
+			Id: id, Queue: queue, AcceptedMs: time.Now().UnixMilli(), Steps: []*schema.StepRecord{{Count: count, CpuMilli: cpu, EstimateMs: 1000}},
+		}
+	}
+	running := "00000000000000a1"
+	list := func(o *fakeOwner, name string, runs ...server.Run) {
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.ListingReceived("s-"+name, server.Listing{StartedAt: time.Unix(1, 0), Clock: time.Duration(now.UnixNano()), Runs: runs}, now)
+		})
+	}
+	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		for _, n := range []string{"a", "b", "c"} {
+			reportIdle(o, n)
+		}
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			p := &schema.JobProgress{}
+			for i, n := range []string{"s-b", "s-c"} {
+				p.Tasks = append(p.Tasks, &schema.TaskProgress{Index: int32(i), LastRun: 1, Server: n, BornMs: 1000})
+			}
+			s.Restore(record(running, "plans", 2, 40000), p, now)
+			s.Restore(record("00000000000000a2", "carvings", 20, 32000), &schema.JobProgress{}, now)
+		})
+		for i, n := range []string{"b", "c"} {
+			list(o, n, server.Run{Task: job.Task{Job: running, Index: i}, Number: 1, Percent: 10})
+		}
+	}, func(g *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(x.ordered()).NotTo(gomega.ContainElement(gomega.ContainSubstring("move")))
+		var placed int
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.Restore(record("00000000000000a3", "plans", 2, 20000), &schema.JobProgress{}, now)
+			s.Plan(now)
+			for _, k := range s.Explain("00000000000000a3", now).Jobs[0].Tasks {
+				if k.Server != "" {
+					placed++
+				}
+			}
+		})
+		g.Expect(placed).To(gomega.Equal(1), "the VM that is to move gets no new tasks")
+		list(o, "b")
+		list(o, "c")
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(x.ordered()).To(gomega.ContainElement(gomega.MatchRegexp("move [bc] to saws")))
+	})
+}
+
 func TestOrdersAreStoredBeforeSending(t *testing.T) {
 	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
 		reportIdle(o, "a")
--- a/entry/vmcontroller/move.go
+++ b/entry/vmcontroller/move.go
@@ -17,12 +17,17 @@
 	if c == nil {
 		return
 	}
+	t.finishDrains(now)
 	pools, vms := t.rebalanceInput(loads, needs, now)
 	t.logPools(pools, vms, now)
 	l := rebalance.Decide(now, t.controller.policy, pools, vms, func(kind, pool string) bool {
 		return t.invalidMoves[[2]string{kind, pool}]
 	})
 	for _, m := range l {
+		if m.Drain {
+			t.drainForMove(m, now)
+			continue
+		}
 		t.orderMove(m)
 	}
 	t.reportIncomingCores(vms)
@@ -94,6 +99,7 @@
 		x.Cores = 0
 	default:
 		x.Movable = l.Runs == 0
+		x.Drainable = l.Runs > 0 && l.LongRunning == 0
 	}
 	if x.IdleSince.IsZero() {
 		x.IdleSince = now
@@ -125,6 +131,44 @@
 	t.lock.Unlock()
 }
 
+// drainForMove cordons a VM until its tasks have ended and its move can be ordered.
+func (t *term) drainForMove(m rebalance.Move, now time.Time) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.openOrders[m.VM] != nil {
+		return
+	}
+	t.openOrders[m.VM] = &order{vm: m.VM, targetPool: m.To, serverID: t.vms[m.VM].ServerID, draining: true, drainingSince: now}
+	t.logDecision(decision.Record{VM: m.VM, Pool: m.To, Service: m.From, Reason: "draining VM for a move: " + m.Reason})
+	t.owner.Update(func(s *scheduler.Scheduler, _ time.Time) { s.Cordon(m.VM, true) })
+}
+
+// maxMoveDrain is how long a VM is drained for a move. Tasks last about a second; after a longer one, the need has passed.
+const maxMoveDrain = 3 * time.Second
+
+// finishDrains plans the orders for the VMs that are drained for a move and idle, and gives up on those that take too long.
+func (t *term) finishDrains(now time.Time) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for n, o := range t.openOrders {
+		if !o.draining || o.targetPool == "" {
+			continue
+		}
+		v, known := t.vms[n]
+		idle := false
+		t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { idle = t.isIdle(v, s.ServerLoad(v.ServerID, now)) })
+		switch {
+		case !known || v.State != vm.Up || v.ServerID != o.serverID:
+			t.closeOrder(o, "VM changed while it was drained for a move")
+		case idle:
+			o.draining = false
+			t.pending = append(t.pending, o)
+		case now.Sub(o.drainingSince) > maxMoveDrain:
+			t.closeOrder(o, "VM not idle in time for a move")
+		}
+	}
+}
+
 // reportIncomingCores gives the scheduler the cores that are moving to each pool, and those of standby VMs.
 func (t *term) reportIncomingCores(vms []rebalance.VM) {
 	t.lock.Lock()
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -54,8 +54,10 @@
 	acceptedAt time.Time
 	// seenDown is true once the list has shown that the VM is not up since the order was accepted.
 	seenDown bool
-	// draining is true while the VM is only cordoned and no order has been planned.
-	draining bool
+	// draining is true while the VM is only cordoned and no order has been planned, drainingSince when that began if the VM
+	// is to move.
+	draining      bool
+	drainingSince time.Time
 }
 
 func newTerm(c *Controller, o owner.Term) *term {
--- a/fleet/rebalance/rebalance.go
+++ b/fleet/rebalance/rebalance.go
@@ -46,6 +46,8 @@
 	Cores      float64
 	// Movable reports that no task runs on the VM, and that it is neither down nor being moved.
 	Movable bool
+	// Drainable reports that only finite tasks run on the VM, so that it is idle soon after it gets no new ones.
+	Drainable bool
 	// IdleSince is when the last task on the VM ended.
 	IdleSince time.Time
 }
@@ -56,6 +58,8 @@
 	From   string
 	To     string
 	Reason string
+	// Drain is true if the VM still runs tasks and moves when they have ended.
+	Drain bool
 }
 
 // planner is the working state of one decision: the pools and VMs as they are after the moves chosen so far.
@@ -156,23 +160,25 @@
 }
 
 // donor returns the VM to move to the pool, or nil if there is none: preferably an idle one of another pool, which
-// saves the later move to standby, otherwise one that is switched off.
+// saves the later move to standby, otherwise one that is switched off, and at last one that has to be drained.
 func (s *planner) donor(p *Pool) *VM {
-	var off *VM
+	var off, busy *VM
 	for i := range s.vms {
 		v := &s.vms[i]
 		from := s.pools[v.Pool]
-		if from == nil || !v.Movable || s.moved[v.Name] || v.Pool == p.Name || s.excluded(v.Kind, p.Name) || !s.canSpare(from, v.Cores) {
+		if from == nil || !v.Movable && !v.Drainable || s.moved[v.Name] || v.Pool == p.Name || s.excluded(v.Kind, p.Name) || !s.canSpare(from, v.Cores) {
 			continue
 		}
-		if !from.Standby {
+		switch {
+		case !v.Movable:
+			busy = cmp.Or(busy, v)
+		case !from.Standby:
 			return v
-		}
-		if off == nil {
-			off = v
+		default:
+			off = cmp.Or(off, v)
 		}
 	}
-	return off
+	return cmp.Or(off, busy)
 }
 
 // move records the move of a VM and updates the capacity of both pools.
@@ -182,7 +188,7 @@
 	s.count[v.Pool]--
 	s.cores[to] += v.Cores
 	s.count[to]++
-	return Move{VM: v.Name, From: v.Pool, To: to, Reason: reason}
+	return Move{VM: v.Name, From: v.Pool, To: to, Reason: reason, Drain: !v.Movable}
 }
 
 // shrink switches off VMs that have been idle for MinIdle, in pools that have had a surplus for MinSurplus.
--- a/fleet/rebalance/rebalance_test.go
+++ b/fleet/rebalance/rebalance_test.go
@@ -68,6 +68,29 @@
 		gomega.Expect(rebalance.Decide(now, policy, pools(0, 0), l, noneExcluded)).To(gomega.BeEmpty())
 	})
 
+	// A turn begins while the pool of the turn before is busy with work that is late anyway.
+	ginkgo.It("drain busy VMs of a pool that needs fewer, after the idle and the switched-off ones", func() {
+		l := append(vms("cups", 3, 0, true), vms("off", 2, 0, true)...)
+		l = append(l, vms("saws", 8, 0, false)...)
+		for i := range l[5:] {
+			l[5+i].Drainable = i > 0
+		}
+		moves := rebalance.Decide(now, policy, pools(400, 110), l, noneExcluded)
+		gomega.Expect(countMoves(moves)).To(gomega.Equal(map[string]int{"off>cups": 2, "saws>cups": 3}))
+		for _, m := range moves {
+			gomega.Expect(m.Drain).To(gomega.Equal(m.From == "saws"))
+			gomega.Expect(m.VM).NotTo(gomega.Equal("saws-00"), "it runs a long-running task")
+		}
+	})
+
+	ginkgo.It("drain no VM that its pool needs", func() {
+		l := append(vms("cups", 2, 0, true), vms("saws", 8, 0, false)...)
+		for i := range l {
+			l[i].Drainable = !l[i].Movable
+		}
+		gomega.Expect(rebalance.Decide(now, policy, pools(400, 430), l, noneExcluded)).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("wait until a pool has had a surplus for MinSurplus", func() {
 		p := pools(10, 10)
 		p[0].SurplusSince, p[1].SurplusSince = now, now
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -220,8 +220,8 @@
 	}
 	for _, j := range s.active {
 		p := s.poolOf(j)
-		open[p] = open[p].add(j.openResources(false))
-		longRunning[p] = longRunning[p].add(j.openResources(true))
+		open[p] = open[p].add(s.openResources(j, false, now))
+		longRunning[p] = longRunning[p].add(s.openResources(j, true, now))
 	}
 	m := map[string]resources{}
 	for p, c := range incoming {
@@ -231,8 +231,13 @@
 	return m
 }
 
-// openResources returns the resources that the job's long-running or finite tasks can use now.
-func (j *jobState) openResources(longRunning bool) resources {
+// overdueDemandShare is the share of its resources for which overdue work counts. Late results are worth little, and while
+// every pool has a backlog, the VMs that hold it are missing where a turn begins.
+const overdueDemandShare = 0.25
+
+// openResources returns the resources that the job's long-running or finite tasks can use now, reduced to
+// overdueDemandShare for steps that are overdue.
+func (s *Scheduler) openResources(j *jobState, longRunning bool, now time.Time) resources {
 	c := resources{}
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
@@ -240,7 +245,12 @@
 				continue
 			}
 			d := p.step.Demand()
-			c = c.add(resources{float64(int64(p.unfinished)*d.CPU) / milliPerCore, float64(int64(p.unfinished) * d.MemoryMB)})
+			share := 1.0
+			if !longRunning && s.latestStart(j, o, p).Before(now) {
+				share = overdueDemandShare
+			}
+			n := float64(p.unfinished) * share
+			c = c.add(resources{n * float64(d.CPU) / milliPerCore, n * float64(d.MemoryMB)})
 		}
 	}
 	return c
--- a/fleet/scheduler/fullness_test.go
+++ b/fleet/scheduler/fullness_test.go
@@ -28,3 +28,17 @@
 		ginkgo.Entry("one that needs a label", func(s *schema.StepRecord) { s.CpuMilli = 1000; s.Requires = "other" }, 2),
 		ginkgo.Entry("one as large with the pool full", func(s *schema.StepRecord) { s.CpuMilli = 20000 }, 0))
 })
+
+// While every pool has a backlog of late work, the VMs that hold it are missing where the next turn begins.
+var _ = ginkgo.Describe("the need of a pool", func() {
+	ginkgo.It("counts a quarter of the resources of overdue work", func() {
+		w := newHarness()
+		w.addServers("a")
+		m := newRecord(1, 40, func(s *schema.StepRecord) { s.CpuMilli = 32000; s.EstimateMs = 100 })
+		w.Restore(m, &schema.JobProgress{}, w.now)
+		before := w.PoolNeeds(w.now)["carving"].Cores
+		gomega.Expect(before).To(gomega.BeNumerically("~", 40*32, 1))
+		w.now = w.now.Add(20 * time.Second)
+		gomega.Expect(w.PoolNeeds(w.now)["carving"].Cores).To(gomega.BeNumerically("~", 10*32, 1))
+	})
+})
