End the term, not the process, on an unexpected error in the scheduler, and refuse actions without a configuration

A panic in the scheduler ended the owner's process, or, recovered by net/http, left the scheduler's lock taken for good; one in the restoring of a stored job would have hit each later owner. An authorised action before any configuration dereferenced nil (recordAction). Now a panic under the lock ends the term with a log line, the next one begins from the store; a job that can't be restored is logged and left out; a panic in a call between entries costs that call and is logged; the action is refused with 503.

--- a/entry/operator/answer.go
+++ b/entry/operator/answer.go
@@ -40,6 +40,7 @@
 func classifyError(err error) (int, string) {
 	var staleBase *StaleBaseError
 	var staleStore *StaleStoreError
+	var noConfiguration *NoConfigurationError
 	var unknown *UnknownOutcomeError
 	var notFound *RevisionNotFoundError
 	var unauthorised *UnauthorisedError
@@ -54,6 +55,8 @@
 		return http.StatusConflict, "base"
 	case errors.As(err, &staleStore):
 		return http.StatusServiceUnavailable, "behind"
+	case errors.As(err, &noConfiguration):
+		return http.StatusServiceUnavailable, "noConfiguration"
 	case errors.As(err, &unknown):
 		return http.StatusGatewayTimeout, "unsettled"
 	case errors.As(err, &invalid):
--- a/entry/operator/change.go
+++ b/entry/operator/change.go
@@ -74,6 +74,14 @@
 	return fmt.Sprintf("the store has revision %d, below revision %d, which is in force", e.Store, e.Active)
 }
 
+// NoConfigurationError reports an action at an entry that has no configuration yet.
+type NoConfigurationError struct{}
+
+// Error describes the failure in one line.
+func (*NoConfigurationError) Error() string {
+	return "this entry has no configuration yet"
+}
+
 // UnknownOutcomeError reports a change that may or may not have been accepted.
 type UnknownOutcomeError struct {
 	Mark   string
--- a/entry/operator/maintenance.go
+++ b/entry/operator/maintenance.go
@@ -213,6 +213,7 @@
 	for range maxRecordAttempts {
 		c := s.active.Current()
 		if c == nil {
+			err = trace.Wrap(&NoConfigurationError{})
 			break
 		}
 		var a maintenance.Action
--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -58,13 +58,10 @@
 // nextBatch places pending tasks and returns the next batch to commit, or nil if nothing has changed.
 func (r *term) nextBatch() *scheduler.Batch {
 	var b *scheduler.Batch
-	r.lock.Lock()
-	now := time.Now()
-	r.scheduler.Plan(now)
-	b = r.scheduler.NextBatch(maxBatchKeys, now)
-	orders := r.scheduler.TakeOrders()
-	r.lock.Unlock()
-	r.sendOrders(orders)
+	r.sendOrders(r.apply(func(s *scheduler.Scheduler, now time.Time) {
+		s.Plan(now)
+		b = s.NextBatch(maxBatchKeys, now)
+	}))
 	return b
 }
 
@@ -259,7 +256,7 @@
 				r.owner.logDecision(decision.Job, "malformed job record: "+i.Key, i.Revision)
 				continue
 			}
-			s.Restore(m, r.decodeProgress(progressByJob[m.Id]), now)
+			r.restoreJob(i, func() { s.Restore(m, r.decodeProgress(progressByJob[m.Id]), now) })
 			delete(progressByJob, m.Id)
 		}
 		for id, i := range progressByJob {
@@ -270,6 +267,16 @@
 	})
 }
 
+// restoreJob restores one job. An unexpected error in it must not keep every later owner from serving the others.
+func (r *term) restoreJob(i store.Item, f func()) {
+	defer func() {
+		if x := recover(); x != nil {
+			r.owner.logDecision(decision.Job, fmt.Sprintf("job not restored: %s: unexpected error: %v", i.Key, x), i.Revision)
+		}
+	}()
+	f()
+}
+
 // decodeProgress returns a job's stored progress, or nil if there is none or it is malformed.
 func (r *term) decodeProgress(i store.Item) *schema.JobProgress {
 	if i.Revision == 0 {
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,11 +172,24 @@
 var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "carving", MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
 	map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{})
 
+// panickingController breaks an invariant in its first term.
+type panickingController struct{ terms atomic.Int64 }
+
+func (c *panickingController) Run(ctx context.Context, t owner.Term) {
+	if c.terms.Add(1) == 1 {
+		sleep(ctx, 2*time.Second)
+		t.Update(func(*scheduler.Scheduler, time.Time) { panic("invariant") })
+	}
+	<-ctx.Done()
+}
+
 // cluster is a store, a server and any number of entries.
 type cluster struct {
 	store  *fakeStore
 	server *fakeServer
 	ctx    context.Context
+	// controller is the controller of the entries, nil for none.
+	controller owner.Controller
 }
 
 func (s *cluster) startEntry(name string) (*owner.Owner, context.CancelFunc) {
@@ -183,6 +197,7 @@
 	o := owner.New(owner.Identity{Name: name, Address: netip.MustParseAddrPort("127.0.0.1:2"), Cores: 1},
 		scheduler.Limits{MaxLease: 6 * time.Second, JobRetention: time.Minute}, owner.Dependencies{
 			Store: s.store, Servers: s.server, Registry: singleServerRegistry{}, Log: discard{}, Metrics: discard{},
+			Controller: s.controller,
 		})
 	o.SetTable(table)
 	go o.Run(ctx)
@@ -316,6 +331,21 @@
 	})
 }
 
+// An unexpected error in the scheduler must not end the process, nor leave its lock taken.
+func TestPanicInTheSchedulerEndsTheTerm(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		c := &panickingController{}
+		s.controller = c
+		o, _ := s.startEntry("e1")
+		time.Sleep(time.Second)
+		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
+		time.Sleep(5 * time.Second)
+		g.Expect(c.terms.Load()).To(gomega.BeEquivalentTo(2))
+		g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(submit(o, secondID).Result).To(gomega.Equal(scheduler.Done))
+	})
+}
+
 // The payloads of ended jobs would make up most of what a new owner has to read.
 func TestEndedJobsLeaveOnlyTheirProgress(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -201,15 +203,27 @@
 
 // update changes the scheduler's state, sends the orders that follow and requests a commit.
 func (r *term) update(f func(s *scheduler.Scheduler, now time.Time)) {
-	r.lock.Lock()
-	now := time.Now()
-	f(r.scheduler, now)
-	orders := r.scheduler.TakeOrders()
-	r.lock.Unlock()
-	r.sendOrders(orders)
+	r.sendOrders(r.apply(f))
 	r.requestCommit()
 }
 
+// apply changes the scheduler's state and returns the orders that follow. A panic ends the term, since the state may be
+// half changed then; the next term, here or at another entry, begins from what is stored.
+func (r *term) apply(f func(s *scheduler.Scheduler, now time.Time)) scheduler.Orders {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	defer func() {
+		if x := recover(); x != nil {
+			r.stepDown(fmt.Sprintf("unexpected error: %v at %s", x, debug.Stack()))
+		}
+	}()
+	if r.ctx != nil && r.ctx.Err() != nil {
+		return scheduler.Orders{}
+	}
+	f(r.scheduler, time.Now())
+	return r.scheduler.TakeOrders()
+}
+
 func (r *term) requestCommit() {
 	select {
 	case r.commitRequests <- struct{}{}:
--- a/entry/relay/ownerconn.go
+++ b/entry/relay/ownerconn.go
@@ -28,7 +28,8 @@
 // ownerConn is this entry's connection to the owner, which carries calls in both directions.
 type ownerConn struct {
 	// handle answers the owner's calls.
-	handle channel.Handler
+	handle  channel.Handler
+	onPanic func(x any)
 
 	// lock guards address and channel. It is held while connecting, so that concurrent calls share one attempt.
 	lock        sync.Mutex
@@ -86,7 +87,7 @@
 		s.Close()
 		return nil, err
 	}
-	o.channel, o.address = channel.New(context.Background(), t, silenceTimeout, o.handle), a
+	o.channel, o.address = channel.New(context.Background(), t, silenceTimeout, o.handle, channel.WithOnPanic(o.onPanic)), a
 	go func(x *channel.Channel) {
 		<-x.Done()
 		s.Close()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -37,6 +37,7 @@
 	self      owner.Identity
 	executors Executors
 	owner     *ownerConn
+	onPanic   func(x any)
 }
 
 const (
@@ -54,8 +55,21 @@
 
 // New returns a relay for this entry. Entries that call it join the executors; handle answers the calls that the owner
 // makes on this entry's connection.
-func New(o Ownership, self owner.Identity, x Executors, handle channel.Handler) *Relay {
-	return &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}}
+func New(o Ownership, self owner.Identity, x Executors, handle channel.Handler, l ...Option) *Relay {
+	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, onPanic: func(any) {}}
+	for _, f := range l {
+		f(r)
+	}
+	r.owner.onPanic = r.onPanic
+	return r
+}
+
+// Option configures a new Relay.
+type Option func(r *Relay)
+
+// WithOnPanic reports unexpected errors in the handling of a call to f. The call gets no reply.
+func WithOnPanic(f func(x any)) Option {
+	return func(r *Relay) { r.onPanic = f }
 }
 
 // Call answers a call here or forwards it to the owner, within 2 s. Failures are part of the reply: Refused means that the
