Repeat a call without an answer until its outcome is known

Now such a call is repeated, at the next owner if there is one; all calls are idempotent, and what an earlier owner had not stored by the takeover can't be stored any more, so the next owner's answer settles it. Before that it is never refused as not run. Ruled out: answering from the store alone (the old owner may still commit until the key has changed hands). Proof: relay_test.go, with an owner that falls silent and a successor; fails without the repetition.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -7,6 +7,7 @@
 	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -41,8 +42,11 @@
 }
 
 const (
-	// callTimeout bounds a call, here or at the owner; a commit to a slow store takes 500 ms.
-	callTimeout = 2 * time.Second
+	// callTimeout bounds a call, here or at the owner, for callers that wait for longer: it spans a takeover and a commit to
+	// a slow store.
+	callTimeout = 5 * time.Second
+	// retryInterval is the time between attempts of a call without an answer.
+	retryInterval = 50 * time.Millisecond
 	// retryAfter is the retry delay that callers are told while no owner is reached; a takeover takes about 2 s.
 	retryAfter   = 1500 * time.Millisecond
 	pingInterval = 400 * time.Millisecond
@@ -72,16 +76,31 @@
 	return func(r *Relay) { r.onPanic = f }
 }
 
-// Call answers a call here or forwards it to the owner, within 2 s. Failures are part of the reply: Refused means that the
-// call was not carried out, OutcomeUnknown that it may have been.
+// Call answers a call here or forwards it to the owner, within callTimeout. Failures are part of the reply: Refused means
+// that the call was not carried out, OutcomeUnknown that it may have been.
+//
+// All calls are idempotent, so that one without an answer is repeated, at the next owner if there is a new one. An owner's
+// answer settles the earlier attempts too: a job that an earlier owner had not stored before can no longer be stored.
 func (r *Relay) Call(ctx context.Context, c *schema.JobCall) scheduler.Reply {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	x, reached := r.forward(ctx, c)
-	if reached || c.Kind != schema.JobCall_SUBMIT {
-		return x
+	sent := false
+	for {
+		x, reached := r.forward(ctx, c)
+		switch {
+		case reached && x.Result != scheduler.OutcomeUnknown:
+			return x
+		case !reached && !sent && c.Kind == schema.JobCall_SUBMIT:
+			return r.answerFromStore(ctx, c, x)
+		case !reached && !sent:
+			return x
+		}
+		sent = true
+		wait.For(ctx, retryInterval)
+		if ctx.Err() != nil {
+			return scheduler.Reply{Result: scheduler.OutcomeUnknown, RetryAfter: retryAfter, Reason: x.Reason}
+		}
 	}
-	return r.answerFromStore(ctx, c, x)
 }
 
 // answerFromStore answers a submission that did not reach an owner. An earlier attempt may have been accepted, which only
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -58,6 +58,16 @@
 	// stored is the id of the only job in the store.
 	stored     string
 	storeError error
+	// successors become the owner, one after the other, with each call of fail.
+	lock       sync.Mutex
+	successors []owner.Record
+}
+
+// fail replaces the owner by its successor.
+func (o *fakeOwnership) fail() {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.known, o.successors = o.successors[0], o.successors[1:]
 }
 
 func (o *fakeOwnership) Current() owner.JobService {
@@ -66,7 +76,13 @@
 	}
 	return o.owner
 }
-func (o *fakeOwnership) Known() owner.Record { return o.known }
+
+func (o *fakeOwnership) Known() owner.Record {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.known
+}
+
 func (o *fakeOwnership) Stored(_ context.Context, id string) (bool, error) {
 	return o.stored == id, o.storeError
 }
@@ -176,6 +192,43 @@
 		defer stop()
 		gomega.Expect(ask(&fakeOwnership{known: owner.Record{Address: a, Revision: 5}}, submit).Result).To(gomega.Equal(scheduler.Refused))
 	})
+	// A cut between data centres silences the owner while calls wait for it. Each of them ended with an unknown outcome,
+	// after which its caller cannot safely try again.
+	ginkgo.DescribeTable("without an answer is repeated at the next owner, whose answer settles it", func(next scheduler.Reply) {
+		first, stopFirst := serve(&fakeOwnership{owner: &fakeOwner{delay: time.Minute}})
+		second, stopSecond := serve(&fakeOwnership{owner: &fakeOwner{reply: next}})
+		defer stopSecond()
+		o := &fakeOwnership{
+			known:      owner.Record{Name: "first", Address: first, Revision: 5},
+			successors: []owner.Record{{}, {Name: "second", Address: second, Revision: 9}},
+			storeError: &store.BusyError{Call: "get"},
+		}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			stopFirst()
+			o.fail()
+			time.Sleep(100 * time.Millisecond)
+			o.fail()
+		}()
+		ctx, stop := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+		defer stop()
+		x := relay.New(o, owner.Identity{Name: "here"}, &fakeExecutors{}, nil).Call(ctx, submit)
+		gomega.Expect(x).To(gomega.Equal(next))
+	},
+		ginkgo.Entry("accepted", scheduler.Reply{Result: scheduler.Done}),
+		ginkgo.Entry("refused", scheduler.Reply{Result: scheduler.Refused, RetryAfter: time.Second, Reason: "would be late"}))
+
+	ginkgo.It("that may have reached an owner is not refused while nobody owns the fleet", func() {
+		first, stopFirst := serve(&fakeOwnership{owner: &fakeOwner{delay: time.Minute}})
+		o := &fakeOwnership{known: owner.Record{Name: "first", Address: first, Revision: 5}, successors: []owner.Record{{}}}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			stopFirst()
+			o.fail()
+		}()
+		gomega.Expect(ask(o, submit).Result).To(gomega.Equal(scheduler.OutcomeUnknown))
+	})
+
 	ginkgo.It("has an unknown outcome if the owner does not reply in time", func() {
 		a, stop := serve(&fakeOwnership{owner: &fakeOwner{delay: time.Second}})
 		defer stop()
