--- a/fleet/scheduler/rate.go
+++ b/fleet/scheduler/rate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -19,8 +18,6 @@
 	meanWork   float64
 	meanMemory float64
 	jobs       int
-	// recent are the times of the arrivals within burstWindow.
-	recent []time.Time
 	// firstSeen is the first submission of each counted job, since refused jobs are submitted again.
 	firstSeen map[string]time.Time
 }
@@ -35,12 +32,6 @@
 	maxRise = 0.7
 	// demandHeadroom covers random variation in arrivals. A VM pays for itself once a fifteenth of it is used.
 	demandHeadroom = 1.25
-	// burstWindow and shortBurstWindow are the windows in which a sudden rise is recognised before the averages follow.
-	burstWindow      = 500 * time.Millisecond
-	shortBurstWindow = 200 * time.Millisecond
-	// burstDeviations is the number of standard deviations of a count by which a burst's rate is reduced, so that chance does
-	// not look like a burst.
-	burstDeviations = 2
 	// resubmitWindow is how long a resubmitted job is recognised as counted.
 	resubmitWindow = 15 * time.Second
 	// workSampleWeight is the weight of a new job in the mean work.
@@ -66,7 +57,6 @@
 	a.fast += 1 / fastTimeConstant.Seconds()
 	a.slow += 1 / slowTimeConstant.Seconds()
 	a.jobs++
-	a.recent = append(slices.DeleteFunc(a.recent, func(t time.Time) bool { return now.Sub(t) > burstWindow }), now)
 	weight := max(workSampleWeight, 1/float64(a.jobs))
 	a.meanWork += weight * (n.Work() - a.meanWork)
 	a.meanMemory += weight * (n.MemoryWork() - a.meanMemory)
@@ -94,26 +84,10 @@
 	}
 	slope := (a.fast - a.slow) / (slowTimeConstant - fastTimeConstant).Seconds()
 	rise := min(max(slope, 0)*provisioningLead.Seconds(), a.fast*maxRise)
-	x := max(a.fast+rise, a.burstRate(now)) * s.durationRatio(queue) * demandHeadroom
+	x := (a.fast + rise) * s.durationRatio(queue) * demandHeadroom
 	return resources{x * a.meanWork, x * a.meanMemory}
 }
 
-// burstRate returns the rate, in jobs per second, that the arrivals of the last moments show for certain. A turn rises to a
-// hundred times the rate before it within an instant and lasts a few seconds; the averages need one of them.
-func (a *arrivals) burstRate(now time.Time) float64 {
-	highest := 0.0
-	for _, w := range []time.Duration{shortBurstWindow, burstWindow} {
-		n := 0.0
-		for _, t := range a.recent {
-			if now.Sub(t) <= w {
-				n++
-			}
-		}
-		highest = max(highest, (n-burstDeviations*math.Sqrt(n))/w.Seconds())
-	}
-	return highest
-}
-
 // exportLearning returns the arrival rates and duration ratios of the queues, for the next owner.
 func (s *Scheduler) exportLearning(now time.Time) []*schema.QueueLearning {
 	l := []*schema.QueueLearning{}
