Refuse new jobs while the owner's process is overloaded

Cause: an owner without processor to spare accepted every job that its pools could do, and then renewed, committed and started late for all of them; each accepted job costs it a start and an end for every task. Now it measures how late its own ticks are; from a mean of 150 ms it refuses new finite jobs at once, as not run, with times to return that spread over 1 to 3 s, until the mean is below 40 ms. Known jobs are answered as before; jobs that are scheduled or long-running are accepted. The delay is the gauge owner_delay_seconds; both changes are logged. Ruled out: refusing at the entries without asking (an entry can't know whether an earlier attempt was accepted).

--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -172,6 +172,18 @@
 var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "carving", MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
 	map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{})
 
+// slowMetrics delays the goroutine that reports gauges, as an overloaded process is delayed.
+type slowMetrics struct {
+	discard
+	busy atomic.Bool
+}
+
+func (m *slowMetrics) Gauge(string, float64) {
+	if m.busy.Load() {
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
 // panickingController breaks an invariant in its first term.
 type panickingController struct{ terms atomic.Int64 }
 
@@ -190,13 +202,18 @@
 	ctx    context.Context
 	// controller is the controller of the entries, nil for none.
 	controller owner.Controller
+	// metrics are the metrics of the entries, nil to discard them.
+	metrics owner.Metrics
 }
 
 func (s *cluster) startEntry(name string) (*owner.Owner, context.CancelFunc) {
 	ctx, stop := context.WithCancel(s.ctx)
+	if s.metrics == nil {
+		s.metrics = discard{}
+	}
 	o := owner.New(owner.Identity{Name: name, Address: netip.MustParseAddrPort("127.0.0.1:2"), Cores: 1},
 		scheduler.Limits{MaxLease: 6 * time.Second, JobRetention: time.Minute}, owner.Dependencies{
-			Store: s.store, Servers: s.server, Registry: singleServerRegistry{}, Log: discard{}, Metrics: discard{},
+			Store: s.store, Servers: s.server, Registry: singleServerRegistry{}, Log: discard{}, Metrics: s.metrics,
 			Controller: s.controller,
 		})
 	o.SetTable(table)
@@ -346,6 +363,27 @@
 	})
 }
 
+// An owner that is behind accepted every job, and started none of them in time.
+func TestOverloadedOwnerRefusesNewJobs(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		c := &slowMetrics{}
+		s.metrics = c
+		o, _ := s.startEntry("e1")
+		time.Sleep(time.Second)
+		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
+		c.busy.Store(true)
+		time.Sleep(5 * time.Second)
+		x := submit(o, secondID)
+		g.Expect(x.Result).To(gomega.Equal(scheduler.Refused))
+		g.Expect(x.Reason).To(gomega.ContainSubstring("overloaded"))
+		g.Expect(x.RetryAfter).To(gomega.BeNumerically(">=", time.Second))
+		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done), "a known job is not refused")
+		c.busy.Store(false)
+		time.Sleep(3 * time.Second)
+		g.Expect(submit(o, secondID).Result).To(gomega.Equal(scheduler.Done))
+	})
+}
+
 // The payloads of ended jobs would make up most of what a new owner has to read.
 func TestEndedJobsLeaveOnlyTheirProgress(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/fleet/overload"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
@@ -60,8 +62,11 @@
 	storeUnavailable atomic.Bool
 	// orderTimeout is the timeout of orders to servers.
 	orderTimeout adaptiveTimeout
-	// reportedAt belongs to the goroutine of tick.
+	// reportedAt and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
+	// process has too little processor.
 	reportedAt time.Time
+	delays     overload.Detector
+	overloaded atomic.Bool
 }
 
 const (
@@ -239,6 +244,7 @@
 		case <-r.ctx.Done():
 			return
 		case <-t.C:
+			r.detectOverload(time.Now())
 			r.update(func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
 			r.handOverToLarger(time.Now())
 			r.reportGauges(time.Now())
@@ -246,6 +252,18 @@
 	}
 }
 
+// detectOverload refuses new jobs from when this process is overloaded until it keeps up again.
+func (r *term) detectOverload(now time.Time) {
+	r.delays.Observe(tickInterval, now)
+	if o := r.delays.Overloaded(); r.overloaded.Swap(o) != o {
+		reason := "this process keeps up again, jobs are accepted"
+		if o {
+			reason = "this process is overloaded, new jobs are refused"
+		}
+		r.owner.logDecision(decision.Ownership, reason+": mean delay "+r.delays.Delay().Round(time.Millisecond).String(), r.token)
+	}
+}
+
 // reportInterval is the time between updates of the gauges, which are scraped every few seconds.
 const reportInterval = time.Second
 
@@ -263,6 +281,7 @@
 		t.TasksWaiting += p.TasksWaiting
 	}
 	r.owner.setGauges(t)
+	r.owner.deps.Metrics.Gauge("owner_delay_seconds", r.delays.Delay().Seconds())
 }
 
 // setGauges sets the gauges that only the owner reports; they are 0 at the other entries.
@@ -278,11 +297,22 @@
 	if r.storeUnavailable.Load() && r.JobPhase(m.Id).Result == scheduler.NotFound {
 		return scheduler.Reply{Result: scheduler.Refused, Reason: storeUnavailableReason, RetryAfter: storeUnavailableRetry}
 	}
+	if r.overloaded.Load() && isFinite(m) && r.JobPhase(m.Id).Result == scheduler.NotFound {
+		return scheduler.Reply{Result: scheduler.Refused, Reason: overloadedReason, RetryAfter: overload.RetryAfter(m.Id)}
+	}
 	return r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
 		s.Submit(m, now, reply)
 	})
 }
 
+const overloadedReason = "the owner is overloaded"
+
+// isFinite reports whether a job is neither scheduled nor long-running. The others are few, and last for longer than an
+// overload.
+func isFinite(m *schema.JobRecord) bool {
+	return m.Repeats == 0 && !slices.ContainsFunc(m.Steps, func(s *schema.StepRecord) bool { return s.Lasting })
+}
+
 // Cancel ends a job and returns once the cancellation is stored.
 func (r *term) Cancel(ctx context.Context, id string) scheduler.Reply {
 	return r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
