Judge by the server's clock whether a run makes progress

Ruled out for now: evacuations (they look at listings younger than 1.5 s only). Proof: lasting_test.go fails without it.

--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -169,7 +169,6 @@
 	}
 	r.phase = sent
 	r.startedAt = now
-	r.progressedAt = now
 	r.expiresClock = v.expectedClock(now) + startOrderLifetime
 	v.leaseUntil = max(v.leaseUntil, r.expiresClock)
 	o := StartOrder{Server: v.info, Task: r.task.key, Number: r.number, Payload: r.task.job.Payload, Until: r.expiresClock}
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -103,7 +103,7 @@
 
 // isStalled reports whether the listings have shown no progress of a run for longer than its timeout.
 func (s *Scheduler) isStalled(v *serverState, r *run) bool {
-	d := v.listedAt.Sub(r.progressedAt)
+	d := v.listingClock - r.progressedClock
 	switch p := r.task.step.step; {
 	case p.LongRunning:
 		return r.percent < 100 && d > startupTimeout
--- a/fleet/scheduler/lasting_test.go
+++ b/fleet/scheduler/lasting_test.go
@@ -149,3 +149,37 @@
 		gomega.Expect(tail(40)).To(gomega.Equal([]int{15}))
 	})
 })
+
+// An owner that is behind processes listings long after they were made. It took tasks that were still starting up then for
+// stalled, and stopped them when they were at work.
+var _ = ginkgo.Describe("a long-running task that starts up", func() {
+	ginkgo.It("is judged by the server's clock", func() {
+		w := newHarness()
+		w.addServers("a", "b")
+		w.submit(newRecord(1, 1, longRunning))
+		l := w.acceptStarts()
+		id := l[0].Server.ID
+		w.now = w.now.Add(500 * time.Millisecond)
+		w.reportRuns(id, listedRun(l[0], 60))
+		made := w.clock() + 500*time.Millisecond
+		w.now = w.now.Add(5 * time.Second)
+		w.ListingReceived(id, server.Listing{StartedAt: start, Clock: made, Runs: []server.Run{listedRun(l[0], 60)}}, w.now)
+		w.Tick(w.now)
+		w.collectOrders()
+		gomega.Expect(w.takeStops()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("is stopped when its server shows no progress for longer than a startup takes", func() {
+		w := newHarness()
+		w.addServers("a", "b")
+		w.submit(newRecord(1, 1, longRunning))
+		l := w.acceptStarts()
+		for range 50 {
+			w.now = w.now.Add(100 * time.Millisecond)
+			w.reportRuns(l[0].Server.ID, listedRun(l[0], 60))
+			w.Tick(w.now)
+		}
+		w.collectOrders()
+		gomega.Expect(w.takeStops()).NotTo(gomega.BeEmpty())
+	})
+})
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -94,14 +94,14 @@
 
 func (s *Scheduler) applyRun(r *run, x server.Run, now time.Time) {
 	if r.phase == sent || r.phase == unconfirmed {
-		r.setWorking(now)
+		r.setWorking(r.server.listingClock, now)
 		r.startPercent = x.Percent
 	}
 	if !r.task.state.started {
 		r.task.state.started = true
 	}
 	if x.Percent > r.percent {
-		r.progressedAt = now
+		r.progressedClock = r.server.listingClock
 	}
 	r.percent = x.Percent
 	r.metric = x.Metric
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -69,7 +69,7 @@
 	if v == nil {
 		return
 	}
-	r := &run{task: t, number: t.lastRun, server: v, phase: unconfirmed, inherited: true, pace: fullPace, progressedAt: now, startedAt: now}
+	r := &run{task: t, number: t.lastRun, server: v, phase: unconfirmed, inherited: true, pace: fullPace, startedAt: now}
 	t.run = r
 	v.addRun(r)
 }
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -37,11 +37,13 @@
 	confirmedClock time.Duration
 	// inherited is true for a run that a previous owner ordered. The server refuses that owner's orders once it has seen
 	// the new fencing token.
-	inherited    bool
-	stopSentAt   time.Time
-	percent      int
-	progressedAt time.Time
-	startedAt    time.Time
+	inherited  bool
+	stopSentAt time.Time
+	percent    int
+	// progressedClock is when the run last progressed, on the server's clock: a listing may be processed long after it was
+	// made.
+	progressedClock time.Duration
+	startedAt       time.Time
 	// startPercent is the progress at startedAt, above 0 if a listing showed the run with progress first.
 	startPercent int
 	// metric is server.Run.Metric of the last listing.
@@ -230,7 +232,7 @@
 	case Started:
 		r.confirmedClock = clock
 		if r.phase == sent || r.phase == unconfirmed {
-			r.setWorking(now)
+			r.setWorking(clock, now)
 		}
 		return
 	case NoAnswer, Superseded, Malformed:
@@ -260,8 +262,8 @@
 	unhealthyPause = time.Second
 )
 
-func (r *run) setWorking(now time.Time) {
+func (r *run) setWorking(clock time.Duration, now time.Time) {
 	r.phase = working
 	r.startedAt = now
-	r.progressedAt = now
+	r.progressedClock = clock
 }
