--- a/entry/owner/store_test.go
+++ b/entry/owner/store_test.go
@@ -29,7 +29,7 @@
 	delay time.Duration
 	// readDelay is the latency of reads of a key, pageDelay that of reads of a prefix.
 	readDelay, pageDelay time.Duration
-	attempts  int
+	attempts             int
 }
 
 func newFakeStore() *fakeStore {
