Keep the tasks of a job in the log until a batch holds its end

Cause: a job that has ended waits for room in a commit (two keys); meanwhile the log's old entries were replaced without it, since it was no longer active. An owner lost in that moment left its successor with the state of the job's acceptance: tasks whose ends had been acknowledged ran again. Ruled out by a trial with the entries in the owner's log and by a random test (kept: changelog_random_test.go): reading, numbering and merging of entries. Proof: changelog_test.go, 'keeps the tasks of a job whose end is not stored yet', fails without the change.

--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -122,7 +122,7 @@
 		}
 		e := s.log.entries[0]
 		for _, id := range e.jobs {
-			if j := s.active[id]; j != nil && j.wholeSince <= e.sequence {
+			if j := s.jobs[id]; j != nil && j.needsLog() && j.wholeSince <= e.sequence {
 				s.addChange(b, j, true)
 			}
 		}
@@ -131,6 +131,11 @@
 	}
 }
 
+// needsLog reports whether the job's tasks are still needed: until a batch holds the job's end.
+func (j *jobState) needsLog() bool {
+	return j.stored && (!j.phase.Ended() || j.dirty)
+}
+
 // RestoreLog takes over the log of the previous owner. It must be called before the jobs are restored.
 func (s *Scheduler) RestoreLog(l []*schema.LogEntry) {
 	slices.SortFunc(l, func(a, b *schema.LogEntry) int { return cmp.Compare(a.Sequence, b.Sequence) })
--- a/fleet/scheduler/changelog_test.go
+++ b/fleet/scheduler/changelog_test.go
@@ -143,4 +143,39 @@
 		s.commitTo(x)
 		gomega.Expect(x.batches[len(x.batches)-1].Log.GetSequence()).To(gomega.Or(gomega.BeZero(), gomega.BeNumerically(">", 500)), "numbers go on")
 	})
+
+	// The end of a job waits for room in a commit while the entries with its tasks are replaced. If the owner is lost then,
+	// its successor ran tasks again whose ends had been acknowledged.
+	ginkgo.It("keeps the tasks of a job whose end is not stored yet", func() {
+		const noRoom = 0
+		w, x := newHarness(), newStored()
+		w.addServers("a", "b")
+		w.Submit(newRecord(1, 2), w.now, func(scheduler.Reply) {})
+		w.Submit(newRecord(2, 1, longRunning), w.now, func(scheduler.Reply) {})
+		w.commitTo(x)
+		var other scheduler.StartOrder
+		for _, o := range w.acceptStarts() {
+			if o.Task.Job == newRecord(2, 1).Id {
+				other = o
+				continue
+			}
+			w.reportEnd(o.Server.ID, o.Task, o.Number, job.EndDone)
+			if o.Task.Index == 0 {
+				w.commitTo(x)
+			}
+		}
+		for range 150 {
+			w.reportEnd(other.Server.ID, other.Task, other.Number, job.EndStopped)
+			w.now = w.now.Add(20 * time.Millisecond)
+			w.Plan(w.now)
+			b := w.NextBatch(noRoom, w.now)
+			x.apply(b)
+			w.BatchCommitted(b, w.now)
+			w.collectOrders()
+			other = w.acceptStarts()[0]
+		}
+		gomega.Expect(x.log).NotTo(gomega.HaveKey(uint64(1)), "the first entry has been replaced")
+		s := x.successor(w.now)
+		gomega.Expect(s.Explain(newRecord(1, 1).Id, s.now).Jobs[0].Tasks[0].State).To(gomega.Equal("done"))
+	})
 })
