Move tasks off a draining server within their step's limit while there is time

A stop for a wave takes effect up to some hundred milliseconds after its order; a stop on a draining server, ordered later and without a look at the limit, took effect first. Now a task on a draining server waits until the others of its step are at work, unless the server may leave within 1.5 s. Ruled out: a stop of an earlier owner (servers refuse it once fenced, and a task counts as at work only after the time of a stop). Proof: lasting_test.go, fails without the change.

--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -66,7 +66,7 @@
 		s.drop(r, now, "server is unreachable: restarting the speculative task elsewhere")
 		return
 	}
-	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) {
+	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now)) {
 		s.evacuate(r, s.usableServers(now)[v.info.Pool], now)
 		return
 	}
@@ -88,6 +88,15 @@
 	s.stop(r, now)
 }
 
+// evacuationLead is how long before a draining server may leave its tasks are moved even if more of their step are
+// unavailable than it allows.
+const evacuationLead = 1500 * time.Millisecond
+
+// leavesSoon reports whether a draining server may leave within evacuationLead.
+func (v *serverState) leavesSoon(now time.Time) bool {
+	return now.Add(evacuationLead).After(v.drainingSince.Add(v.info.MinRemaining))
+}
+
 // mustMove reports whether a run must leave a draining server: a long-running one always, a run outside a gang
 // that can resume from a checkpoint if it would not end before the server leaves.
 func (s *Scheduler) mustMove(v *serverState, r *run, now time.Time) bool {
--- a/fleet/scheduler/lasting_test.go
+++ b/fleet/scheduler/lasting_test.go
@@ -92,6 +92,32 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", gomega.Not(gomega.Equal(v.ID)))))
 	})
 
+	// The stop for a wave takes effect up to a few hundred milliseconds after the order. A stop on a draining server that is
+	// ordered later could take effect first, and both tasks were away at once.
+	ginkgo.It("stay on a draining server while another task of their step is being stopped, until the server leaves soon", func() {
+		l := place(2, 1)
+		w.Evacuate(l[0].Server.VM, w.now)
+		w.collectOrders()
+		gomega.Expect(w.takeStops()).To(gomega.HaveLen(1))
+		v := newServer(l[1].Server.ID)
+		v.Draining, v.MinRemaining = true, 4*time.Second
+		w.Register(v, w.now)
+		keep := func(d time.Duration) int {
+			for until := w.now.Add(d); w.now.Before(until); {
+				w.reportRuns(l[1].Server.ID, listedRun(l[1], 100))
+				for _, n := range []string{"a", "b", "c"} {
+					if n != l[0].Server.ID && n != l[1].Server.ID {
+						w.addServers(n)
+					}
+				}
+				w.advance(100 * time.Millisecond)
+			}
+			return len(w.takeStops())
+		}
+		gomega.Expect(keep(time.Second)).To(gomega.BeZero())
+		gomega.Expect(keep(2 * time.Second)).To(gomega.BeNumerically(">", 0))
+	})
+
 	ginkgo.It("stay while no other server has capacity", func() {
 		l := place(3, 3)
 		w.Evacuate(l[0].Server.VM, w.now)
