--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -5,13 +5,11 @@
 	"fmt"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
@@ -172,29 +170,6 @@
 var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "carving", MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
 	map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{})
 
-// slowMetrics delays the goroutine that reports gauges, as an overloaded process is delayed.
-type slowMetrics struct {
-	discard
-	busy atomic.Bool
-}
-
-func (m *slowMetrics) Gauge(string, float64) {
-	if m.busy.Load() {
-		time.Sleep(400 * time.Millisecond)
-	}
-}
-
-// panickingController breaks an invariant in its first term.
-type panickingController struct{ terms atomic.Int64 }
-
-func (c *panickingController) Run(ctx context.Context, t owner.Term) {
-	if c.terms.Add(1) == 1 {
-		sleep(ctx, 2*time.Second)
-		t.Update(func(*scheduler.Scheduler, time.Time) { panic("invariant") })
-	}
-	<-ctx.Done()
-}
-
 // cluster is a store, a server and any number of entries.
 type cluster struct {
 	store  *fakeStore
@@ -348,91 +323,6 @@
 	})
 }
 
-// An unexpected error in the scheduler must not end the process, nor leave its lock taken.
-func TestPanicInTheSchedulerEndsTheTerm(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		c := &panickingController{}
-		s.controller = c
-		o, _ := s.startEntry("e1")
-		time.Sleep(time.Second)
-		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
-		time.Sleep(5 * time.Second)
-		g.Expect(c.terms.Load()).To(gomega.BeEquivalentTo(2))
-		g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
-		g.Expect(submit(o, secondID).Result).To(gomega.Equal(scheduler.Done))
-	})
-}
-
-// An owner that is behind accepted every job, and started none of them in time.
-func TestOverloadedOwnerRefusesNewJobs(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		c := &slowMetrics{}
-		s.metrics = c
-		o, _ := s.startEntry("e1")
-		time.Sleep(time.Second)
-		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
-		c.busy.Store(true)
-		time.Sleep(5 * time.Second)
-		x := submit(o, secondID)
-		g.Expect(x.Result).To(gomega.Equal(scheduler.Refused))
-		g.Expect(x.Reason).To(gomega.ContainSubstring("overloaded"))
-		g.Expect(x.RetryAfter).To(gomega.BeNumerically(">=", time.Second))
-		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done), "a known job is not refused")
-		c.busy.Store(false)
-		time.Sleep(3 * time.Second)
-		g.Expect(submit(o, secondID).Result).To(gomega.Equal(scheduler.Done))
-	})
-}
-
-// The payloads of ended jobs would make up most of what a new owner has to read.
-func TestEndedJobsLeaveOnlyTheirProgress(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		o, stop := s.startEntry("e1")
-		time.Sleep(time.Second)
-		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
-		time.Sleep(2 * time.Second)
-		_, err := s.store.Get(s.ctx, "tarragonbank/job/"+firstID)
-		g.Expect(err).To(gomega.BeAssignableToTypeOf(&store.NotFoundError{}))
-		known, err := o.Stored(s.ctx, firstID)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(known).To(gomega.BeTrue(), "an entry without an owner must not refuse it")
-		next, _ := s.startEntry("e2")
-		stop()
-		time.Sleep(3 * time.Second)
-		g.Expect(next.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
-		g.Expect(submit(next, firstID).Result).To(gomega.Equal(scheduler.Done), "it is still known")
-		l := next.Current().List("plans").Jobs
-		g.Expect(l).To(gomega.HaveLen(1))
-		g.Expect(l[0].AcceptedMs).To(gomega.BeNumerically(">", 0))
-		g.Expect(s.server.startOrders()).To(gomega.HaveLen(2))
-	})
-}
-
-// An entry without an owner told callers that it doesn't know what became of their job when the store took 240 ms.
-func TestStoredJobIsFoundInASlowStore(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		o, _ := s.startEntry("e1")
-		time.Sleep(time.Second)
-		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
-		s.store.update(func() { s.store.readDelay = 240 * time.Millisecond })
-		for id, want := range map[string]bool{firstID: true, secondID: false} {
-			known, err := o.Stored(s.ctx, id)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(known).To(gomega.Equal(want))
-		}
-	})
-}
-
-// A page of 1 MB takes seconds on a slow link. With a fixed timeout it would never be read.
-func TestNewOwnerReadsThroughASlowLink(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		s.store.update(func() { s.store.pageDelay = 3 * time.Second })
-		o, _ := s.startEntry("e1")
-		time.Sleep(15 * time.Second)
-		g.Expect(o.Current()).NotTo(gomega.BeNil())
-	})
-}
-
 // A transaction that times out may take effect after its retry and later commits, and must not overwrite them.
 func TestLateCommitIsRejected(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
@@ -495,44 +385,3 @@
 		g.Expect(s.server.fencingToken()).To(gomega.BeNumerically(">", token))
 	})
 }
-
-// Without the release, the next owner has to allow for further renewals by an owner that has only lost its key.
-func TestLeavingOwnerReleasesTheOwnership(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		o, _ := s.startEntry("e1")
-		time.Sleep(5 * time.Second)
-		o.Leave()
-		time.Sleep(100 * time.Millisecond)
-		m := &schema.OwnerRelease{}
-		i, err := s.store.Get(s.ctx, "tarragonbank/released")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(proto.Unmarshal(i.Value, m)).To(gomega.Succeed())
-		g.Expect(m.RemainingMs).To(gomega.BeNumerically("~", 5300, 300), "the longest lease on a slow clock")
-		next, stop := s.startEntry("e2")
-		time.Sleep(time.Second)
-		g.Expect(next.Current()).NotTo(gomega.BeNil())
-		_, err = s.store.Get(s.ctx, "tarragonbank/released")
-		g.Expect(err).To(gomega.BeAssignableToTypeOf(&store.NotFoundError{}), "it says nothing of the second owner")
-		stop()
-		time.Sleep(2 * time.Second)
-		_, err = s.store.Get(s.ctx, "tarragonbank/released")
-		g.Expect(err).To(gomega.HaveOccurred(), "an owner that is killed releases nothing")
-	})
-}
-
-// An answer to a renewal that the store handled long ago confirms the ownership only up to the time of the call.
-func TestLeasesAreNotRenewedLongAfterTheLastConfirmation(t *testing.T) {
-	runTest(t, func(g *gomega.WithT, s *cluster) {
-		s.startEntry("e1")
-		time.Sleep(time.Second)
-		g.Expect(s.server.renewedSince(time.Now().Add(-time.Second))).To(gomega.BeTrue())
-		s.store.update(func() { s.store.unavailable = true })
-		time.Sleep(scheduler.MaxUnconfirmedRenewal + 500*time.Millisecond)
-		began := time.Now()
-		time.Sleep(time.Second)
-		g.Expect(s.server.renewedSince(began)).To(gomega.BeFalse())
-		s.store.update(func() { s.store.unavailable = false })
-		time.Sleep(3 * time.Second)
-		g.Expect(s.server.renewedSince(began)).To(gomega.BeTrue())
-	})
-}
