--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -86,7 +86,7 @@
 	}
 	s, err := jobsite.New(ctx, jobsite.Options{
 		EntryCores: cores,
-		Binaries: p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
+		Binaries:   p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: minEntries + random.IntN(maxEntries-minEntries+1), VMsPerPool: minVMsPerPool + random.IntN(maxVMsPerPool-minVMsPerPool+1),
 		Untimed: p.Untimed,
 	})
