--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -41,8 +41,9 @@
 	// acknowledged by then do not count, since the owner may run their tasks elsewhere.
 	voidedThrough uint64
 	partitioned   bool
-	down          bool
-	clockRate     float64
+	// downUntil is when the server comes back from a crash.
+	downUntil time.Time
+	clockRate float64
 }
 
 type modelRun struct {
@@ -85,6 +86,10 @@
 	done         int
 }
 
+func (s *modelServer) isDown(now time.Time) bool {
+	return now.Before(s.downUntil)
+}
+
 func newModel(seed uint64, f disabledSafeguards) *model {
 	m := &model{
 		rand: rand.New(rand.NewPCG(seed, seed)), disabled: f, now: start,
@@ -147,7 +152,7 @@
 		d = time.Duration(2000+m.rand.IntN(10000)) * time.Millisecond
 	}
 	m.messages = append(m.messages, message{m.now.Add(d), func() {
-		if !s.partitioned && !s.down {
+		if !s.partitioned && !s.isDown(m.now) {
 			deliver()
 		}
 	}})
@@ -187,6 +192,10 @@
 	case m.chance(0.0005):
 		s.reset()
 		s.startedAt = m.now
+	case m.chance(0.001):
+		s.reset()
+		s.downUntil = m.now.Add(time.Duration(500+m.rand.IntN(6000)) * time.Millisecond)
+		s.startedAt = s.downUntil
 	case m.chance(0.001):
 		m.owners[len(m.owners)-1].frozen = m.now.Add(time.Duration(m.rand.IntN(4000)) * time.Millisecond)
 	case m.chance(0.0015):
@@ -372,7 +381,7 @@
 
 // poll requests a server's listing, one request at a time.
 func (m *model) poll(o *modelOwner, s *modelServer) {
-	if o.polling[s.id] || !m.chance(0.2) {
+	if o.polling[s.id] || s.isDown(m.now) || !m.chance(0.2) {
 		return
 	}
 	v := newServer(s.id)
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -74,18 +74,25 @@
 	v.addRun(r)
 }
 
-// inheritedServer returns the server incarnation to which a previous owner assigned a run, adding it if it is unknown,
-// or nil if a later incarnation is known.
+// inheritedServer returns the server incarnation to which a previous owner assigned a run, adding it if it is unknown or
+// later than the known one, or nil if a later incarnation is known.
 func (s *Scheduler) inheritedServer(id string, startedAt time.Time) *serverState {
 	v := s.servers[id]
-	if v == nil {
-		v = &serverState{info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{}, unreachableSince: s.startedAt}
-		s.servers[id] = v
-		s.sortedServers = nil
-	}
-	if v.info.StartedAt.After(startedAt) {
+	switch {
+	case v == nil:
+	case v.info.StartedAt.After(startedAt):
 		return nil
+	case v.info.StartedAt.Equal(startedAt):
+		return v
+	default:
+		s.dropPreviousRuns(v, s.startedAt)
+	}
+	v = &serverState{
+		info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{},
+		unreachableSince: s.startedAt,
 	}
+	s.servers[id] = v
+	s.sortedServers = nil
 	return v
 }
 
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -371,6 +371,21 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
 
+	// The lease record named an earlier incarnation of the server. The run was taken for one of that incarnation and placed
+	// again once the server registered, while it ran on.
+	ginkgo.It("continues a run on a server whose earlier incarnation is in the lease record", func() {
+		x := newHarness()
+		x.RestoreLeases(&schema.LeaseRecord{Servers: []*schema.ServerLease{{Server: "a", BornMs: start.Add(-time.Minute).UnixMilli(), RemainingMs: 900}}}, x.now)
+		x.Restore(m, p, x.now)
+		x.Register(newServer("a"), x.now)
+		x.addServers("b")
+		x.commit()
+		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
+		x.reportRuns("a", server.Run{Task: k, Number: 3, Percent: 50})
+		x.commit()
+		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("completes a job whose tasks are all stored as done", func() {
 		x := newHarness()
 		x.Restore(newRecord(2, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Done: true}}}, x.now)
