--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -287,6 +287,26 @@
 	})
 }
 
+// A crashed server comes back under another ID after some seconds; its tasks waited for the lease that it no longer holds.
+func TestRunsOfServerWhoseVMIsListedAsDownEnd(t *testing.T) {
+	id := "00000000000000a1"
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		reportIdle(o, "b")
+		x.update("b", func(v *vm.PlatformStatus) { v.State, v.ServerID = vm.Down, "" })
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.Restore(&schema.JobRecord{
+				Id: id, Queue: "plans", AcceptedMs: now.UnixMilli(), Steps: []*schema.StepRecord{{Count: 1, CpuMilli: 1000, EstimateMs: 1000}},
+			}, &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "s-b", BornMs: 1000}}}, now)
+			s.ServerUnreachable("s-b", time.UnixMilli(1000), now, "connection refused")
+		})
+	}, func(g *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		time.Sleep(time.Second)
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			g.Expect(s.Explain(id, now).Jobs[0].Tasks[0].Server).To(gomega.BeEmpty())
+		})
+	})
+}
+
 func TestOrdersAreStoredBeforeSending(t *testing.T) {
 	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
 		reportIdle(o, "a")
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -111,6 +111,7 @@
 	}
 	t.vms = m
 	t.listedAt = time.Now()
+	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { s.VMsListed(m, now) })
 	return true
 }
 
--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
 )
 
 // disabledSafeguards selects the safeguards that a model leaves out, to show that the invariants detect it.
@@ -25,6 +26,8 @@
 	leaseUnderstated bool
 	// leaseOverrun makes servers keep runs for longer than their owner's lease.
 	leaseOverrun bool
+	// listWrong makes the list of VMs show servers that owners do not reach as down.
+	listWrong bool
 }
 
 // modelServer simulates a backend server.
@@ -84,6 +87,33 @@
 	violations   []string
 	starts       int
 	done         int
+	// lists holds the readings of the list of VMs that owners may get, the oldest first.
+	lists []listReading
+}
+
+// listReading is the state of all VMs at one time.
+type listReading struct {
+	at  time.Time
+	vms map[string]vm.PlatformStatus
+}
+
+// listLag is the age of the readings of the list that owners get.
+const listLag = 2500 * time.Millisecond
+
+// recordList records the state of all VMs, and drops the readings that are older than listLag but for the newest of them.
+func (m *model) recordList() {
+	r := listReading{m.now, map[string]vm.PlatformStatus{}}
+	for _, s := range m.servers {
+		x := vm.PlatformStatus{Name: newServer(s.id).VM, ServerID: s.id}
+		if s.isDown(m.now) || m.disabled.listWrong && s.partitioned {
+			x.State, x.ServerID = vm.Down, ""
+		}
+		r.vms[x.Name] = x
+	}
+	m.lists = append(m.lists, r)
+	for len(m.lists) > 1 && m.now.Sub(m.lists[1].at) >= listLag {
+		m.lists = m.lists[1:]
+	}
 }
 
 func (s *modelServer) isDown(now time.Time) bool {
@@ -162,6 +192,7 @@
 func (m *model) step() {
 	m.now = m.now.Add(20 * time.Millisecond)
 	m.injectFault()
+	m.recordList()
 	for _, s := range m.servers {
 		m.finishRuns(s)
 	}
@@ -273,6 +304,9 @@
 	for _, s := range m.servers {
 		m.poll(o, s)
 	}
+	if m.chance(0.05) {
+		o.VMsListed(m.lists[0].vms, m.now)
+	}
 }
 
 func (m *model) commit(b *scheduler.Batch) {
--- a/fleet/scheduler/protocol_test.go
+++ b/fleet/scheduler/protocol_test.go
@@ -44,5 +44,6 @@
 		ginkgo.Entry("a store that accepts only one owner", disabledSafeguards{noCommitFencing: true, noFencing: true}),
 		ginkgo.Entry("the log of progress", disabledSafeguards{noLog: true}),
 		ginkgo.Entry("a lease record that tells the whole time", disabledSafeguards{leaseUnderstated: true}),
+		ginkgo.Entry("a list of VMs that tells the truth", disabledSafeguards{listWrong: true}),
 		ginkgo.Entry("expiry of leases on time", disabledSafeguards{leaseOverrun: true}))
 })
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -89,7 +89,7 @@
 	}
 	v = &serverState{
 		info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{},
-		unreachableSince: s.startedAt,
+		unreachableSince: s.startedAt, knownSince: s.startedAt,
 	}
 	s.servers[id] = v
 	s.sortedServers = nil
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -44,8 +44,13 @@
 	drainingSince time.Time
 	// idleSince is when the server registered or its last run was released, whichever is later.
 	idleSince time.Time
-	// terminated is true once the platform has ended this incarnation by this owner's order.
+	// terminated is true once the platform has ended this incarnation by this owner's order, or lists it no longer.
 	terminated bool
+	// endedByList is true if terminated was set because of the platform's list of VMs. shownOnVM is true once the list has
+	// shown the server, knownSince is when this owner learned of it.
+	endedByList bool
+	shownOnVM   bool
+	knownSince  time.Time
 }
 
 // endLog tracks which run ends of a server have been processed and which of them are stored, by sequence number.
@@ -155,7 +160,7 @@
 		return
 	}
 	if v == nil {
-		v = &serverState{runs: map[job.Task]*run{}, idleSince: now, unreachableSince: now}
+		v = &serverState{runs: map[job.Task]*run{}, idleSince: now, unreachableSince: now, knownSince: now}
 		s.servers[i.ID] = v
 		s.sortedServers = nil
 		s.addDecision(Decision{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
--- /dev/null
+++ b/fleet/scheduler/vmlist.go
@@ -0,0 +1,54 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+const (
+	// maxListLag is the age that a reading of the list of VMs may have.
+	maxListLag = 3 * time.Second
+	// maxClockDifference bounds the difference between the wall clocks of this entry and of a server.
+	maxClockDifference = 5 * time.Second
+)
+
+// VMsListed applies a reading of the platform's list of VMs. A server that the list no longer shows on its VM has ended,
+// so its runs need not wait for the expiry of their lease.
+func (s *Scheduler) VMsListed(l map[string]vm.PlatformStatus, now time.Time) {
+	for _, v := range s.serversByID() {
+		x, ok := l[v.info.VM]
+		if !ok {
+			continue
+		}
+		if x.ServerID == v.info.ID {
+			v.shownOnVM = true
+			s.resumeIfListed(v)
+			continue
+		}
+		// A VM that has come up shows no server until that has started.
+		if x.State == vm.Up && x.ServerID == "" || v.terminated || v.reachable || !v.listIsNewer(now) {
+			continue
+		}
+		s.addDecision(Decision{Server: v.info.ID, Pool: v.info.Pool, Reason: "server has ended: its VM is listed as " + x.State.String(), Age: now.Sub(v.listedAt)})
+		s.dropRuns(v, now, "server has ended")
+		v.terminated, v.endedByList = true, true
+	}
+}
+
+// listIsNewer reports whether any reading of the list shows a time at which the server had started.
+func (v *serverState) listIsNewer(now time.Time) bool {
+	if now.Sub(v.info.StartedAt) > maxListLag+maxClockDifference {
+		return true
+	}
+	return v.shownOnVM && now.Sub(v.knownSince) > maxListLag
+}
+
+// resumeIfListed uses a server again that an earlier reading of the list did not show.
+func (s *Scheduler) resumeIfListed(v *serverState) {
+	if !v.endedByList {
+		return
+	}
+	v.endedByList = false
+	s.TerminationFailed(v.info.ID)
+}
--- /dev/null
+++ b/fleet/scheduler/vmlist_test.go
@@ -0,0 +1,124 @@
+package scheduler_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/vm"
+)
+
+// listVM applies a reading of the list of VMs with the VM of server a, on which the list shows the server with the ID.
+func (w *harness) listVM(x vm.PlatformState, serverID string) {
+	w.VMsListed(map[string]vm.PlatformStatus{"vm-a": {Name: "vm-a", State: x, ServerID: serverID}}, w.now)
+	w.commit()
+}
+
+// newHarnessWithRun returns a harness in which server a runs a long-running task and server b is idle.
+func newHarnessWithRun() (*harness, scheduler.StartOrder) {
+	w := newHarness()
+	w.addServers("a")
+	w.submit(newRecord(1, 1, longRunning))
+	o := w.acceptStarts()[0]
+	w.reportRuns("a", listedRun(o, 100))
+	return w, o
+}
+
+// keepServing lets time pass while server b answers.
+func (w *harness) keepServing(d time.Duration) {
+	for until := w.now.Add(d); w.now.Before(until); {
+		w.advance(100 * time.Millisecond)
+		w.addServers("b")
+		w.commit()
+	}
+}
+
+// The owner and a server are lost together. The next owner knows the server's runs from the store only, and waited for all
+// leases that its predecessor may have renewed, though the platform lists the VM as down.
+var _ = ginkgo.Describe("a long-running task whose server was lost together with the owner", func() {
+	restore := func(startedAt time.Time) *harness {
+		w := newHarness()
+		w.Restore(newRecord(1, 1, longRunning), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: startedAt.UnixMilli()}}}, w.now)
+		v := newServer("a")
+		v.StartedAt = startedAt
+		w.Register(v, w.now)
+		w.addServers("b")
+		return w
+	}
+
+	ginkgo.It("restarts once the platform lists the VM as down", func() {
+		w := restore(start.Add(-time.Minute))
+		w.keepServing(time.Second)
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		w.listVM(vm.Down, "")
+		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", "b")))
+	})
+
+	ginkgo.It("waits for the lease if the list may be older than the server", func() {
+		w := restore(start.Add(-time.Second))
+		w.listVM(vm.Down, "")
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("a server that the list of VMs no longer shows", func() {
+	ginkgo.DescribeTable("loses its runs", func(x vm.PlatformState, serverID string) {
+		w, o := newHarnessWithRun()
+		w.listVM(vm.Up, "a")
+		w.keepServing(4 * time.Second)
+		w.ServerUnreachable("a", start, w.now, "no answer")
+		w.listVM(x, serverID)
+		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Number", o.Number+1)))
+		_, poll := w.PreparePoll("a", w.now)
+		gomega.Expect(poll).To(gomega.BeFalse())
+	},
+		ginkgo.Entry("if the VM is down", vm.Down, ""),
+		ginkgo.Entry("if the VM is moving", vm.Moving, ""),
+		ginkgo.Entry("if another server runs on the VM", vm.Up, "c"))
+
+	ginkgo.DescribeTable("keeps its runs", func(known time.Duration, shown string, reachable bool, x vm.PlatformState, serverID string) {
+		w, _ := newHarnessWithRun()
+		w.listVM(vm.Up, shown)
+		w.keepServing(known)
+		if reachable {
+			w.addServers("b")
+		} else {
+			w.ServerUnreachable("a", start, w.now, "no answer")
+		}
+		w.listVM(x, serverID)
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+	},
+		ginkgo.Entry("if it answers", 4*time.Second, "a", true, vm.Down, ""),
+		ginkgo.Entry("if the list shows it", 4*time.Second, "a", false, vm.Up, "a"),
+		ginkgo.Entry("if the list shows no server on a VM that has just come up", 4*time.Second, "a", false, vm.Up, ""),
+		ginkgo.Entry("if the list has never shown it and may be older", 4*time.Second, "z", false, vm.Down, ""),
+		ginkgo.Entry("if it is as young as the list may be old", 2*time.Second, "a", false, vm.Down, ""))
+
+	ginkgo.It("is polled again once the list shows it again", func() {
+		w, _ := newHarnessWithRun()
+		w.listVM(vm.Up, "a")
+		w.keepServing(4 * time.Second)
+		w.ServerUnreachable("a", start, w.now, "no answer")
+		w.listVM(vm.Down, "")
+		w.listVM(vm.Up, "a")
+		_, poll := w.PreparePoll("a", w.now)
+		gomega.Expect(poll).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("is used again after a restart under its ID", func() {
+		w, _ := newHarnessWithRun()
+		w.listVM(vm.Up, "a")
+		w.keepServing(4 * time.Second)
+		w.ServerUnreachable("a", start, w.now, "no answer")
+		w.listVM(vm.Down, "")
+		v := newServer("a")
+		v.StartedAt = w.now
+		w.Register(v, w.now)
+		w.ListingReceived("a", server.Listing{StartedAt: w.now, Clock: time.Second}, w.now)
+		gomega.Expect(w.ServerLoad("a", w.now).Usable).To(gomega.BeTrue())
+	})
+})
