--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -206,6 +206,8 @@
 	WrongServer
 	// Malformed means that the server cannot parse the order.
 	Malformed
+	// Undelivered means that no connection to the server was made, so that it did not receive the order.
+	Undelivered
 )
 
 // StartAnswered records a server's answer to a start order; clock is the server's clock, 0 if the answer had none.
@@ -244,7 +246,7 @@
 		return
 	case InsufficientCapacity:
 		r.server.fullUntil = now.Add(fullPause)
-	case Unhealthy:
+	case Unhealthy, Undelivered:
 		r.server.pauseUntil(now.Add(unhealthyPause))
 	case NotPermitted:
 		delete(s.advice, r.task.key.StepName())
@@ -258,7 +260,7 @@
 	// fullPause is how long no run is placed on a server that had less free capacity than expected. Runs last about a
 	// second, so capacity soon becomes free.
 	fullPause = 300 * time.Millisecond
-	// unhealthyPause is how long no run is placed on a server that reports itself unhealthy.
+	// unhealthyPause is how long no run is placed on a server that reports itself unhealthy or accepts no connection.
 	unhealthyPause = time.Second
 )
 
--- a/fleet/scheduler/startanswer_enumer.go
+++ b/fleet/scheduler/startanswer_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StartAnswerName = "startednoAnswernoRoomlatesupersededunpermittedunhealthywrongServermalformed"
+const _StartAnswerName = "startednoAnswernoRoomlatesupersededunpermittedunhealthywrongServermalformedundelivered"
 
-var _StartAnswerIndex = [...]uint8{0, 7, 15, 21, 25, 35, 46, 55, 66, 75}
+var _StartAnswerIndex = [...]uint8{0, 7, 15, 21, 25, 35, 46, 55, 66, 75, 86}
 
-const _StartAnswerLowerName = "startednoanswernoroomlatesupersededunpermittedunhealthywrongservermalformed"
+const _StartAnswerLowerName = "startednoanswernoroomlatesupersededunpermittedunhealthywrongservermalformedundelivered"
 
 func (i StartAnswer) String() string {
 	if i < 0 || i >= StartAnswer(len(_StartAnswerIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[Unhealthy-(6)]
 	_ = x[WrongServer-(7)]
 	_ = x[Malformed-(8)]
+	_ = x[Undelivered-(9)]
 }
 
-var _StartAnswerValues = []StartAnswer{Started, NoAnswer, InsufficientCapacity, Late, Superseded, NotPermitted, Unhealthy, WrongServer, Malformed}
+var _StartAnswerValues = []StartAnswer{Started, NoAnswer, InsufficientCapacity, Late, Superseded, NotPermitted, Unhealthy, WrongServer, Malformed, Undelivered}
 
 var _StartAnswerNameToValueMap = map[string]StartAnswer{
 	_StartAnswerName[0:7]:   Started,
@@ -47,6 +48,7 @@
 	_StartAnswerName[46:55]: Unhealthy,
 	_StartAnswerName[55:66]: WrongServer,
 	_StartAnswerName[66:75]: Malformed,
+	_StartAnswerName[75:86]: Undelivered,
 }
 
 var _StartAnswerLowerNameToValueMap = map[string]StartAnswer{
@@ -59,6 +61,7 @@
 	_StartAnswerLowerName[46:55]: Unhealthy,
 	_StartAnswerLowerName[55:66]: WrongServer,
 	_StartAnswerLowerName[66:75]: Malformed,
+	_StartAnswerLowerName[75:86]: Undelivered,
 }
 
 var _StartAnswerNames = []string{
@@ -71,6 +74,7 @@
 	_StartAnswerName[46:55],
 	_StartAnswerName[55:66],
 	_StartAnswerName[66:75],
+	_StartAnswerName[75:86],
 }
 
 // StartAnswerString retrieves an enum value from the enum constants string name.
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -36,6 +36,16 @@
 		gomega.Expect(w.orders.Starts[0].Number).To(gomega.Equal(2))
 	})
 
+	// The run waited for the lease of the server, which had crashed before the order.
+	ginkgo.It("places a task elsewhere at once if its start order reached no server", func() {
+		w.submit(newRecord(1, 1))
+		s := w.orders.Starts[0]
+		w.orders.Starts = nil
+		w.StartAnswered(s, scheduler.Undelivered, 0, w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", otherServer(s.Server.ID))))
+	})
+
 	ginkgo.It("does not drop a run because of a listing that is older than the answer to its start", func() {
 		w.submit(newRecord(1, 1))
 		old := server.Listing{StartedAt: start, Clock: w.clock()}
