--- /dev/null
+++ b/fleet/scheduler/crash.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+)
+
+// A crash ends all runs of a server and does not tell its cause. These limits decide when the job of a task fails.
+const (
+	// maxIsolatedCrashes is the number of crashes if the last server ran nothing else.
+	maxIsolatedCrashes = 2
+	// maxEarlyCrashes is the number of crashes on which a finite task had just begun.
+	maxEarlyCrashes = 3
+	// maxCrashes is the number of crashes of any kind for a finite task.
+	maxCrashes = 5
+)
+
+const (
+	// minSuspiciousCrashes is the number of crashes from which a task runs alone even if it had not just begun.
+	minSuspiciousCrashes = 3
+	// suspicionWindow is how long before the last sign of life of a crashed server a run must have begun to be a likely cause.
+	suspicionWindow = 100 * time.Millisecond
+	// maxFiniteTrialWait is how long a finite task that may crash servers waits for a server without other tasks, and
+	// maxLongRunningTrialWait a long-running one, whose job fails only by what happens there.
+	maxFiniteTrialWait      = 500 * time.Millisecond
+	maxLongRunningTrialWait = 3 * time.Second
+	// trialDuration is how long a run must have worked to be no longer isolated.
+	trialDuration = 2 * time.Second
+	// maxCrashDelay is how long a run must have worked for earlier crashes to be no fault of its task.
+	maxCrashDelay = 20 * time.Second
+)
+
+// mayCrashServers reports whether the task is a likely cause of the crash of a server, so that it should run alone.
+func (t *task) mayCrashServers() bool {
+	return !t.step.step.Gang && (t.suspected || t.crashes+t.unexplained >= minSuspiciousCrashes)
+}
+
+// hasLostServer reports whether a server crashed, or fell silent, while it ran the task.
+func (t *task) hasLostServer() bool {
+	return t.crashes+t.unexplained > 0
+}
+
+// isolates reports whether the server runs a task that may crash it, and so gets no other.
+func (v *serverState) isolates() bool {
+	return v.isolatedRuns > 0
+}
+
+// setIsolated sets whether the server of a run gets no other runs.
+func (r *run) setIsolated(on bool) {
+	switch {
+	case on && !r.isolated:
+		r.server.isolatedRuns++
+	case !on && r.isolated:
+		r.server.isolatedRuns--
+	}
+	r.isolated = on
+}
+
+// canTry reports whether a task that may crash servers may run on the server: if that runs nothing else, or once the task has
+// waited for long enough.
+func (v *serverState) canTry(t *task, now time.Time) bool {
+	return len(v.runs) == 0 || now.Sub(t.suspectedAt) > t.maxTrialWait()
+}
+
+// maxTrialWait returns how long the task waits for a server without other tasks.
+func (t *task) maxTrialWait() time.Duration {
+	if t.step.step.LongRunning {
+		return maxLongRunningTrialWait
+	}
+	return maxFiniteTrialWait
+}
+
+// awaitTrial records that a task that may crash servers found none to run on alone, and asks for one more server.
+func (s *Scheduler) awaitTrial(w pendingStep, now time.Time) {
+	s.awaitingTrial = true
+	s.unplacedAt[s.poolOf(w.state)] = now
+}
+
+// endTrial lets other tasks run beside a task that has worked for trialDuration, and forgets the crashes under one that has
+// worked for maxCrashDelay.
+func (s *Scheduler) endTrial(r *run) {
+	t, d := r.task, r.server.listedAt.Sub(r.startedAt)
+	if t.crashes == 0 || d < trialDuration {
+		return
+	}
+	if r.isolated {
+		r.setIsolated(false)
+		r.alone = false
+		s.needsPlan = true
+	}
+	if !t.suspected && d < maxCrashDelay {
+		return
+	}
+	t.suspected, t.earlyCrashes = false, 0
+	if d >= maxCrashDelay {
+		t.crashes = 0
+	}
+	s.markProgress(t.state)
+}
+
+// lose gives up a run on a silent server that may have crashed.
+func (s *Scheduler) lose(r *run, now time.Time, reason string) {
+	r.server.lost = append(r.server.lost, r)
+	r.task.unexplained++
+	r.task.suspectedAt = now
+	s.drop(r, now, reason)
+}
+
+// explainLost records that the server did not crash under the runs that were given up, as far as is known.
+func (v *serverState) explainLost() {
+	for _, r := range v.lost {
+		r.task.unexplained--
+	}
+	v.lost = nil
+}
+
+// serverCrashed drops the runs of a server that has surely ended, and counts the crash against its tasks unless the server
+// was to leave.
+func (s *Scheduler) serverCrashed(v *serverState, now time.Time, reason string) {
+	l := v.lost
+	v.explainLost()
+	for _, r := range v.runs {
+		if r.phase != assigned {
+			l = append(l, r)
+		}
+	}
+	s.dropRuns(v, now, reason)
+	if v.info.Draining || v.terminated || s.cordonedVMs[v.info.VM] {
+		return
+	}
+	for _, r := range l {
+		s.countCrash(r, now)
+	}
+}
+
+// hadJustBegun reports whether the run had begun shortly before its server crashed, if it had begun at all.
+func (r *run) hadJustBegun() bool {
+	return !r.inherited && r.server.aliveAt().Sub(r.startedAt) < suspicionWindow
+}
+
+// countCrash counts the crash of a run's server against its task, and fails the job once that has crashed too many.
+func (s *Scheduler) countCrash(r *run, now time.Time) {
+	t := r.task
+	if t.done || t.state.phase.Ended() {
+		return
+	}
+	t.suspected = t.suspected || r.hadJustBegun()
+	t.suspectedAt, t.crashedVM = now, r.server.info.VM
+	s.markProgress(t.state)
+	if r.phase != working && r.phase != stopping && !r.alone && !t.step.step.Gang {
+		t.unexplained++
+		return
+	}
+	t.crashes++
+	if r.hadJustBegun() {
+		t.earlyCrashes++
+	}
+	s.addDecision(r.decision("server crashed under the task"))
+	if t.crashesServers(r.alone) {
+		s.addDecision(Decision{Job: t.job.ID, Task: t.key.String(), Pool: t.job.Pool, Run: t.lastRun, Reason: "job failed: the task crashes the servers that start it"})
+		s.endJob(t.state, job.Failed, now)
+	}
+}
+
+// crashesServers reports whether a task is surely the cause of crashes; alone is true if the last server ran nothing else.
+// Long-running tasks see many crashes that others cause.
+func (t *task) crashesServers(alone bool) bool {
+	if t.crashes >= maxIsolatedCrashes && alone {
+		return true
+	}
+	return !t.step.step.LongRunning && (t.earlyCrashes >= maxEarlyCrashes || t.crashes >= maxCrashes)
+}
+
+// aliveAt returns when the server last gave a sign of life.
+func (v *serverState) aliveAt() time.Time {
+	if v.lastClockAt.After(v.listedAt) {
+		return v.lastClockAt
+	}
+	return v.listedAt
+}
