--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -35,13 +35,16 @@
 // taskRecord is the durable state of a task.
 type taskRecord struct {
 	lastRun, failures  int
+	crashes            int
+	earlyCrashes       int
+	suspected          bool
 	done               bool
 	checkpoint, server string
 	startedAt          time.Time
 }
 
 func (t *task) record() taskRecord {
-	r := taskRecord{lastRun: t.lastRun, failures: t.failures, done: t.done}
+	r := taskRecord{lastRun: t.lastRun, failures: t.failures, crashes: t.crashes, earlyCrashes: t.earlyCrashes, suspected: t.suspected, done: t.done}
 	if !t.done {
 		r.checkpoint = t.checkpoint
 	}
@@ -58,6 +61,7 @@
 	p := &schema.TaskProgress{
 		Occurrence: int32(t.key.Occurrence), Step: int32(t.key.Step), Index: int32(t.key.Index),
 		LastRun: int32(r.lastRun), Failures: int32(r.failures), Done: r.done, Checkpoint: r.checkpoint, Server: r.server,
+		Crashes: int32(r.crashes), EarlyCrashes: int32(r.earlyCrashes), Suspected: r.suspected,
 	}
 	if r.server != "" {
 		p.BornMs = r.startedAt.UnixMilli()
@@ -69,6 +73,7 @@
 func (t *task) restoreRecord(m *schema.TaskProgress) {
 	t.recorded = taskRecord{
 		lastRun: int(m.LastRun), failures: int(m.Failures), done: m.Done, checkpoint: m.Checkpoint, server: m.Server,
+		crashes: int(m.Crashes), earlyCrashes: int(m.EarlyCrashes), suspected: m.Suspected,
 	}
 	if m.Server != "" {
 		t.recorded.startedAt = time.UnixMilli(m.BornMs)
--- a/fleet/scheduler/crash_test.go
+++ b/fleet/scheduler/crash_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -33,6 +34,8 @@
 	names     []string
 	// lasting holds the jobs whose tasks run until they are stopped.
 	lasting map[string]bool
+	// answersFirst is true if servers answer the start order of a crashing task before they go down.
+	answersFirst bool
 }
 
 type runningTask struct {
@@ -110,6 +113,10 @@
 		c.startedAt[n] = c.now.Add(restartDelay)
 		c.runs[n] = map[job.Task]runningTask{}
 		c.endSequences[n] = 0
+		if c.answersFirst {
+			c.StartAnswered(o, scheduler.Started, c.now.Sub(o.Server.StartedAt)+time.Minute, c.now)
+			continue
+		}
 		c.StartAnswered(o, scheduler.NoAnswer, 0, c.now)
 	}
 }
@@ -132,21 +139,167 @@
 		"long-running": longRunning,
 		"in a gang":    func(s *schema.StepRecord) { s.Gang = true },
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			m := newRecord(1, 3, change)
-			c := newCrashWorld(6, func(k job.Task) bool { return k.Job == m.Id && k.Index == 1 })
-			c.lasting[m.Id] = m.Steps[0].Lasting
-			c.submit(m)
-			for i := range 8 {
-				c.submit(newRecord(i+2, 4))
-			}
-			c.run(40 * time.Second)
-			g.Expect(c.crashes[job.Task{Job: m.Id, Index: 1}]).To(gomega.BeNumerically("<=", givenUpAfter))
-			g.Expect(c.JobPhase(m.Id).Phase).To(gomega.Equal(job.Failed))
-			for i := range 8 {
-				g.Expect(c.JobPhase(newRecord(i+2, 4).Id).Phase).To(gomega.Equal(job.Completed), "job %d beside it", i+2)
+		for _, answersFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, answered %v", name, answersFirst), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				m := newRecord(1, 3, change)
+				c := newCrashWorld(6, func(k job.Task) bool { return k.Job == m.Id && k.Index == 1 })
+				c.lasting[m.Id] = m.Steps[0].Lasting
+				c.answersFirst = answersFirst
+				c.submit(m)
+				for i := range 8 {
+					c.submit(newRecord(i+2, 4))
+				}
+				c.run(40 * time.Second)
+				g.Expect(c.crashes[job.Task{Job: m.Id, Index: 1}]).To(gomega.BeNumerically("<=", givenUpAfter))
+				g.Expect(c.JobPhase(m.Id).Phase).To(gomega.Equal(job.Failed))
+				for i := range 8 {
+					g.Expect(c.JobPhase(newRecord(i+2, 4).Id).Phase).To(gomega.Equal(job.Completed), "job %d beside it", i+2)
+				}
+			})
+		}
+	}
+}
+
+// Long-running tasks see the crashes that many others cause; their jobs were given up for these.
+func TestLongRunningJobSurvivesTheCrashesOfOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	watch := newRecord(1, 6, longRunning)
+	c := newCrashWorld(8, func(k job.Task) bool { return k.Job != watch.Id && k.Index == 0 })
+	c.lasting[watch.Id] = true
+	c.answersFirst = true
+	c.submit(watch)
+	for i := range 30 {
+		c.submit(newRecord(i+2, 3))
+		c.run(time.Second)
+	}
+	c.run(30 * time.Second)
+	g.Expect(c.JobPhase(watch.Id).Phase).To(gomega.Equal(job.Running))
+	for i := range 30 {
+		g.Expect(c.JobPhase(newRecord(i+2, 3).Id).Phase).To(gomega.Equal(job.Failed), "job %d", i+2)
+	}
+	for k, n := range c.crashes {
+		g.Expect(n).To(gomega.BeNumerically("<=", givenUpAfter), k.String())
+	}
+	running := 0
+	for _, n := range c.names {
+		for k := range c.runs[n] {
+			if k.Job == watch.Id {
+				running++
 			}
-		})
+		}
 	}
+	g.Expect(running).To(gomega.Equal(6), "all of its tasks run at the end")
 }
+
+var _ = ginkgo.Describe("a task whose server crashed", func() {
+	var w *harness
+	crash := func(name string) {
+		w.now = w.now.Add(time.Second)
+		v := newServer(name)
+		v.StartedAt = w.now
+		w.Register(v, w.now)
+		w.ListingReceived(name, server.Listing{StartedAt: w.now, Clock: time.Millisecond}, w.now)
+		w.commit()
+	}
+	ginkgo.BeforeEach(func() {
+		w = newHarness()
+		w.addServers("a")
+		w.submit(newRecord(1, 1))
+		w.acceptStarts()
+	})
+
+	ginkgo.It("runs alone next, also after a takeover", func() {
+		crash("a")
+		o := w.acceptStarts()
+		gomega.Expect(o).To(gomega.HaveLen(1))
+		w.submit(newRecord(2, 1))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty(), "its server gets no other task")
+		w.addServers("b")
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", "b")))
+
+		x := newHarness()
+		x.Restore(newRecord(1, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Crashes: 1, EarlyCrashes: 1, Suspected: true}}}, x.now)
+		x.addServers("a")
+		x.commit()
+		gomega.Expect(x.acceptStarts()).To(gomega.HaveLen(1))
+		x.submit(newRecord(2, 1))
+		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("does not wait for long if no server is empty", func() {
+		w.addServers("b")
+		w.submit(newRecord(2, 1, longRunning))
+		for _, o := range w.acceptStarts() {
+			w.reportRuns(o.Server.ID, listedRun(o, 100))
+		}
+		w.submit(newRecord(3, 20, longRunning))
+		l := w.acceptStarts()
+		crash("a")
+		w.advance(2 * time.Second)
+		gomega.Expect(l).NotTo(gomega.BeEmpty())
+		gomega.Expect(w.Explain(newRecord(1, 1).Id, w.now).Jobs[0].Tasks[0].Server).NotTo(gomega.BeEmpty())
+	})
+
+	ginkgo.It("is not blamed if the server was to leave", func() {
+		for range 4 {
+			v := newServer("a")
+			v.StartedAt, v.Draining = w.now, true
+			w.Register(v, w.now)
+			crash("a")
+			w.acceptStarts()
+		}
+		gomega.Expect(w.JobPhase(newRecord(1, 1).Id).Phase).NotTo(gomega.Equal(job.Failed))
+	})
+
+	ginkgo.It("is not blamed if it had worked for long", func() {
+		w = newHarness()
+		w.addServers("a")
+		w.submit(newRecord(1, 1, func(s *schema.StepRecord) { s.EstimateMs = time.Minute.Milliseconds() }))
+		for range 6 {
+			o := w.acceptStarts()[0]
+			for i := range 30 {
+				w.advance(time.Second)
+				w.PreparePoll("a", w.now)
+				w.ListingReceived(o.Server.ID, server.Listing{StartedAt: o.Server.StartedAt, Clock: w.clock(), Runs: []server.Run{listedRun(o, i)}}, w.now)
+			}
+			crash(o.Server.ID)
+		}
+		gomega.Expect(w.JobPhase(newRecord(1, 1).Id).Phase).NotTo(gomega.Equal(job.Failed))
+	})
+
+	ginkgo.It("is not blamed if it may not have begun, beside others", func() {
+		w.submit(newRecord(2, 1, longRunning))
+		for range 4 {
+			watch := w.acceptStarts()
+			w.reportRuns("a", listedRun(watch[len(watch)-1], 100))
+			w.submit(newRecord(3, 1))
+			w.advance(600 * time.Millisecond)
+			for _, o := range w.orders.Starts {
+				w.StartAnswered(o, scheduler.NoAnswer, 0, w.now)
+			}
+			w.orders.Starts = nil
+			crash("a")
+		}
+		gomega.Expect(w.JobPhase(newRecord(3, 1).Id).Phase).NotTo(gomega.Equal(job.Failed))
+	})
+
+	ginkgo.It("is not blamed if the server was only silent", func() {
+		w.addServers("b")
+		for range 6 {
+			o := w.Explain(newRecord(1, 1).Id, w.now).Jobs[0].Tasks[0]
+			w.ServerUnreachable(o.Server, start, w.now, "cut")
+			for range 8 {
+				w.advance(time.Second)
+				w.reportRuns(otherServer(o.Server))
+				w.commit()
+				w.acceptStarts()
+			}
+			w.reportRuns(o.Server)
+			w.commit()
+			w.acceptStarts()
+		}
+		gomega.Expect(w.JobPhase(newRecord(1, 1).Id).Phase).NotTo(gomega.Equal(job.Failed))
+	})
+})
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -109,6 +109,9 @@
 			return "the advice service"
 		}
 	}
+	if bestServer(t, usable, now) == nil && t.mayCrashServers() {
+		return fmt.Sprintf("a server of pool %s without other tasks, since %d servers crashed under it", pool, t.crashes)
+	}
 	if bestServer(t, usable, now) == nil {
 		return fmt.Sprintf("room on one of %d servers of pool %s", len(usable), pool)
 	}
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -73,6 +73,15 @@
 	lastRun    int
 	failures   int
 	checkpoint string
+	// crashes counts the servers that crashed while they ran the task, earlyCrashes those of them on which it had just begun,
+	// unexplained the servers that fell silent under it or may not have received its start order before they crashed.
+	crashes, earlyCrashes, unexplained int
+	// suspected is true while the task should run alone, since it may have crashed a server; suspectedAt is when that last
+	// happened.
+	suspected   bool
+	suspectedAt time.Time
+	// crashedVM is the VM of the last server that crashed.
+	crashedVM string
 	// recorded is the state that the store holds once the last batch is stored.
 	recorded taskRecord
 	// avoidedServer is the ID of the server on which the task last failed, stalled or was slow.
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -17,10 +17,11 @@
 	for id, v := range s.servers {
 		for _, r := range v.runs {
 			if s.leaseExpired(v, r, now) {
-				s.drop(r, now, "lease expired on an unreachable server")
+				s.lose(r, now, "lease expired on an unreachable server")
 			}
 		}
 		if !v.exists() && len(v.runs) == 0 && now.Sub(v.listedAt) > serverRetention && now.After(s.previousLeasesExpireAt) {
+			v.explainLost()
 			delete(s.servers, id)
 			s.sortedServers = nil
 		}
@@ -62,8 +63,8 @@
 }
 
 func (s *Scheduler) checkRun(v *serverState, r *run, now time.Time) {
-	if r.phase == working && !v.reachable && r.task.step.step.Speculative && now.Sub(v.listedAt) > speculationDelay {
-		s.drop(r, now, "server is unreachable: restarting the speculative task elsewhere")
+	if r.phase == working && !v.reachable && r.task.step.step.Speculative && now.Sub(v.listedAt) > speculationDelay && !r.task.hasLostServer() {
+		s.lose(r, now, "server is unreachable: restarting the speculative task elsewhere")
 		return
 	}
 	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now)) {
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -25,6 +25,7 @@
 	if !v.reachable {
 		s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server is reachable"})
 		s.needsPlan = true
+		v.explainLost()
 	}
 	if v.listingClock == 0 {
 		// A previous owner may just have renewed the lease.
@@ -105,6 +106,7 @@
 	}
 	r.percent = x.Percent
 	r.metric = x.Metric
+	s.endTrial(r)
 	if x.Checkpoint != "" && r.task.step.step.Checkpointing {
 		r.task.checkpoint = x.Checkpoint
 		r.task.step.checkpoint = x.Checkpoint
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -13,7 +13,7 @@
 	var found *serverState
 	least := 0.0
 	for _, v := range l {
-		if !eligible(t, v) {
+		if !eligible(t, v, now) {
 			continue
 		}
 		c := placementCost(t, v, now)
@@ -25,8 +25,11 @@
 }
 
 // eligible reports whether the server satisfies the task's constraints and has capacity for it.
-func eligible(t *task, v *serverState) bool {
+func eligible(t *task, v *serverState, now time.Time) bool {
 	p := t.step.step
+	if v.isolates() || t.mayCrashServers() && !v.canTry(t, now) {
+		return false
+	}
 	if p.Requires != "" && !v.info.HasLabel(p.Requires) {
 		return false
 	}
@@ -49,8 +52,11 @@
 
 // The weights of a placement cost. Its unit is the CPU capacity of one server: the base cost is the share left free.
 const (
-	// avoidedPenalty applies to the server on which the task last failed, stalled or was slow.
-	avoidedPenalty      = 8
+	// avoidedPenalty applies to the server on which the task last failed, stalled or was slow, and to the VM of the last one
+	// that crashed under it.
+	avoidedPenalty = 8
+	// companionPenalty applies to each run on the server of a task that may crash it.
+	companionPenalty    = 1
 	slowPenalty         = 4
 	remoteDataPenalty   = 4
 	interferencePenalty = 2
@@ -60,9 +66,12 @@
 func placementCost(t *task, v *serverState, now time.Time) float64 {
 	p := t.step.step
 	c := remainingCPUShare(v, p)
-	if v.info.ID == t.avoidedServer {
+	if v.info.ID == t.avoidedServer || t.crashes > 0 && v.info.VM == t.crashedVM {
 		c += avoidedPenalty
 	}
+	if t.mayCrashServers() {
+		c += companionPenalty * float64(len(v.runs))
+	}
 	if now.Before(v.health.slowUntil) {
 		c += slowPenalty
 	}
@@ -146,7 +155,7 @@
 func firstFit(t *task, l []*serverState, used map[*serverState]job.Size, count map[*serverState]int) *serverState {
 	p := t.step.step
 	for _, v := range l {
-		if p.Requires != "" && !v.info.HasLabel(p.Requires) {
+		if v.isolates() || p.Requires != "" && !v.info.HasLabel(p.Requires) {
 			continue
 		}
 		if p.AntiAffinity > 0 && count[v] >= p.AntiAffinity {
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -35,7 +35,7 @@
 	if !s.needsPlan || s.table == nil {
 		return
 	}
-	s.needsPlan = false
+	s.needsPlan, s.awaitingTrial = false, false
 	l := s.pendingSteps(now)
 	if len(l) == 0 {
 		return
@@ -229,6 +229,10 @@
 			continue
 		}
 		v := bestServer(t, l, now)
+		if v == nil && t.mayCrashServers() {
+			s.awaitTrial(w, now)
+			continue
+		}
 		if v == nil {
 			if len(l) == all {
 				full.add(w.step.step)
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -48,6 +48,9 @@
 	startPercent int
 	// metric is server.Run.Metric of the last listing.
 	metric int64
+	// isolated is true while the server gets no other runs, since the task may crash it; alone is true if it has got none
+	// since the run was assigned.
+	isolated, alone bool
 	// pace is the percentage of full speed to which the run is throttled.
 	pace    int
 	pacedAt time.Time
@@ -57,6 +60,8 @@
 func (s *Scheduler) assign(t *task, v *serverState, number int) *run {
 	t.lastRun = number
 	r := &run{task: t, number: number, server: v, pace: fullPace}
+	r.alone = t.mayCrashServers() && len(v.runs) == 0
+	r.setIsolated(r.alone)
 	t.run = r
 	v.addRun(r)
 	s.markDirty(t.state)
@@ -70,6 +75,7 @@
 // release frees the server capacity of a run and lets its task be placed again.
 func (s *Scheduler) release(r *run, now time.Time) {
 	r.server.removeRun(r)
+	r.setIsolated(false)
 	if len(r.server.runs) == 0 {
 		r.server.idleSince = now
 	}
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	poolDemandCache        map[string]*cachedDemands
 	// unplacedAt is, by pool, when a long-running task last found no server with enough capacity.
 	unplacedAt map[string]time.Time
+	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
+	awaitingTrial bool
 	// sortedServers caches the servers sorted by ID; nil after the set of servers has changed.
 	sortedServers []*serverState
 	// incomingCores are the cores on their way to each pool, reserveCores those of the standby VMs, which any pool could get.
@@ -85,6 +87,7 @@
 	s.checkRuns(now)
 	s.purgeEndedJobs(now)
 	s.pace(now)
+	s.needsPlan = s.needsPlan || s.awaitingTrial
 	s.plan(now)
 }
 
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -51,6 +51,10 @@
 	endedByList bool
 	shownOnVM   bool
 	knownSince  time.Time
+	// isolatedRuns counts the isolated runs.
+	isolatedRuns int
+	// lost holds the runs that were given up while it was not known whether the server had crashed.
+	lost []*run
 }
 
 // endLog tracks which run ends of a server have been processed and which of them are stored, by sequence number.
@@ -152,7 +156,7 @@
 		return
 	}
 	if v != nil && !i.StartedAt.Equal(v.info.StartedAt) {
-		s.dropPreviousRuns(v, now)
+		s.serverCrashed(v, now, "server restarted")
 		v = nil
 	}
 	if v != nil && v.terminated {
