--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -80,6 +80,7 @@
 // Tick does all work that is triggered by time rather than by an event.
 func (s *Scheduler) Tick(now time.Time) {
 	s.openDueOccurrences(now)
+	s.dropReplaced(now)
 	s.expireLeases(now)
 	s.updateLeaseRecord(now)
 	s.checkRuns(now)
