--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -29,9 +29,9 @@
 
 	// ownerLeaseTTL is how long the ownership outlives a failed owner. It is shorter than a third of a server's lease, so
 	// that runs outlast the gap.
-	ownerLeaseTTL = 1500 * time.Millisecond
-	// renewInterval allows for two lost renewals within ownerLeaseTTL.
-	renewInterval = 400 * time.Millisecond
+	ownerLeaseTTL = 1300 * time.Millisecond
+	// renewInterval allows for several lost renewals within ownerLeaseTTL and scheduler.MaxUnconfirmedRenewal.
+	renewInterval = 150 * time.Millisecond
 	// storeTimeout bounds a call to the store, which takes 250 ms when it is slow.
 	storeTimeout = time.Second
 	// electionInterval is the time between checks of the ownership while no change is reported.
--- /dev/null
+++ b/entry/owner/lease_test.go
@@ -0,0 +1,137 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/store"
+)
+
+// serverPair is two servers, by their IDs.
+type serverPair map[string]*fakeServer
+
+func (p serverPair) Start(ctx context.Context, o scheduler.StartOrder, token uint64) (scheduler.StartAnswer, time.Duration, error) {
+	return p[o.Server.ID].Start(ctx, o, token)
+}
+
+func (p serverPair) Stop(context.Context, scheduler.StopOrder, uint64) error { return nil }
+func (p serverPair) Pace(context.Context, scheduler.PaceOrder, uint64) error { return nil }
+
+func (p serverPair) Poll(ctx context.Context, h scheduler.PollRequest, token uint64, wait time.Duration) (server.Listing, error) {
+	return p[h.Server.ID].Poll(ctx, h, token, wait)
+}
+
+// leaseOnSlowClock is how long the longest lease lasts on a server whose clock runs 2% slow.
+const leaseOnSlowClock = 4980 * time.Millisecond * 100 / 98
+
+// A server and the owner were lost at the same time, and the task ran again after 8.8 s or more: the successor counted the
+// time in which its predecessor may have renewed leases from its own takeover, however late that was.
+func TestTasksRestartSoonAfterTheLossOfServerAndOwner(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		cores        float64
+		storeLatency time.Duration
+		limit        time.Duration
+	}{
+		{"strong successor", 1, 0, 8 * time.Second},
+	} {
+		for phase := time.Duration(0); phase < 400*time.Millisecond; phase += 70 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s/%s", c.name, phase), func(t *testing.T) {
+				runTest(t, func(g *gomega.WithT, s *cluster) {
+					x := loseServerAndOwner(g, s, losses{cores: c.cores, storeLatency: c.storeLatency, phase: phase})
+					g.Expect(x.sinceLoss).To(gomega.BeNumerically("<=", c.limit))
+					g.Expect(x.sinceVacant).To(gomega.BeNumerically(">=", leaseOnSlowClock+scheduler.MaxUnconfirmedRenewal),
+						"from when the previous owner could last be confirmed: a cut-off one may have renewed since")
+				})
+			})
+		}
+	}
+}
+
+// losses describes the loss of a server and the owner. cores are those of the next owner, storeLatency is the latency of the
+// store and phase shifts the time of the losses.
+type losses struct {
+	cores               float64
+	storeLatency, phase time.Duration
+}
+
+// restart is the time until the task of the lost server is started on another one: since the server was lost, since the owner
+// key was removed and since the next owner wrote it.
+type restart struct {
+	sinceLoss, sinceVacant, sinceTaken time.Duration
+}
+
+// loseServerAndOwner loses the server of a long-running task, and the owner 100 ms later.
+func loseServerAndOwner(g *gomega.WithT, s *cluster, l losses) restart {
+	p := serverPair{"s": {waits: true, lasts: true}, "t": {waits: true, lasts: true}}
+	s.servers, s.killed = p, true
+	_, err := s.store.Transact(s.ctx, store.Transaction{Writes: []store.Write{{Key: "servers/t", Value: []byte("t")}}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	first, stop := s.startEntry("e1")
+	time.Sleep(time.Second)
+	m := jobRecord(firstID)
+	m.Steps[0].Count, m.Steps[0].Lasting = 1, true
+	g.Expect(first.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+	s.cores = l.cores
+	s.startEntry("e2")
+	s.store.update(func() {
+		s.store.delay, s.store.readDelay, s.store.pageDelay = l.storeLatency, l.storeLatency, l.storeLatency
+	})
+	time.Sleep(5*time.Second + l.phase)
+	lost, other := p["s"], p["t"]
+	if len(lost.startOrders()) == 0 {
+		lost, other = other, lost
+	}
+	g.Expect(lost.startOrders()).To(gomega.HaveLen(1))
+	lost.lock.Lock()
+	lost.lost = true
+	lost.lock.Unlock()
+	lostAt := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	vacantAt := s.store.awaitOwner(false)
+	takenAt := s.store.awaitOwner(true)
+	for len(other.startOrders()) == 0 && time.Since(lostAt) < 20*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return restart{time.Since(lostAt), time.Since(vacantAt), time.Since(takenAt)}
+}
+
+// awaitOwner waits until there is an owner, or none, and returns the time.
+func (m *fakeStore) awaitOwner(present bool) time.Time {
+	for {
+		m.lock.Lock()
+		m.expire()
+		_, ok := m.items["tarragonbank/owner"]
+		m.lock.Unlock()
+		if ok == present {
+			return time.Now()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Polls that wait at the servers made the last renewal of a lease come up to a second before renewals ended. Runs outlast a
+// store outage by what is left of the lease then.
+func TestRunsOutlastAStoreOutage(t *testing.T) {
+	const outlasted = 5600 * time.Millisecond
+	for phase := time.Duration(0); phase < time.Second; phase += 70 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			runTest(t, func(g *gomega.WithT, s *cluster) {
+				s.server.waits = true
+				s.startEntry("e1")
+				time.Sleep(3*time.Second + phase)
+				s.store.update(func() { s.store.unavailable = true })
+				began := time.Now()
+				time.Sleep(4 * time.Second)
+				g.Expect(s.server.leaseEnd().Sub(began)).To(gomega.BeNumerically(">=", outlasted))
+			})
+		})
+	}
+}
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -20,6 +20,9 @@
 	// servers. A lost answer delays the report of ends for as long.
 	idlePollWait = time.Second
 	busyPollWait = 400 * time.Millisecond
+	// finalRenewalLead is how long before the renewal of leases ends the polls return, so that the next ones renew them once
+	// more. It covers the way of the answers to a busy owner.
+	finalRenewalLead = 150 * time.Millisecond
 	// pollSlack is how long after the wait of a poll its answer may arrive.
 	pollSlack = 250 * time.Millisecond
 	// laterRetryTimeout bounds a poll after two or more missed ones, firstRetryTimeout the first poll of a server and one
@@ -199,10 +202,7 @@
 	if !h.Server.Address.IsValid() {
 		return &UnknownAddressError{Server: h.Server.ID}
 	}
-	wait := idlePollWait
-	if h.ExpectsEnds {
-		wait = busyPollWait
-	}
+	wait := r.pollWait(h)
 	timeout := wait + pollSlack
 	switch {
 	case missed == 1:
@@ -221,6 +221,19 @@
 	return nil
 }
 
+// pollWait returns how long a poll waits for ends. While the store does not confirm the ownership, it ends finalRenewalLead
+// before leases are no longer renewed, so that the last renewal comes as late as possible.
+func (r *term) pollWait(h scheduler.PollRequest) time.Duration {
+	wait := idlePollWait
+	if h.ExpectsEnds {
+		wait = busyPollWait
+	}
+	if left := scheduler.MaxUnconfirmedRenewal - finalRenewalLead - r.confirmationAge(); left > 0 {
+		wait = min(wait, left)
+	}
+	return wait
+}
+
 // pollMissed reports the server as unreachable after unreachableAfter missed polls. A single miss may be a lost answer.
 func (r *term) pollMissed(h scheduler.PollRequest, missed int, err error) {
 	if missed < unreachableAfter || r.ctx.Err() != nil {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -49,6 +49,8 @@
 	previousEnded bool
 	// voluntary is true once this entry gives up the ownership by itself.
 	voluntary atomic.Bool
+	// renewalsFailing is true from a failed renewal of the owner lease, which is logged, to the next one that succeeds.
+	renewalsFailing atomic.Bool
 	// pollers are the IDs of the servers that a goroutine polls.
 	pollers        map[string]bool
 	goroutines     sync.WaitGroup
@@ -74,6 +76,8 @@
 	tickInterval = 100 * time.Millisecond
 	// maxConfirmationAge is how old the store's confirmation may be for orders that cannot be fenced.
 	maxConfirmationAge = time.Second
+	// minPreviousTerm is twice as long as owners, also those of earlier versions, renew leases without a confirmation.
+	minPreviousTerm = 4 * time.Second
 )
 
 // previousOwnerEnded reports whether no previous owner can renew a server lease from now on. That holds if the last one
@@ -81,7 +85,7 @@
 // than its own predecessor could have kept renewing.
 func (o *Owner) previousOwnerEnded(previous Record, now time.Time) bool {
 	return previous.Name == o.self.Name && previous.Address == o.self.Address &&
-		now.Sub(previous.TakenAt) > 2*scheduler.MaxUnconfirmedRenewal
+		now.Sub(previous.TakenAt) > minPreviousTerm
 }
 
 // newTerm returns a term that follows the previous owner's; run serves it.
@@ -176,7 +180,8 @@
 	r.stepDown(reason)
 }
 
-// renew renews the owner lease every renewInterval.
+// renew renews the owner lease every renewInterval, without waiting for the answers: one that is lost must not delay the next
+// confirmation.
 func (r *term) renew() {
 	t := time.NewTicker(renewInterval)
 	defer t.Stop()
@@ -185,7 +190,7 @@
 		case <-r.ctx.Done():
 			return
 		case <-t.C:
-			r.renewOnce()
+			r.spawn(r.renewOnce)
 		}
 	}
 }
@@ -198,10 +203,11 @@
 	var expired *store.LeaseExpiredError
 	switch {
 	case err == nil:
+		r.renewalsFailing.Store(false)
 		r.confirmOwnership(began)
 	case errors.As(err, &expired):
 		r.stepDown("the owner lease has expired")
-	case r.ctx.Err() == nil:
+	case r.ctx.Err() == nil && !r.renewalsFailing.Swap(true):
 		r.owner.logDecision(decision.Dependency, "owner lease not renewed: "+err.Error(), r.token)
 	}
 }
--- a/fleet/scheduler/lease.go
+++ b/fleet/scheduler/lease.go
@@ -8,16 +8,16 @@
 
 const (
 	// MaxUnconfirmedRenewal is how long an owner renews server leases after the store last confirmed its ownership. With the
-	// leases themselves, runs outlast a store outage of about 6 s.
-	MaxUnconfirmedRenewal = 2 * time.Second
+	// leases themselves, runs outlast a store outage of 5.7 s. A successor waits for both.
+	MaxUnconfirmedRenewal = 1100 * time.Millisecond
 	// maxLeaseDuration bounds the requested leases. They have to outlast a takeover, which takes up to 3 s.
 	maxLeaseDuration = 5 * time.Second
 	// leaseRenewalPercent is the percentage of the longest lease that is requested at most. A shorter lease lets the tasks
 	// of a lost server restart sooner.
 	leaseRenewalPercent = 83
 	// leaseExpiryPercent is the percentage of a lease's duration after which it has expired even on a server whose clock
-	// runs 2% slow.
-	leaseExpiryPercent = 104
+	// runs 2% slow and was last read some seconds before the renewal.
+	leaseExpiryPercent = 103
 	// leaseRecordDelay is how long a server is unreachable before the lease record lists it. Until the record has been
 	// stored without it, a server that answers again gets no renewal.
 	leaseRecordDelay = 500 * time.Millisecond
