--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -313,6 +313,7 @@
 		Lease:     max(lease, time.Duration(m.LeaseMs)*time.Millisecond),
 		Renewal:   max(renewal, time.Duration(m.RenewalMs)*time.Millisecond),
 		Remaining: time.Duration(r.released.GetRemainingMs()) * time.Millisecond,
+		LostAt:    r.vacantSince,
 	}
 	if m.LeaseMs == 0 {
 		p.Lease, p.Renewal = r.owner.limits.MaxLease, earlierRenewal
@@ -334,7 +335,7 @@
 			r.owner.logDecision(decision.Ownership, "malformed lease record: "+err.Error(), i.Revision)
 			continue
 		}
-		r.update(func(s *scheduler.Scheduler, now time.Time) { s.RestoreLeases(m, now) })
+		r.update(func(s *scheduler.Scheduler, _ time.Time) { s.RestoreLeases(m) })
 	}
 }
 
--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -24,7 +24,9 @@
 	progressPrefix = keyPrefix + "course/"
 	logPrefix      = keyPrefix + "log/"
 	// leasesKey holds the lease record, releaseKey the release of an owner that gave up the ownership by itself.
-	leasesKey  = keyPrefix + "leases"
+	leasesKey = keyPrefix + "leases"
+	// termKey names the last owner like ownerKey, but outlives its lease. Its revision is that owner's fencing token.
+	termKey    = keyPrefix + "term"
 	releaseKey = keyPrefix + "released"
 
 	// ownerLeaseTTL is how long the ownership outlives a failed owner. It is shorter than a third of a server's lease, so
@@ -91,12 +93,14 @@
 }
 
 // acquisition is the result of taking the ownership. askedAt is when the call was sent that started the owner lease.
-// released is the release of the previous owner, nil if that did not give up the ownership by itself.
+// released is the release of the previous owner, nil if that did not give up the ownership by itself. vacantSince is when
+// this entry knew that the previous owner had lost the ownership, zero if that may have been at any time before this one.
 type acquisition struct {
-	token    store.Revision
-	lease    store.LeaseID
-	askedAt  time.Time
-	released *schema.OwnerRelease
+	token       store.Revision
+	lease       store.LeaseID
+	askedAt     time.Time
+	released    *schema.OwnerRelease
+	vacantSince time.Time
 }
 
 // acquireAndServe tries to acquire the ownership and, if it succeeds, serves the term until it ends.
@@ -104,15 +108,15 @@
 	c, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
 	a := acquisition{askedAt: time.Now()}
-	release := make(chan storedRelease, 1)
-	go func() { release <- o.readRelease(c) }()
+	previous := make(chan previousTerm, 1)
+	go func() { previous <- o.readPreviousTerm(c) }()
 	var err error
 	if a.lease, err = o.deps.Store.Grant(c, ownerLeaseTTL); err != nil {
 		o.logDecision(decision.Dependency, "owner lease not granted: "+err.Error(), k.Revision)
 		wait.For(ctx, electionInterval)
 		return
 	}
-	if err := o.acquire(ctx, k, <-release, &a); err != nil {
+	if err := o.acquire(ctx, k, <-previous, &a); err != nil {
 		o.logDecision(decision.Ownership, "ownership not acquired: "+err.Error(), k.Revision)
 		o.revokeLease(a.lease)
 		wait.For(ctx, electionSlotInterval)
@@ -135,6 +139,7 @@
 	defer o.lock.Unlock()
 	if o.known.Revision <= token && o.known.Name == o.self.Name {
 		o.known = Record{}
+		o.vacancy = vacancy{revision: token, since: time.Now()}
 	}
 }
 
@@ -148,7 +153,7 @@
 
 // acquire replaces the owner record by compare-and-swap and sets its revision, the fencing token of the new term. It
 // removes the release of the previous owner, which says nothing about later ones.
-func (o *Owner) acquire(ctx context.Context, k Record, last storedRelease, a *acquisition) error {
+func (o *Owner) acquire(ctx context.Context, k Record, last previousTerm, a *acquisition) error {
 	if last.err != nil {
 		return last.err
 	}
@@ -161,10 +166,10 @@
 	c, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
 	t := store.Transaction{
-		Expected: map[string]store.Revision{ownerKey: k.Revision, releaseKey: last.revision},
-		Writes:   []store.Write{{Key: ownerKey, Value: b, Lease: a.lease}},
+		Expected: map[string]store.Revision{ownerKey: k.Revision, releaseKey: last.releaseRevision, termKey: last.revision},
+		Writes:   []store.Write{{Key: ownerKey, Value: b, Lease: a.lease}, {Key: termKey, Value: b}},
 	}
-	if last.revision != 0 {
+	if last.releaseRevision != 0 {
 		t.Deletes = []string{releaseKey}
 	}
 	a.token, err = o.deps.Store.Transact(c, t)
@@ -174,32 +179,64 @@
 	}
 	if err == nil && k.Revision == 0 {
 		a.released = last.release
+		a.vacantSince = o.vacantSince(last.revision)
 	}
 	return err
 }
 
-// storedRelease is the release of the previous owner and its revision in the store, 0 if there is none.
-type storedRelease struct {
-	release  *schema.OwnerRelease
-	revision store.Revision
-	err      error
+// vacantSince returns when this entry knew that the last owner, whose token is given, had lost the ownership, or zero if
+// it did not learn that. No earlier owner can have been confirmed since.
+func (o *Owner) vacantSince(token store.Revision) time.Time {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if token == 0 || o.vacancy.revision != token {
+		return time.Time{}
+	}
+	return o.vacancy.since
 }
 
-func (o *Owner) readRelease(ctx context.Context) storedRelease {
-	i, err := o.deps.Store.Get(ctx, releaseKey)
-	var notFound *store.NotFoundError
-	if errors.As(err, &notFound) {
-		return storedRelease{}
+// previousTerm is what the store tells of the previous owner: its token and its release, with the revision of that. They
+// are 0 and nil if there are none.
+type previousTerm struct {
+	revision        store.Revision
+	release         *schema.OwnerRelease
+	releaseRevision store.Revision
+	err             error
+}
+
+func (o *Owner) readPreviousTerm(ctx context.Context) previousTerm {
+	last := make(chan store.Item, 1)
+	failed := make(chan error, 1)
+	go func() {
+		i, err := o.readOptional(ctx, termKey)
+		failed <- err
+		last <- i
+	}()
+	i, err := o.readOptional(ctx, releaseKey)
+	if err = errors.Join(err, <-failed); err != nil {
+		return previousTerm{err: err}
 	}
-	if err != nil {
-		return storedRelease{err: err}
+	p := previousTerm{revision: (<-last).Revision, releaseRevision: i.Revision}
+	if i.Revision == 0 {
+		return p
 	}
 	m := &schema.OwnerRelease{}
 	if err := proto.Unmarshal(i.Value, m); err != nil {
 		o.logDecision(decision.Ownership, "malformed release: "+err.Error(), i.Revision)
-		m = nil
+		return p
 	}
-	return storedRelease{release: m, revision: i.Revision}
+	p.release = m
+	return p
+}
+
+// readOptional reads a key once. The item has no revision if the key does not exist.
+func (o *Owner) readOptional(ctx context.Context, key string) (store.Item, error) {
+	i, err := o.deps.Store.Get(ctx, key)
+	var notFound *store.NotFoundError
+	if errors.As(err, &notFound) {
+		return store.Item{}, nil
+	}
+	return i, err
 }
 
 // release gives the ownership back after the term has ended, with what the next owner needs to know of the leases. If the
@@ -262,6 +299,10 @@
 		return
 	}
 	if e.Deleted {
+		if e.Revision < s.owner.Known().Revision {
+			// The record that was removed has been replaced already.
+			return
+		}
 		s.setRecord(Record{})
 		s.owner.endTermBefore(e.Revision)
 		return
@@ -290,6 +331,9 @@
 func (s ownerSink) setRecord(r Record) {
 	s.owner.lock.Lock()
 	changed := s.owner.known != r
+	if changed && r.Revision == 0 {
+		s.owner.vacancy = vacancy{revision: s.owner.known.Revision, since: time.Now()}
+	}
 	s.owner.known = r
 	s.owner.lock.Unlock()
 	if changed {
--- a/entry/owner/lease_test.go
+++ b/entry/owner/lease_test.go
@@ -40,6 +40,8 @@
 		limit        time.Duration
 	}{
 		{"strong successor", 1, 0, 8 * time.Second},
+		{"weak successor", 0.01, 0, 8 * time.Second},
+		{"weak successor and slow store", 0.01, 240 * time.Millisecond, 8500 * time.Millisecond},
 	} {
 		for phase := time.Duration(0); phase < 400*time.Millisecond; phase += 70 * time.Millisecond {
 			t.Run(fmt.Sprintf("%s/%s", c.name, phase), func(t *testing.T) {
@@ -55,10 +57,11 @@
 }
 
 // losses describes the loss of a server and the owner. cores are those of the next owner, storeLatency is the latency of the
-// store and phase shifts the time of the losses.
+// store and phase shifts the time of the losses. missedOwner makes the next owner miss that there was another one.
 type losses struct {
 	cores               float64
 	storeLatency, phase time.Duration
+	missedOwner         bool
 }
 
 // restart is the time until the task of the lost server is started on another one: since the server was lost, since the owner
@@ -95,6 +98,10 @@
 	lostAt := time.Now()
 	time.Sleep(100 * time.Millisecond)
 	stop()
+	if l.missedOwner {
+		_, err := s.store.Transact(s.ctx, store.Transaction{Writes: []store.Write{{Key: "tarragonbank/term"}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
 	vacantAt := s.store.awaitOwner(false)
 	takenAt := s.store.awaitOwner(true)
 	for len(other.startOrders()) == 0 && time.Since(lostAt) < 20*time.Second {
@@ -135,3 +142,11 @@
 		})
 	}
 }
+
+// A successor that has not seen every owner of late cannot tell since when none of them can have been confirmed.
+func TestSuccessorThatMissedAnOwnerCountsFromItsTakeover(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		x := loseServerAndOwner(g, s, losses{cores: 0.01, missedOwner: true})
+		g.Expect(x.sinceTaken).To(gomega.BeNumerically(">=", leaseOnSlowClock+scheduler.MaxUnconfirmedRenewal))
+	})
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -105,6 +105,7 @@
 	lock    sync.Mutex
 	table   *queue.Table
 	known   Record
+	vacancy vacancy
 	term    *term
 	leaving bool
 	wakeup  chan struct{}
@@ -119,6 +120,13 @@
 	TakenAt time.Time
 }
 
+// vacancy is the last time at which the ownership was found to be free. revision is that of the record that was removed,
+// since is when this entry learned of its removal.
+type vacancy struct {
+	revision store.Revision
+	since    time.Time
+}
+
 // New returns an Owner without a term; Run starts the election.
 func New(self Identity, l scheduler.Limits, d Dependencies) *Owner {
 	return &Owner{self: self, limits: l, deps: d, wakeup: make(chan struct{}, 1)}
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -47,6 +47,8 @@
 	// lease any more.
 	released      *schema.OwnerRelease
 	previousEnded bool
+	// vacantSince is when the previous owner had lost the ownership, zero if that is not known.
+	vacantSince time.Time
 	// voluntary is true once this entry gives up the ownership by itself.
 	voluntary atomic.Bool
 	// renewalsFailing is true from a failed renewal of the owner lease, which is logged, to the next one that succeeds.
@@ -92,7 +94,7 @@
 func newTerm(o *Owner, previous Record, a acquisition) *term {
 	now := time.Now()
 	r := &term{
-		owner: o, token: a.token, lease: a.lease, startedAt: now, released: a.released,
+		owner: o, token: a.token, lease: a.lease, startedAt: now, released: a.released, vacantSince: a.vacantSince,
 		previousEnded: a.released != nil || o.previousOwnerEnded(previous, now),
 		scheduler:     scheduler.New(o.limits, now), pollers: map[string]bool{},
 		commitRequests: make(chan struct{}, 1),
--- a/fleet/scheduler/lease.go
+++ b/fleet/scheduler/lease.go
@@ -34,16 +34,22 @@
 type Predecessor struct {
 	// Lease is the longest lease that it requested.
 	Lease time.Duration
-	// Renewal is how long it can have gone on renewing leases after the takeover.
+	// Renewal is how long it can have gone on renewing leases after it had lost the ownership.
 	Renewal time.Duration
-	// Remaining, if it is longer, is the time after the takeover until all leases have expired.
+	// Remaining, if it is longer, is the time from then until all leases have expired.
 	Remaining time.Duration
+	// LostAt is when it had lost the ownership for certain, zero if that is not known before the takeover.
+	LostAt time.Time
 }
 
 // SetPredecessor sets how long the leases last that were renewed before the takeover.
 func (s *Scheduler) SetPredecessor(p Predecessor) {
 	s.previousLease = p.Lease
-	s.previousLeasesExpireAt = s.startedAt.Add(max(p.Renewal+p.Lease*leaseExpiryPercent/100+leaseExpiryMargin, p.Remaining))
+	s.previousLostAt = s.startedAt
+	if !p.LostAt.IsZero() && p.LostAt.Before(s.startedAt) {
+		s.previousLostAt = p.LostAt
+	}
+	s.previousLeasesExpireAt = s.previousLostAt.Add(max(p.Renewal+p.Lease*leaseExpiryPercent/100+leaseExpiryMargin, p.Remaining))
 }
 
 // LeaseTerms returns the longest lease that this owner requests and how long it renews leases without a confirmation of
@@ -127,15 +133,15 @@
 	return v.previousExpiry
 }
 
-// RestoreLeases takes over the lease record of the previous owner.
-func (s *Scheduler) RestoreLeases(m *schema.LeaseRecord, now time.Time) {
+// RestoreLeases takes over the lease record of the previous owner, which stored it before it lost the ownership.
+func (s *Scheduler) RestoreLeases(m *schema.LeaseRecord) {
 	for _, l := range m.GetServers() {
 		v := s.inheritedServer(l.Server, time.UnixMilli(l.BornMs))
 		if v == nil {
 			continue
 		}
 		v.leaseRecorded = true
-		v.previousExpiry = now.Add(time.Duration(l.RemainingMs) * time.Millisecond)
+		v.previousExpiry = s.previousLostAt.Add(time.Duration(l.RemainingMs) * time.Millisecond)
 	}
 }
 
--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -25,6 +25,8 @@
 	leaseUnderstated bool
 	// leaseOverrun makes servers keep runs for longer than their owner's lease.
 	leaseOverrun bool
+	// earlyLoss makes owners believe that their predecessor lost the ownership before it did.
+	earlyLoss bool
 }
 
 // modelServer simulates a backend server.
@@ -74,15 +76,17 @@
 	servers      []*modelServer
 	owners       []*modelOwner
 	fencingToken uint64
-	jobs         map[string]*schema.JobRecord
-	progress     map[string]*schema.JobProgress
-	log          map[uint64]*schema.LogEntry
-	leases       *schema.LeaseRecord
-	messages     []message
-	acknowledged map[job.Task]bool
-	violations   []string
-	starts       int
-	done         int
+	// lostAt is when the last owner lost the ownership, takeoverAt when the next one acquires it, zero if it is not free.
+	lostAt, takeoverAt time.Time
+	jobs               map[string]*schema.JobRecord
+	progress           map[string]*schema.JobProgress
+	log                map[uint64]*schema.LogEntry
+	leases             *schema.LeaseRecord
+	messages           []message
+	acknowledged       map[job.Task]bool
+	violations         []string
+	starts             int
+	done               int
 }
 
 func newModel(seed uint64, f disabledSafeguards) *model {
@@ -95,6 +99,7 @@
 		s.reset()
 		m.servers = append(m.servers, s)
 	}
+	m.loseOwnership(0)
 	m.takeOver()
 	return m
 }
@@ -115,11 +120,26 @@
 	return s.startedAt.Add(time.Duration(float64(clock) / s.clockRate))
 }
 
-func (m *model) takeOver() {
+// loseOwnership ends the last owner's ownership. The next owner acquires it after the delay.
+func (m *model) loseOwnership(delay time.Duration) {
+	if !m.takeoverAt.IsZero() {
+		return
+	}
 	m.fencingToken++
+	m.lostAt, m.takeoverAt = m.now, m.now.Add(delay)
+}
+
+func (m *model) takeOver() {
+	m.takeoverAt = time.Time{}
 	o := &modelOwner{Scheduler: scheduler.New(bounds, m.now), fencingToken: m.fencingToken, lastCurrent: m.now, polling: map[string]bool{}}
 	o.SetTable(table)
-	o.RestoreLeases(proto.CloneOf(m.leases), m.now)
+	lostAt := m.lostAt
+	if m.disabled.earlyLoss {
+		lostAt = lostAt.Add(-3 * time.Second)
+	}
+	lease, renewal := o.LeaseTerms()
+	o.SetPredecessor(scheduler.Predecessor{Lease: lease, Renewal: renewal, LostAt: lostAt})
+	o.RestoreLeases(proto.CloneOf(m.leases))
 	entries := []*schema.LogEntry{}
 	for _, e := range m.log {
 		entries = append(entries, proto.CloneOf(e))
@@ -157,6 +177,9 @@
 func (m *model) step() {
 	m.now = m.now.Add(20 * time.Millisecond)
 	m.injectFault()
+	if !m.takeoverAt.IsZero() && !m.now.Before(m.takeoverAt) {
+		m.takeOver()
+	}
 	for _, s := range m.servers {
 		m.finishRuns(s)
 	}
@@ -193,7 +216,7 @@
 		if m.chance(0.5) {
 			m.owners[len(m.owners)-1].dead = true
 		}
-		m.takeOver()
+		m.loseOwnership(time.Duration(m.rand.IntN(2000)) * time.Millisecond)
 	case m.chance(0.01):
 		m.submit()
 	}
--- a/fleet/scheduler/protocol_test.go
+++ b/fleet/scheduler/protocol_test.go
@@ -44,5 +44,6 @@
 		ginkgo.Entry("a store that accepts only one owner", disabledSafeguards{noCommitFencing: true, noFencing: true}),
 		ginkgo.Entry("the log of progress", disabledSafeguards{noLog: true}),
 		ginkgo.Entry("a lease record that tells the whole time", disabledSafeguards{leaseUnderstated: true}),
+		ginkgo.Entry("the time at which the previous owner lost the ownership", disabledSafeguards{earlyLoss: true}),
 		ginkgo.Entry("expiry of leases on time", disabledSafeguards{leaseOverrun: true}))
 })
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -32,9 +32,11 @@
 	dirtyJobs   []*jobState
 	removedJobs []string
 	orders      Orders
-	// startedAt is when the owner took over. previousLeasesExpireAt is when every lease that a previous owner can have
-	// renewed has expired, previousLease the longest lease that it can have requested.
+	// startedAt is when the owner took over, previousLostAt when the previous owner had lost the ownership for certain.
+	// previousLeasesExpireAt is when every lease that a previous owner can have renewed has expired, previousLease the
+	// longest lease that it can have requested.
 	startedAt              time.Time
+	previousLostAt         time.Time
 	previousLeasesExpireAt time.Time
 	previousLease          time.Duration
 	leaseRecord            leaseRecordState
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -255,11 +255,17 @@
 	ginkgo.Entry("when the previous owner has ended", slowLease, func(w *harness) {
 		w.SetPredecessor(scheduler.Predecessor{Lease: requestedLease})
 	}),
+	ginkgo.Entry("when another entry may still renew it, but lost the ownership long before", scheduler.MaxUnconfirmedRenewal+slowLease-2*time.Second,
+		func(w *harness) {
+			w.SetPredecessor(scheduler.Predecessor{
+				Lease: requestedLease, Renewal: scheduler.MaxUnconfirmedRenewal, LostAt: start.Add(-2 * time.Second),
+			})
+		}),
 	ginkgo.Entry("when an earlier owner may renew it for longer than the last one", 9*time.Second, func(w *harness) {
 		w.SetPredecessor(scheduler.Predecessor{Lease: requestedLease, Remaining: 9 * time.Second})
 	}),
 	ginkgo.Entry("when the last owner recorded its expiry", 1200*time.Millisecond, func(w *harness) {
-		w.RestoreLeases(&schema.LeaseRecord{Servers: []*schema.ServerLease{{Server: "a", BornMs: start.UnixMilli(), RemainingMs: 1200}}}, w.now)
+		w.RestoreLeases(&schema.LeaseRecord{Servers: []*schema.ServerLease{{Server: "a", BornMs: start.UnixMilli(), RemainingMs: 1200}}})
 	}))
 
 // Each owner of a chain that was replaced before the wait for a server's lease was over began that wait anew: a task of a
@@ -270,7 +276,7 @@
 	takeOver := func(m *schema.LeaseRecord, now time.Time) *harness {
 		w := &harness{Scheduler: scheduler.New(bounds, now), now: now, endSequences: map[string]uint64{}}
 		w.SetTable(table)
-		w.RestoreLeases(m, now)
+		w.RestoreLeases(m)
 		w.Restore(newRecord(1, 1, longRunning), progress, now)
 		return w
 	}
@@ -369,7 +375,7 @@
 
 	ginkgo.It("of the previous owner keeps its servers' leases from being renewed", func() {
 		x := newHarness()
-		x.RestoreLeases(silence(time.Second), x.now)
+		x.RestoreLeases(silence(time.Second))
 		x.Register(newServer("a"), x.now)
 		x.ListingReceived("a", server.Listing{StartedAt: start, Clock: x.clock()}, x.now)
 		h, _ := x.PreparePoll("a", x.now)
