--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -75,9 +75,13 @@
 }
 
 // inheritedServer returns the server incarnation to which a previous owner assigned a run, adding it if it is unknown,
-// or nil if a later incarnation is known.
+// or nil if a later incarnation is known. It drops the runs of an earlier one.
 func (s *Scheduler) inheritedServer(id string, startedAt time.Time) *serverState {
 	v := s.servers[id]
+	if v != nil && v.info.StartedAt.Before(startedAt) {
+		s.dropPreviousRuns(v, s.startedAt)
+		v = nil
+	}
 	if v == nil {
 		v = &serverState{info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{}, unreachableSince: s.startedAt}
 		s.servers[id] = v
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -427,6 +427,23 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
 
+	// The run was attached to the earlier incarnation and started a second time once the later one registered.
+	ginkgo.It("continues a run on a server whose earlier incarnation is in the lease record", func() {
+		x := newHarness()
+		x.RestoreLeases(&schema.LeaseRecord{Servers: []*schema.ServerLease{
+			{Server: "a", BornMs: start.Add(-time.Minute).UnixMilli(), RemainingMs: 100},
+		}})
+		x.Restore(m, p, x.now)
+		x.addServers("b")
+		x.advance(time.Second)
+		x.reportRuns("b")
+		x.commit()
+		x.Register(newServer("a"), x.now)
+		x.reportRuns("b")
+		x.commit()
+		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("completes a job whose tasks are all stored as done", func() {
 		x := newHarness()
 		x.Restore(newRecord(2, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Done: true}}}, x.now)
