--- a/entry/owner/lease_test.go
+++ b/entry/owner/lease_test.go
@@ -143,6 +143,34 @@
 	}
 }
 
+// Registrations expire during a long store outage and are back up to two seconds later, when the leases have expired as well:
+// an owner that knew the servers from its last term lost their runs all the same.
+func TestOwnerPollsTheServersOfItsLastTermBeforeTheyRegister(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		s.server.waits, s.server.lasts = true, true
+		o, _ := s.startEntry("e1")
+		time.Sleep(time.Second)
+		m := jobRecord(firstID)
+		m.Steps[0].Lasting = true
+		g.Expect(o.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+		time.Sleep(2 * time.Second)
+		s.store.update(func() {
+			s.store.unavailable = true
+			s.store.remove("servers/s")
+		})
+		time.Sleep(5 * time.Second)
+		s.store.update(func() { s.store.unavailable = false })
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(s.server.leaseEnd()).To(gomega.BeTemporally(">", time.Now()))
+		}
+		_, err := s.store.Transact(s.ctx, store.Transaction{Writes: []store.Write{{Key: "servers/s", Value: []byte("s")}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(time.Second)
+		g.Expect(s.server.startOrders()).To(gomega.HaveLen(2), "both runs continue")
+	})
+}
+
 // A successor that has not seen every owner of late cannot tell since when none of them can have been confirmed.
 func TestSuccessorThatMissedAnOwnerCountsFromItsTakeover(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -304,10 +304,39 @@
 		r.owner.logDecision(decision.Server, "registration "+e.Key+" ignored: "+err.Error(), e.Revision)
 		return
 	}
+	r.owner.rememberServer(v)
 	r.update(func(s *scheduler.Scheduler, now time.Time) { s.Register(v, now) })
 	r.ensurePolling(v)
 }
 
+func (o *Owner) rememberServer(v server.Server) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.servers[v.ID] = v
+}
+
+// pollRemembered polls the servers with restored runs that this entry knows from an earlier term, and forgets the others. Their
+// registrations may have expired while the store was unavailable.
+func (r *term) pollRemembered() {
+	o := r.owner
+	o.lock.Lock()
+	known := o.servers
+	o.servers = map[string]server.Server{}
+	o.lock.Unlock()
+	l := []server.Server{}
+	r.update(func(s *scheduler.Scheduler, _ time.Time) {
+		for _, v := range s.Servers() {
+			if k, ok := known[v.ID]; ok && s.Recall(k) {
+				l = append(l, k)
+			}
+		}
+	})
+	for _, v := range l {
+		o.rememberServer(v)
+		r.ensurePolling(v)
+	}
+}
+
 // Failed logs that the store cannot be reached.
 func (k registrationSink) Failed(err error) {
 	k.term.owner.logDecision(decision.Dependency, "watching the registrations failed: "+err.Error(), k.term.token)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -108,6 +108,8 @@
 	vacancy vacancy
 	term    *term
 	leaving bool
+	// servers are the servers that were registered in this entry's terms, by ID, as far as its last term knew them.
+	servers map[string]server.Server
 	wakeup  chan struct{}
 }
 
@@ -129,7 +131,7 @@
 
 // New returns an Owner without a term; Run starts the election.
 func New(self Identity, l scheduler.Limits, d Dependencies) *Owner {
-	return &Owner{self: self, limits: l, deps: d, wakeup: make(chan struct{}, 1)}
+	return &Owner{self: self, limits: l, deps: d, servers: map[string]server.Server{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetTable applies the queue table of a newer configuration.
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -146,6 +146,7 @@
 		o.logDecision(decision.Ownership, "term ended, stored jobs not read: "+err.Error(), r.token)
 		return
 	}
+	r.pollRemembered()
 	r.spawn(func() { mirror.New(o.deps.Store, o.deps.Registry.Prefix(), registrationSink{r}).Run(r.ctx) })
 	r.ready.Store(true)
 	o.deps.Metrics.Gauge("owns", 1)
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -172,6 +172,20 @@
 	s.needsPlan = true
 }
 
+// Recall adds what is known of a server from earlier to one with restored runs that is not registered, so that it can be
+// polled. It reports whether the server is such a one, of the same incarnation. No new runs are placed on it before it is
+// registered.
+func (s *Scheduler) Recall(i server.Server) bool {
+	v := s.servers[i.ID]
+	if v == nil || v.registered || len(v.runs) == 0 || !v.info.StartedAt.Equal(i.StartedAt) {
+		return false
+	}
+	// Whether it drains is known once it is registered.
+	i.Draining = false
+	v.info = i
+	return true
+}
+
 // Unregister records that a server's registration was removed. Its runs may continue until their lease expires.
 func (s *Scheduler) Unregister(id string, now time.Time) {
 	v := s.servers[id]
