--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -105,8 +105,11 @@
 	lock    sync.Mutex
 	table   *queue.Table
 	known   Record
+	vacancy vacancy
 	term    *term
 	leaving bool
+	// servers are the servers that were registered in this entry's terms, by ID, as far as its last term knew them.
+	servers map[string]server.Server
 	wakeup  chan struct{}
 }
 
@@ -119,9 +122,16 @@
 	TakenAt time.Time
 }
 
+// vacancy is the last time at which the ownership was found to be free. revision is that of the record that was removed,
+// since is when this entry learned of its removal.
+type vacancy struct {
+	revision store.Revision
+	since    time.Time
+}
+
 // New returns an Owner without a term; Run starts the election.
 func New(self Identity, l scheduler.Limits, d Dependencies) *Owner {
-	return &Owner{self: self, limits: l, deps: d, wakeup: make(chan struct{}, 1)}
+	return &Owner{self: self, limits: l, deps: d, servers: map[string]server.Server{}, wakeup: make(chan struct{}, 1)}
 }
 
 // SetTable applies the queue table of a newer configuration.
