--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -115,6 +115,22 @@
 	v.lost = nil
 }
 
+// serverReplaced drops the runs of a server whose VM is down or runs another server, in the pool. That counts as a crash
+// unless the VM was moved to the pool.
+func (s *Scheduler) serverReplaced(v *serverState, pool string, now time.Time, reason string) {
+	if pool != v.info.Pool {
+		s.serverStopped(v, now, reason)
+		return
+	}
+	s.serverCrashed(v, now, reason)
+}
+
+// serverStopped drops the runs of a server that was ended by an order.
+func (s *Scheduler) serverStopped(v *serverState, now time.Time, reason string) {
+	v.explainLost()
+	s.dropRuns(v, now, reason)
+}
+
 // serverCrashed drops the runs of a server that has surely ended, and counts the crash against its tasks unless the server
 // was to leave.
 func (s *Scheduler) serverCrashed(v *serverState, now time.Time, reason string) {
--- a/fleet/scheduler/crash_test.go
+++ b/fleet/scheduler/crash_test.go
@@ -228,6 +228,28 @@
 		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.DescribeTable("runs alone next if another server runs on the VM now", func(pool string, alone bool) {
+		w.now = w.now.Add(time.Second)
+		w.ServerUnreachable("a", start, w.now, "connection refused")
+		v := newServer("b")
+		v.VM, v.StartedAt, v.Pool = "vm-a", w.now, pool
+		w.Register(v, w.now)
+		w.ListingReceived("b", server.Listing{StartedAt: w.now, Clock: time.Millisecond}, w.now)
+		w.Unregister("b", w.now)
+		w.advance(100 * time.Millisecond)
+		w.addServers("c")
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+		w.submit(newRecord(2, 1))
+		if alone {
+			gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		} else {
+			gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+		}
+	},
+		ginkgo.Entry("in its pool", "carving", true),
+		ginkgo.Entry("in another pool, to which the VM was moved", "others", false))
+
 	ginkgo.It("does not wait for long if no server is empty", func() {
 		w.addServers("b")
 		w.submit(newRecord(2, 1, longRunning))
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -28,14 +28,14 @@
 func (s *Scheduler) dropReplaced(now time.Time) {
 	var newest map[string]*serverState
 	for _, v := range s.servers {
-		if len(v.runs) == 0 || v.info.VM == "" {
+		if len(v.runs) == 0 && len(v.lost) == 0 || v.info.VM == "" {
 			continue
 		}
 		if newest == nil {
 			newest = s.newestByVM()
 		}
-		if v.replacedBy(newest[v.info.VM]) {
-			s.dropRuns(v, now, "a later server runs on the VM")
+		if w := newest[v.info.VM]; v.replacedBy(w) {
+			s.serverReplaced(v, w.info.Pool, now, "a later server runs on the VM")
 		}
 	}
 }
--- a/fleet/scheduler/vmlist.go
+++ b/fleet/scheduler/vmlist.go
@@ -31,10 +31,10 @@
 			continue
 		}
 		s.addDecision(Decision{Server: v.info.ID, Pool: v.info.Pool, Reason: "server has ended: its VM is listed as " + x.State.String(), Age: now.Sub(v.listedAt)})
-		if x.State == vm.Down || x.State == vm.Up && x.Pool == v.info.Pool {
-			s.serverCrashed(v, now, "server has ended")
+		if x.State == vm.Moving || x.State == vm.InMaintenance {
+			s.serverStopped(v, now, "server has ended")
 		} else {
-			s.dropRuns(v, now, "server has ended")
+			s.serverReplaced(v, x.Pool, now, "server has ended")
 		}
 		v.terminated, v.endedByList = true, true
 	}
