--- /dev/null
+++ b/fleet/scheduler/capacity_test.go
@@ -0,0 +1,68 @@
+package scheduler_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+)
+
+// These tests guard against starts that bring a server over the capacity that it reports. Some servers start whatever
+// they are ordered to.
+var _ = ginkgo.Describe("the capacity of servers", func() {
+	var w *harness
+	ginkgo.BeforeEach(func() {
+		w = newHarness()
+		w.addServers("a")
+	})
+
+	// sized sets the CPU of a step's tasks, in thousandths of a core.
+	sized := func(cpu int64) func(*schema.StepRecord) {
+		return func(s *schema.StepRecord) { s.CpuMilli = cpu }
+	}
+
+	ginkgo.It("includes the run of a speculative task that was restarted elsewhere, until a listing no longer has it", func() {
+		w.submit(newRecord(1, 1, sized(40000), func(s *schema.StepRecord) { s.Speculative = true }))
+		s := w.acceptStarts()[0]
+		w.reportRuns("a", listedRun(s, 10))
+		w.ServerUnreachable("a", start, w.now, "timeout")
+		w.advance(1500 * time.Millisecond)
+		w.reportRuns("a", listedRun(s, 20))
+		w.submit(newRecord(2, 1, sized(40000)))
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty(), "the run is being stopped")
+		gomega.Expect(w.takeStops()).To(gomega.HaveLen(1))
+		w.reportEnd("a", s.Task, s.Number, job.EndStopped)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("is not known to be free while a run of unknown size is being stopped", func() {
+		k := job.Task{Job: "00000000000000aa"}
+		w.reportRuns("a", server.Run{Task: k, Number: 4})
+		w.submit(newRecord(1, 1))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		w.reportEnd("a", k, 4, job.EndStopped)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+})
+
+var _ = ginkgo.Describe("anti-affinity", func() {
+	ginkgo.It("includes a run that was restarted elsewhere, until a listing no longer has it", func() {
+		w := newHarness()
+		w.addServers("a")
+		w.submit(newRecord(1, 1, func(s *schema.StepRecord) { s.Speculative, s.AntiAffinity = true, 1 }))
+		s := w.acceptStarts()[0]
+		w.reportRuns("a", listedRun(s, 10))
+		w.ServerUnreachable("a", start, w.now, "timeout")
+		w.advance(1500 * time.Millisecond)
+		w.reportRuns("a", listedRun(s, 20))
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+	})
+})
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -80,6 +80,8 @@
 // applyRuns updates the listed runs, stops those that are not assigned to the server and returns the others.
 func (s *Scheduler) applyRuns(v *serverState, l server.Listing, now time.Time) map[*run]bool {
 	present := map[*run]bool{}
+	previous := v.unassigned
+	v.unassigned = unassignedRuns{}
 	for _, x := range l.Runs {
 		r := v.runs[x.Task]
 		if r == nil || r.number != x.Number {
@@ -89,6 +91,9 @@
 		present[r] = true
 		s.applyRun(r, x, now)
 	}
+	if len(v.unassigned.tasks) < len(previous.tasks) {
+		s.needsPlan = true
+	}
 	return present
 }
 
@@ -114,8 +119,15 @@
 	}
 }
 
-// stopUnassigned stops a run that is not assigned to the server, such as one of a job that was cancelled.
+// stopUnassigned stops a run that is not assigned to the server, such as one of a job that was cancelled. The run holds
+// capacity until a listing no longer has it.
 func (s *Scheduler) stopUnassigned(v *serverState, x server.Run) {
+	v.unassigned.tasks = append(v.unassigned.tasks, x.Task)
+	if t := s.findTask(x.Task); t != nil {
+		v.unassigned.demand = v.unassigned.demand.Add(t.step.step.Demand())
+	} else {
+		v.unassigned.unsized = true
+	}
 	s.addDecision(Decision{
 		Job: x.Task.Job, Task: x.Task.String(), Server: v.info.ID, Run: x.Number,
 		Reason: "run is not assigned to this server: stopping it",
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -33,20 +33,30 @@
 	if p.AntiAffinity > 0 && v.replicas(t) >= p.AntiAffinity {
 		return false
 	}
-	return p.Demand().Fits(v.info.Capacity.Sub(v.used))
+	return p.Demand().Fits(v.free())
 }
 
-// replicas counts the server's runs of the task's step and occurrence.
+// replicas counts the runs of the task's step and occurrence on the server, whether they are assigned to it or not.
 func (v *serverState) replicas(t *task) int {
 	n := 0
 	for k := range v.runs {
-		if k.Job == t.key.Job && k.Occurrence == t.key.Occurrence && k.Step == t.key.Step {
+		if t.isReplica(k) {
+			n++
+		}
+	}
+	for _, k := range v.unassigned.tasks {
+		if t.isReplica(k) {
 			n++
 		}
 	}
 	return n
 }
 
+// isReplica reports whether a task belongs to the same step and occurrence.
+func (t *task) isReplica(k job.Task) bool {
+	return k.Job == t.key.Job && k.Occurrence == t.key.Occurrence && k.Step == t.key.Step
+}
+
 // The weights of a placement cost. Its unit is the CPU capacity of one server: the base cost is the share left free.
 const (
 	// avoidedPenalty applies to the server on which the task last failed, stalled or was slow.
@@ -86,7 +96,7 @@
 	if v.info.Capacity.CPU == 0 {
 		return 0
 	}
-	return float64(v.info.Capacity.CPU-v.used.CPU-p.Demand().CPU) / float64(v.info.Capacity.CPU)
+	return float64(v.free().CPU-p.Demand().CPU) / float64(v.info.Capacity.CPU)
 }
 
 // isServing reports whether the step has a target latency.
@@ -149,10 +159,10 @@
 		if p.Requires != "" && !v.info.HasLabel(p.Requires) {
 			continue
 		}
-		if p.AntiAffinity > 0 && count[v] >= p.AntiAffinity {
+		if p.AntiAffinity > 0 && v.replicas(t)+count[v] >= p.AntiAffinity {
 			continue
 		}
-		if p.Demand().Fits(v.info.Capacity.Sub(v.used).Sub(used[v])) {
+		if p.Demand().Fits(v.free().Sub(used[v])) {
 			return v
 		}
 	}
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -36,6 +36,7 @@
 	fencedAt    time.Time
 	runs        map[job.Task]*run
 	used        job.Size
+	unassigned  unassignedRuns
 	endLog      endLog
 	fullUntil   time.Time
 	pausedUntil time.Time
@@ -48,6 +49,15 @@
 	terminated bool
 }
 
+// unassignedRuns are the runs in a server's newest listing that are not assigned to it. They are stopped, and hold capacity
+// until a listing no longer has them.
+type unassignedRuns struct {
+	tasks  []job.Task
+	demand job.Size
+	// unsized is true if the demand of a run is unknown, such as that of a job that ended under a previous owner.
+	unsized bool
+}
+
 // endLog tracks which run ends of a server have been processed and which of them are stored, by sequence number.
 type endLog struct {
 	processed uint64
@@ -119,6 +129,11 @@
 	v.used = v.used.Sub(r.task.step.step.Demand())
 }
 
+// free returns the capacity that no run holds. It is negative where the server has shrunk below what its runs hold.
+func (v *serverState) free() job.Size {
+	return v.info.Capacity.Sub(v.used).Sub(v.unassigned.demand)
+}
+
 func (v *serverState) pauseUntil(t time.Time) {
 	if t.After(v.pausedUntil) {
 		v.pausedUntil = t
@@ -132,7 +147,7 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *serverState) usable(now time.Time) bool {
-	return v.exists() && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded &&
+	return v.exists() && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded && !v.unassigned.unsized &&
 		now.Sub(v.listedAt) < listingTimeout && !now.Before(v.pausedUntil) && !now.Before(v.fullUntil)
 }
 
