--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
@@ -24,6 +25,36 @@
 	sized := func(cpu int64) func(*schema.StepRecord) {
 		return func(s *schema.StepRecord) { s.CpuMilli = cpu }
 	}
+	resize := func(cpu int64) {
+		v := newServer("a")
+		v.Capacity.CPU = cpu
+		w.Register(v, w.now)
+	}
+	// submitUncommitted submits a job whose assignments are made, and returns the batch that stores them.
+	submitUncommitted := func(m *schema.JobRecord) *scheduler.Batch {
+		w.Submit(m, w.now, func(scheduler.Reply) {})
+		w.Plan(w.now)
+		return w.NextBatch(batchLimit, w.now)
+	}
+
+	ginkgo.It("limits the starts whose assignment is stored after the server has shrunk", func() {
+		b := submitUncommitted(newRecord(1, 3, sized(20000)))
+		resize(40000)
+		w.BatchCommitted(b, w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(2))
+	})
+
+	ginkgo.It("withdraws a whole gang if the server of a member has shrunk", func() {
+		b := submitUncommitted(newRecord(1, 3, sized(20000), func(s *schema.StepRecord) { s.Gang = true }))
+		resize(40000)
+		w.BatchCommitted(b, w.now)
+		w.collectOrders()
+		gomega.Expect(w.orders.Starts).To(gomega.BeEmpty())
+		resize(60000)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(3))
+	})
 
 	ginkgo.It("includes the run of a speculative task that was restarted elsewhere, until a listing no longer has it", func() {
 		w.submit(newRecord(1, 1, sized(40000), func(s *schema.StepRecord) { s.Speculative = true }))
@@ -50,6 +81,14 @@
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
+
+	ginkgo.It("limits a stored assignment once a listing shows a run of unknown size", func() {
+		b := submitUncommitted(newRecord(1, 1))
+		w.reportRuns("a", server.Run{Task: job.Task{Job: "00000000000000aa"}, Number: 4})
+		w.BatchCommitted(b, w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+	})
 })
 
 var _ = ginkgo.Describe("anti-affinity", func() {
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -152,7 +152,12 @@
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
 			for _, t := range p.tasks {
-				if t.run != nil && t.run.phase == assigned && t.run.version <= j.committedVersion {
+				if t.awaitsStart() && !t.run.server.acceptsStart() {
+					s.withdraw(t.run, now)
+				}
+			}
+			for _, t := range p.tasks {
+				if t.awaitsStart() {
 					s.sendStart(t.run, now)
 				}
 			}
@@ -160,13 +165,32 @@
 	}
 }
 
-// sendStart sends the order to start a run, or drops the run if its server may no longer take it.
-func (s *Scheduler) sendStart(r *run, now time.Time) {
-	v := r.server
-	if !v.exists() || v.info.Draining || !v.reachable || v.leaseRecorded {
-		s.drop(r, now, "server is draining, unregistered or unreachable")
+// awaitsStart reports whether the task's assignment is stored and its start order has not been sent.
+func (t *task) awaitsStart() bool {
+	return t.run != nil && t.run.phase == assigned && t.run.version <= t.state.committedVersion
+}
+
+// acceptsStart reports whether the server still has the capacity for the runs that were assigned to it, and may start them.
+func (v *serverState) acceptsStart() bool {
+	return v.exists() && !v.info.Draining && v.reachable && !v.leaseRecorded && !v.unassigned.unsized && (job.Size{}).Fits(v.free())
+}
+
+// withdraw drops a run whose start order has not been sent, and the rest of its gang, which cannot work without it.
+func (s *Scheduler) withdraw(r *run, now time.Time) {
+	s.drop(r, now, "server is draining, unregistered, unreachable or has too little capacity left")
+	if !r.task.step.step.Gang {
 		return
 	}
+	for _, t := range r.task.step.tasks {
+		if t.awaitsStart() {
+			s.drop(t.run, now, "another member of the gang was withdrawn")
+		}
+	}
+}
+
+// sendStart sends the order to start a run.
+func (s *Scheduler) sendStart(r *run, now time.Time) {
+	v := r.server
 	r.phase = sent
 	r.startedAt = now
 	r.expiresClock = v.expectedClock(now) + startOrderLifetime
