--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -89,6 +89,21 @@
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
 	})
+
+	ginkgo.It("waits for a listing when a server turns out to run on after its termination was ordered", func() {
+		w.submit(newRecord(1, 1, longRunning, sized(40000)))
+		s := w.acceptStarts()[0]
+		w.ServerTerminated("a", w.now)
+		w.TerminationFailed("a")
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		w.reportRuns("a", listedRun(s, 100))
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty(), "the run is being stopped")
+		w.reportEnd("a", s.Task, s.Number, job.EndStopped)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
 })
 
 var _ = ginkgo.Describe("anti-affinity", func() {
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -143,13 +143,15 @@
 	v.terminated = true
 }
 
-// TerminationFailed records that a server still runs although the platform accepted an order to end it.
+// TerminationFailed records that a server still runs although the platform accepted an order to end it. The runs that it
+// still has are known from its next listing.
 func (s *Scheduler) TerminationFailed(id string) {
 	v := s.servers[id]
 	if v == nil || !v.terminated {
 		return
 	}
 	v.terminated = false
+	v.reachable = false
 	s.needsPlan = true
 	s.orders.ResumePolling = append(s.orders.ResumePolling, v.info)
 	s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server still runs after its termination was ordered"})
