--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -104,6 +104,28 @@
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
+
+	ginkgo.It("is not known for an incarnation that a listing reveals until it registers", func() {
+		later := start.Add(time.Second)
+		report := func() {
+			w.PreparePoll("a", w.now)
+			w.ListingReceived("a", server.Listing{StartedAt: later, Clock: w.clock()}, w.now)
+		}
+		report()
+		w.now = w.now.Add(100 * time.Millisecond)
+		report()
+		w.submit(newRecord(1, 1, sized(40000)))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		v := newServer("a")
+		v.StartedAt, v.Capacity.CPU = later, 20000
+		w.Register(v, w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		v.Capacity.CPU = 40000
+		w.Register(v, w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
 })
 
 var _ = ginkgo.Describe("anti-affinity", func() {
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -156,6 +156,8 @@
 		return "silent"
 	case cordoned:
 		return "kept free for maintenance or a move"
+	case v.unregisteredStart:
+		return "not registered since it restarted"
 	case v.unassigned.unsized:
 		return "with unknown runs that are being stopped"
 	case now.Before(v.pausedUntil):
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -19,6 +19,7 @@
 			i := v.info
 			i.StartedAt = l.StartedAt
 			s.Register(i, now)
+			s.servers[id].unregisteredStart = true
 		}
 		return
 	}
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -12,6 +12,9 @@
 	info server.Server
 	// registered is true while the store holds the server's registration.
 	registered bool
+	// unregisteredStart is true if a listing revealed this incarnation and the registration is that of the previous one, which
+	// may have had another capacity and other labels.
+	unregisteredStart bool
 	// addressTaken is true if another server answers at the server's address.
 	addressTaken bool
 	// lastClock is the server's clock as reported at lastClockAt. leaseUntil is the latest time, on that clock, to which
@@ -147,8 +150,8 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *serverState) usable(now time.Time) bool {
-	return v.exists() && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded && !v.unassigned.unsized &&
-		now.Sub(v.listedAt) < listingTimeout && !now.Before(v.pausedUntil) && !now.Before(v.fullUntil)
+	return v.exists() && !v.unregisteredStart && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded &&
+		!v.unassigned.unsized && now.Sub(v.listedAt) < listingTimeout && !now.Before(v.pausedUntil) && !now.Before(v.fullUntil)
 }
 
 // listingTimeout is the age of the last listing from which a server gets no new runs; listings come every second.
@@ -184,6 +187,7 @@
 	}
 	v.info = i
 	v.registered = true
+	v.unregisteredStart = false
 	s.needsPlan = true
 }
 
