--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -158,19 +158,21 @@
 	at    time.Time
 }
 
-// finiteWorkCores returns the cores of the pool's usable servers that no long-running task holds.
+// finiteWorkCores returns the cores of the pool's usable servers that no long-running task holds. A server that has shrunk
+// below what its long-running tasks hold has none.
 func (s *Scheduler) finiteWorkCores(pool string, now time.Time) float64 {
 	c := 0.0
 	for _, v := range s.servers {
 		if v.info.Pool != pool || !v.usable(now) || s.cordonedVMs[v.info.VM] {
 			continue
 		}
-		c += float64(v.info.Capacity.CPU) / 1000
+		free := v.info.Capacity.CPU
 		for _, r := range v.runs {
 			if p := r.task.step.step; p.LongRunning {
-				c -= float64(p.Demand().CPU) / 1000
+				free -= p.Demand().CPU
 			}
 		}
+		c += float64(max(free, 0)) / milliPerCore
 	}
 	return c
 }
--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -126,6 +126,15 @@
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
+
+	ginkgo.It("that has shrunk below what long-running tasks take does not reduce what other servers offer", func() {
+		w.submit(newRecord(1, 1, longRunning, sized(60000)))
+		w.acceptStarts()
+		resize(4000)
+		w.addServers("b")
+		w.now = w.now.Add(100 * time.Millisecond)
+		gomega.Expect(w.submit(newRecord(2, 3, sized(16000))).Result).To(gomega.Equal(scheduler.Done))
+	})
 })
 
 var _ = ginkgo.Describe("anti-affinity", func() {
