--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -157,9 +157,14 @@
 }
 
 func reportIdleAs(o *fakeOwner, name, id string) {
+	reportIdleWith(o, name, id, 64000)
+}
+
+// reportIdleWith registers a VM's server with a capacity in thousandths of a core and has it list no runs.
+func reportIdleWith(o *fakeOwner, name, id string, cpu int64) {
 	o.Update(func(s *scheduler.Scheduler, now time.Time) {
 		v := server.Server{
-			ID: id, StartedAt: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: 64000, MemoryMB: 1000},
+			ID: id, StartedAt: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: cpu, MemoryMB: 1000},
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		}
 		s.Register(v, now)
@@ -287,6 +292,22 @@
 	})
 }
 
+// A server that has shrunk may grow again: its VM is listed with what it can have.
+func TestJobThatFitsVMOfShrunkServerIsNotRefused(t *testing.T) {
+	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		reportIdleWith(o, "a", "s-a", 1000)
+	}, func(g *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		time.Sleep(time.Second)
+		var refused []string
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.Submit(&schema.JobRecord{
+				Id: "00000000000000a1", Queue: "plans", Steps: []*schema.StepRecord{{Count: 1, CpuMilli: 60000, EstimateMs: 1000, Lasting: true}},
+			}, now, func(r scheduler.Reply) { refused = append(refused, r.Reason) })
+		})
+		g.Expect(refused).To(gomega.BeEmpty())
+	})
+}
+
 func TestOrdersAreStoredBeforeSending(t *testing.T) {
 	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
 		reportIdle(o, "a")
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
 )
@@ -106,10 +107,13 @@
 		return false
 	}
 	m := map[string]vm.PlatformStatus{}
+	capacities := map[string]job.Size{}
 	for _, v := range l {
 		m[v.Name] = v
+		capacities[v.Name] = v.Capacity
 	}
 	t.vms = m
+	t.owner.Update(func(s *scheduler.Scheduler, _ time.Time) { s.SetVMCapacities(capacities) })
 	t.listedAt = time.Now()
 	return true
 }
--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -83,6 +83,11 @@
 	return Size{s.CPU - o.CPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger amount of each resource.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.CPU, o.CPU), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
 // Demand returns the resources that a task of the step reserves on a server.
 func (s *Step) Demand() Size {
 	d := s.Size
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -29,7 +29,7 @@
 // admit returns a refusal, or nil if the job is accepted. A job is accepted if it can finish within the target
 // duration of its queue without delaying accepted jobs past theirs. A resubmitted job that can no longer do so is
 // accepted if it and the accepted jobs need at most overdueWorkShare of the capacity. Scheduled and long-running jobs,
-// and all jobs while no server is usable, are accepted if some server is large enough. Other jobs are refused at once.
+// and all jobs while no server is usable, are accepted if some server is, or was, large enough. Other jobs are refused at once.
 func (s *Scheduler) admit(n *job.Job, q *queue.Queue, now time.Time) *Reply {
 	if i := s.unplaceableStep(n); i >= 0 {
 		return &Reply{Result: Refused, Reason: fmt.Sprintf("steps[%d]: no server is large enough", i), RetryAfter: unplaceableRetryAfter}
@@ -64,7 +64,8 @@
 	}
 }
 
-// unplaceableStep returns the index of the first step that fits no known server, or -1.
+// unplaceableStep returns the index of the first step that fits no known server, or -1. A server counts with the largest
+// capacity that it has reported or that its VM is listed with, since one that has shrunk may grow again.
 func (s *Scheduler) unplaceableStep(n *job.Job) int {
 	if len(s.servers) == 0 {
 		return -1
@@ -79,7 +80,7 @@
 
 func (s *Scheduler) fitsAnyServer(p *job.Step) bool {
 	for _, v := range s.servers {
-		if p.Demand().Fits(v.info.Capacity) {
+		if p.Demand().Fits(v.largestCapacity.Max(s.vmCapacities[v.info.VM])) {
 			return true
 		}
 	}
--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -127,6 +127,26 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
 
+	ginkgo.It("that has shrunk does not make a job hopeless, since it may grow again", func() {
+		resize(1000)
+		gomega.Expect(w.submit(newRecord(1, 1, longRunning, sized(60000))).Result).To(gomega.Equal(scheduler.Done))
+		gomega.Expect(w.submit(newRecord(2, 1, longRunning, sized(70000))).Result).To(gomega.Equal(scheduler.Refused))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		resize(64000)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("that has shrunk does not make a job hopeless where a new owner has seen no larger one", func() {
+		x := newHarness()
+		v := newServer("a")
+		v.Capacity.CPU = 1000
+		x.Register(v, x.now)
+		x.reportRuns("a")
+		x.SetVMCapacities(map[string]job.Size{v.VM: newServer("a").Capacity})
+		gomega.Expect(x.submit(newRecord(1, 1, longRunning, sized(60000))).Result).To(gomega.Equal(scheduler.Done))
+	})
+
 	ginkgo.It("that has shrunk below what long-running tasks take does not reduce what other servers offer", func() {
 		w.submit(newRecord(1, 1, longRunning, sized(60000)))
 		w.acceptStarts()
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 )
 
 // ServerLoad summarizes the runs on a server.
@@ -273,6 +275,11 @@
 	return total.cores / total.memory
 }
 
+// SetVMCapacities sets the capacities of the VMs by their names, as the platform lists them.
+func (s *Scheduler) SetVMCapacities(m map[string]job.Size) {
+	s.vmCapacities = m
+}
+
 // SetIncomingCores sets the cores that are on their way to each pool, and the cores of the standby VMs, which any pool
 // could get.
 func (s *Scheduler) SetIncomingCores(m map[string]float64, reserve float64) {
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -54,6 +54,7 @@
 	// incomingCores are the cores on their way to each pool, reserveCores those of the standby VMs, which any pool could get.
 	incomingCores map[string]float64
 	reserveCores  float64
+	vmCapacities  map[string]job.Size
 }
 
 // New returns an empty scheduler for an owner that took over at the time now.
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -10,6 +10,8 @@
 // serverState is one incarnation of a backend server, from its start to its end, with its runs.
 type serverState struct {
 	info server.Server
+	// largestCapacity holds the most of each resource that this incarnation has reported.
+	largestCapacity job.Size
 	// registered is true while the store holds the server's registration.
 	registered bool
 	// unregisteredStart is true if a listing revealed this incarnation and the registration is that of the previous one, which
@@ -186,6 +188,7 @@
 		v.addressTaken = false
 	}
 	v.info = i
+	v.largestCapacity = v.largestCapacity.Max(i.Capacity)
 	v.registered = true
 	v.unregisteredStart = false
 	s.needsPlan = true
