--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -308,6 +308,26 @@
 	})
 }
 
+// Guards against a pool that is left short because its VMs are listed with more than their servers have.
+func TestPoolWithShrunkServersGetsVM(t *testing.T) {
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		for _, n := range []string{"a", "b", "c"} {
+			reportIdleWith(o, n, "s-"+n, 16000)
+		}
+		standby := newVM("d")
+		standby.Pool, standby.ServerID = "off", ""
+		x.vms = append(x.vms, standby)
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.Restore(&schema.JobRecord{
+				Id: "00000000000000a1", Queue: "plans", Steps: []*schema.StepRecord{{Count: 8, CpuMilli: 12000, EstimateMs: 1000, Lasting: true}},
+			}, &schema.JobProgress{}, now)
+		})
+	}, func(g *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
+		time.Sleep(time.Second)
+		g.Expect(x.ordered()).To(gomega.ContainElement("move d to cups by e1"))
+	})
+}
+
 func TestOrdersAreStoredBeforeSending(t *testing.T) {
 	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
 		reportIdle(o, "a")
--- a/entry/vmcontroller/move.go
+++ b/entry/vmcontroller/move.go
@@ -98,6 +98,7 @@
 		// A VM that is up but whose server is not usable adds no capacity.
 		x.Cores = 0
 	default:
+		x.Cores = min(x.Cores, l.Cores)
 		x.Movable = l.Runs == 0
 		x.Drainable = l.Runs > 0 && l.LongRunning == 0
 	}
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -9,6 +9,8 @@
 // ServerLoad summarizes the runs on a server.
 type ServerLoad struct {
 	Pool string
+	// Cores are those that the server reports to have, which may be fewer than its VM is listed with.
+	Cores float64
 	// Listed is true once this owner has received a listing from the server.
 	Listed bool
 	// Runs counts the runs, RemainingWork is the expected work of the finite ones in core-seconds.
@@ -43,7 +45,10 @@
 	if v == nil {
 		return ServerLoad{}
 	}
-	l := ServerLoad{Pool: v.info.Pool, Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now)}
+	l := ServerLoad{
+		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore,
+		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now),
+	}
 	for _, r := range v.runs {
 		if r.task.step.step.LongRunning {
 			l.LongRunning++
