--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -37,6 +37,27 @@
 		return w.NextBatch(batchLimit, w.now)
 	}
 
+	ginkgo.It("counts for placement as soon as a server reports that it has shrunk", func() {
+		w.submit(newRecord(1, 1, sized(20000)))
+		s := w.acceptStarts()[0]
+		w.reportRuns("a", listedRun(s, 10))
+		resize(30000)
+		w.submit(newRecord(2, 1, sized(20000)))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		gomega.Expect(w.takeStops()).To(gomega.BeEmpty(), "what runs may continue")
+	})
+
+	ginkgo.It("is used at once when a server reports that it has grown", func() {
+		resize(10000)
+		w.submit(newRecord(1, 1, longRunning, sized(10000)))
+		w.acceptStarts()
+		w.submit(newRecord(2, 1, longRunning, sized(10000)))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		resize(20000)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
 	ginkgo.It("limits the starts whose assignment is stored after the server has shrunk", func() {
 		b := submitUncommitted(newRecord(1, 3, sized(20000)))
 		resize(40000)
@@ -90,6 +111,46 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("includes a run that is being stopped until its end is listed", func() {
+		w.submit(newRecord(1, 1, sized(40000)))
+		s := w.acceptStarts()[0]
+		w.reportRuns("a", listedRun(s, 10))
+		w.Cancel(newRecord(1, 1).Id, w.now, func(scheduler.Reply) {})
+		w.submit(newRecord(2, 1, sized(40000)))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		w.reportEnd("a", s.Task, s.Number, job.EndStopped)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("includes an unanswered start until its order has expired", func() {
+		w.submit(newRecord(1, 1, sized(40000)))
+		s := w.orders.Starts[0]
+		w.orders.Starts = nil
+		w.StartAnswered(s, scheduler.NoAnswer, 0, w.now)
+		w.Cancel(newRecord(1, 1).Id, w.now, func(scheduler.Reply) {})
+		w.submit(newRecord(2, 1, sized(40000)))
+		w.advance(time.Second)
+		w.reportRuns("a")
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty(), "the order may still be carried out")
+		w.advance(500 * time.Millisecond)
+		w.reportRuns("a")
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("includes the runs of a previous owner", func() {
+		x := newHarness()
+		x.Restore(newRecord(1, 1, sized(40000)), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, x.now)
+		x.Register(newServer("a"), x.now)
+		x.submit(newRecord(2, 1, sized(40000)))
+		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty(), "no listing has arrived")
+		x.reportRuns("a", server.Run{Task: job.Task{Job: newRecord(1, 1).Id}, Number: 1, Percent: 10})
+		x.commit()
+		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("waits for a listing when a server turns out to run on after its termination was ordered", func() {
 		w.submit(newRecord(1, 1, longRunning, sized(40000)))
 		s := w.acceptStarts()[0]
--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,6 +27,8 @@
 	leaseUnderstated bool
 	// leaseOverrun makes servers keep runs for longer than their owner's lease.
 	leaseOverrun bool
+	// capacityUnreported makes servers report their first capacity whatever they have.
+	capacityUnreported bool
 }
 
 // modelServer simulates a backend server.
@@ -43,11 +47,26 @@
 	partitioned   bool
 	down          bool
 	clockRate     float64
+	// capacity is what the server reports since capacityAt, previousCapacity what it reported before.
+	capacity, previousCapacity int64
+	capacityAt                 time.Time
 }
 
+const (
+	// modelCapacity is the CPU that the servers of the model have at first, in thousandths of a core.
+	modelCapacity = 4 * modelCapacityStep
+	// modelCapacityStep is the CPU that a task of the model takes, in thousandths of a core.
+	modelCapacityStep = 4000
+	// modelCapacityGrace is how long after a server has shrunk a start may still count on its previous capacity: the
+	// lifetime of a start order and the time that it takes to arrive.
+	modelCapacityGrace = 1300 * time.Millisecond
+)
+
 type modelRun struct {
 	number int
 	endsAt time.Time
+	// stoppedAt is when the run ends because of a stop order, zero without one.
+	stoppedAt time.Time
 }
 
 // message is a call or reply in transit.
@@ -93,6 +112,7 @@
 	for i := range 4 {
 		s := &modelServer{id: fmt.Sprintf("s%d", i), startedAt: start.Add(-time.Minute), clockRate: 1 - 0.02*m.rand.Float64()}
 		s.reset()
+		s.capacity = modelCapacity
 		m.servers = append(m.servers, s)
 	}
 	m.takeOver()
@@ -194,8 +214,26 @@
 			m.owners[len(m.owners)-1].dead = true
 		}
 		m.takeOver()
-	case m.chance(0.01):
+	case m.chance(0.05):
 		m.submit()
+	case m.chance(0.01):
+		m.cancel()
+	case m.chance(0.005) && m.now.Sub(s.capacityAt) > modelCapacityGrace:
+		s.previousCapacity, s.capacityAt = s.capacity, m.now
+		s.capacity = m.rand.Int64N(6) * modelCapacityStep
+	}
+}
+
+// cancel cancels one of the jobs that the owner has accepted.
+func (m *model) cancel() {
+	ids := []string{}
+	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+		if p := m.progress[id]; p == nil || !job.Phase(p.Phase).Ended() {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		m.owners[len(m.owners)-1].Cancel(ids[m.rand.IntN(len(ids))], m.now, func(scheduler.Reply) {})
 	}
 }
 
@@ -215,6 +253,8 @@
 		switch {
 		case m.now.After(s.leaseEnd):
 			s.end(k, r.number, job.EndLeaseExpired)
+		case !r.stoppedAt.IsZero() && m.now.After(r.stoppedAt):
+			s.end(k, r.number, job.EndStopped)
 		case m.now.After(r.endsAt):
 			reason := job.EndDone
 			if m.chance(0.05) {
@@ -242,6 +282,14 @@
 	if current {
 		o.lastCurrent = m.now
 	}
+	for _, s := range m.servers {
+		v := newServer(s.id)
+		v.StartedAt, v.Capacity.CPU = s.startedAt, s.capacity
+		if m.disabled.capacityUnreported {
+			v.Capacity.CPU = modelCapacity
+		}
+		o.Register(v, m.now)
+	}
 	if m.chance(0.2) {
 		o.Tick(m.now)
 	}
@@ -330,7 +378,8 @@
 	return scheduler.Started
 }
 
-// checkInvariants records a violation if a task that starts runs elsewhere already, or if its end was acknowledged.
+// checkInvariants records a violation if a task that starts runs elsewhere already, if its end was acknowledged, or if the
+// server has too little capacity for it. The servers of the model start whatever they are ordered to.
 func (m *model) checkInvariants(s *modelServer, k job.Task) {
 	if m.acknowledged[k] {
 		m.violations = append(m.violations, k.String()+" started again after its end was acknowledged")
@@ -340,6 +389,13 @@
 			m.violations = append(m.violations, k.String()+" runs twice")
 		}
 	}
+	c := s.capacity
+	if m.now.Sub(s.capacityAt) < modelCapacityGrace {
+		c = max(c, s.previousCapacity)
+	}
+	if int64(len(s.runs)+1)*modelCapacityStep > c {
+		m.violations = append(m.violations, k.String()+" exceeds the capacity of "+s.id)
+	}
 }
 
 func (s *modelServer) extendLease(t time.Time) {
@@ -354,8 +410,8 @@
 		if !m.accepts(o, s, x.Server.StartedAt) {
 			return
 		}
-		if r := s.runs[x.Task]; r != nil && r.number <= x.Number {
-			s.end(x.Task, r.number, job.EndStopped)
+		if r := s.runs[x.Task]; r != nil && r.number <= x.Number && r.stoppedAt.IsZero() {
+			r.stoppedAt = m.now.Add(time.Duration(m.rand.Int64N(int64(bounds.StopTimeout))))
 		}
 		s.lastRun[x.Task] = max(s.lastRun[x.Task], x.Number)
 	})
@@ -375,9 +431,6 @@
 	if o.polling[s.id] || !m.chance(0.2) {
 		return
 	}
-	v := newServer(s.id)
-	v.StartedAt = s.startedAt
-	o.Register(v, m.now)
 	h, ok := o.PreparePoll(s.id, m.now)
 	if !ok {
 		return
--- a/fleet/scheduler/protocol_test.go
+++ b/fleet/scheduler/protocol_test.go
@@ -20,7 +20,7 @@
 var _ = ginkgo.Describe("the protocol between owners and servers", func() {
 	const seeds = 40
 
-	ginkgo.It("runs no task twice through partitions, late and lost messages, server restarts, pauses and takeovers", func() {
+	ginkgo.It("runs no task twice and exceeds no capacity through partitions, late and lost messages, resized and restarted servers, pauses and takeovers", func() {
 		starts, done := 0, 0
 		for seed := range uint64(seeds) {
 			m := runModel(seed, disabledSafeguards{})
@@ -44,5 +44,6 @@
 		ginkgo.Entry("a store that accepts only one owner", disabledSafeguards{noCommitFencing: true, noFencing: true}),
 		ginkgo.Entry("the log of progress", disabledSafeguards{noLog: true}),
 		ginkgo.Entry("a lease record that tells the whole time", disabledSafeguards{leaseUnderstated: true}),
+		ginkgo.Entry("reports of the servers' capacity", disabledSafeguards{capacityUnreported: true}),
 		ginkgo.Entry("expiry of leases on time", disabledSafeguards{leaseOverrun: true}))
 })
