--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -157,9 +157,14 @@
 }
 
 func reportIdleAs(o *fakeOwner, name, id string) {
+	reportIdleWith(o, name, id, 64000)
+}
+
+// reportIdleWith registers a VM's server with a capacity in thousandths of a core and has it list no runs.
+func reportIdleWith(o *fakeOwner, name, id string, cpu int64) {
 	o.Update(func(s *scheduler.Scheduler, now time.Time) {
 		v := server.Server{
-			ID: id, StartedAt: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: 64000, MemoryMB: 1000},
+			ID: id, StartedAt: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: cpu, MemoryMB: 1000},
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		}
 		s.Register(v, now)
@@ -307,6 +312,42 @@
 	})
 }
 
+// A server that has shrunk may grow again: its VM is listed with what it can have.
+func TestJobThatFitsVMOfShrunkServerIsNotRefused(t *testing.T) {
+	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		reportIdleWith(o, "a", "s-a", 1000)
+	}, func(g *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		time.Sleep(time.Second)
+		var refused []string
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.Submit(&schema.JobRecord{
+				Id: "00000000000000a1", Queue: "plans", Steps: []*schema.StepRecord{{Count: 1, CpuMilli: 60000, EstimateMs: 1000, Lasting: true}},
+			}, now, func(r scheduler.Reply) { refused = append(refused, r.Reason) })
+		})
+		g.Expect(refused).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against a pool that is left short because its VMs are listed with more than their servers have.
+func TestPoolWithShrunkServersGetsVM(t *testing.T) {
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		for _, n := range []string{"a", "b", "c"} {
+			reportIdleWith(o, n, "s-"+n, 16000)
+		}
+		standby := newVM("d")
+		standby.Pool, standby.ServerID = "off", ""
+		x.vms = append(x.vms, standby)
+		o.Update(func(s *scheduler.Scheduler, now time.Time) {
+			s.Restore(&schema.JobRecord{
+				Id: "00000000000000a1", Queue: "plans", Steps: []*schema.StepRecord{{Count: 8, CpuMilli: 12000, EstimateMs: 1000, Lasting: true}},
+			}, &schema.JobProgress{}, now)
+		})
+	}, func(g *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
+		time.Sleep(time.Second)
+		g.Expect(x.ordered()).To(gomega.ContainElement("move d to cups by e1"))
+	})
+}
+
 func TestOrdersAreStoredBeforeSending(t *testing.T) {
 	run(t, func(_ *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
 		reportIdle(o, "a")
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
 )
@@ -106,12 +107,17 @@
 		return false
 	}
 	m := map[string]vm.PlatformStatus{}
+	capacities := map[string]job.Size{}
 	for _, v := range l {
 		m[v.Name] = v
+		capacities[v.Name] = v.Capacity
 	}
 	t.vms = m
 	t.listedAt = time.Now()
-	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { s.VMsListed(m, now) })
+	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) {
+		s.SetVMCapacities(capacities)
+		s.VMsListed(m, now)
+	})
 	return true
 }
 
--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -46,6 +46,11 @@
 	return v.isolatedRuns > 0
 }
 
+// isEmpty reports whether nothing runs on the server.
+func (v *serverState) isEmpty() bool {
+	return len(v.runs) == 0 && len(v.unassigned.tasks) == 0
+}
+
 // setIsolated sets whether the server of a run gets no other runs.
 func (r *run) setIsolated(on bool) {
 	switch {
@@ -60,7 +65,7 @@
 // canTry reports whether a task that may crash servers may run on the server: if that runs nothing else, or once the task has
 // waited for long enough.
 func (v *serverState) canTry(t *task, now time.Time) bool {
-	return len(v.runs) == 0 || now.Sub(t.suspectedAt) > t.maxTrialWait()
+	return v.isEmpty() || now.Sub(t.suspectedAt) > t.maxTrialWait()
 }
 
 // maxTrialWait returns how long the task waits for a server without other tasks.
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -2,11 +2,15 @@
 
 import (
 	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 )
 
 // ServerLoad summarizes the runs on a server.
 type ServerLoad struct {
 	Pool string
+	// Cores are those that the server reports to have, which may be fewer than its VM is listed with.
+	Cores float64
 	// Listed is true once this owner has received a listing from the server.
 	Listed bool
 	// Runs counts the runs, RemainingWork is the expected work of the finite ones in core-seconds.
@@ -41,7 +45,10 @@
 	if v == nil {
 		return ServerLoad{}
 	}
-	l := ServerLoad{Pool: v.info.Pool, Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now)}
+	l := ServerLoad{
+		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore,
+		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now),
+	}
 	for _, r := range v.runs {
 		if r.task.step.step.LongRunning {
 			l.LongRunning++
@@ -143,13 +150,15 @@
 	v.terminated = true
 }
 
-// TerminationFailed records that a server still runs although the platform accepted an order to end it.
+// TerminationFailed records that a server still runs although the platform accepted an order to end it. The runs that it
+// still has are known from its next listing.
 func (s *Scheduler) TerminationFailed(id string) {
 	v := s.servers[id]
 	if v == nil || !v.terminated {
 		return
 	}
 	v.terminated = false
+	v.reachable = false
 	s.needsPlan = true
 	s.orders.ResumePolling = append(s.orders.ResumePolling, v.info)
 	s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server still runs after its termination was ordered"})
@@ -271,6 +280,11 @@
 	return total.cores / total.memory
 }
 
+// SetVMCapacities sets the capacities of the VMs by their names, as the platform lists them.
+func (s *Scheduler) SetVMCapacities(m map[string]job.Size) {
+	s.vmCapacities = m
+}
+
 // SetIncomingCores sets the cores that are on their way to each pool, and the cores of the standby VMs, which any pool
 // could get.
 func (s *Scheduler) SetIncomingCores(m map[string]float64, reserve float64) {
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -60,7 +60,7 @@
 func (s *Scheduler) assign(t *task, v *serverState, number int) *run {
 	t.lastRun = number
 	r := &run{task: t, number: number, server: v, pace: fullPace}
-	r.alone = t.mayCrashServers() && len(v.runs) == 0
+	r.alone = t.mayCrashServers() && v.isEmpty()
 	r.setIsolated(r.alone)
 	t.run = r
 	v.addRun(r)
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -10,8 +10,13 @@
 // serverState is one incarnation of a backend server, from its start to its end, with its runs.
 type serverState struct {
 	info server.Server
+	// largestCapacity holds the most of each resource that this incarnation has reported.
+	largestCapacity job.Size
 	// registered is true while the store holds the server's registration.
 	registered bool
+	// unregisteredStart is true if a listing revealed this incarnation and the registration is that of the previous one, which
+	// may have had another capacity and other labels.
+	unregisteredStart bool
 	// addressTaken is true if another server answers at the server's address.
 	addressTaken bool
 	// lastClock is the server's clock as reported at lastClockAt. leaseUntil is the latest time, on that clock, to which
@@ -36,6 +41,7 @@
 	fencedAt    time.Time
 	runs        map[job.Task]*run
 	used        job.Size
+	unassigned  unassignedRuns
 	endLog      endLog
 	fullUntil   time.Time
 	pausedUntil time.Time
@@ -57,6 +63,15 @@
 	lost []*run
 }
 
+// unassignedRuns are the runs in a server's newest listing that are not assigned to it. They are stopped, and hold capacity
+// until a listing no longer has them.
+type unassignedRuns struct {
+	tasks  []job.Task
+	demand job.Size
+	// unsized is true if the demand of a run is unknown, such as that of a job that ended under a previous owner.
+	unsized bool
+}
+
 // endLog tracks which run ends of a server have been processed and which of them are stored, by sequence number.
 type endLog struct {
 	processed uint64
@@ -128,6 +143,11 @@
 	v.used = v.used.Sub(r.task.step.step.Demand())
 }
 
+// free returns the capacity that no run holds. It is negative where the server has shrunk below what its runs hold.
+func (v *serverState) free() job.Size {
+	return v.info.Capacity.Sub(v.used).Sub(v.unassigned.demand)
+}
+
 func (v *serverState) pauseUntil(t time.Time) {
 	if t.After(v.pausedUntil) {
 		v.pausedUntil = t
@@ -141,8 +161,8 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *serverState) usable(now time.Time) bool {
-	return v.exists() && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded &&
-		now.Sub(v.listedAt) < listingTimeout && !now.Before(v.pausedUntil) && !now.Before(v.fullUntil)
+	return v.exists() && !v.unregisteredStart && !v.info.Draining && !v.addressTaken && v.reachable && !v.leaseRecorded &&
+		!v.unassigned.unsized && now.Sub(v.listedAt) < listingTimeout && !now.Before(v.pausedUntil) && !now.Before(v.fullUntil)
 }
 
 // listingTimeout is the age of the last listing from which a server gets no new runs; listings come every second.
@@ -177,7 +197,9 @@
 		v.addressTaken = false
 	}
 	v.info = i
+	v.largestCapacity = v.largestCapacity.Max(i.Capacity)
 	v.registered = true
+	v.unregisteredStart = false
 	s.needsPlan = true
 }
 
