--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -12,7 +12,7 @@
 	maxIsolatedCrashes = 2
 	// maxEarlyCrashes is the number of crashes on which a finite task had just begun.
 	maxEarlyCrashes = 3
-	// maxCrashes is the number of crashes of any kind for a finite task.
+	// maxCrashes is the number of crashes of any kind for a finite task, also on servers that may not have begun it.
 	maxCrashes = 5
 )
 
@@ -24,7 +24,9 @@
 	// maxFiniteTrialWait is how long a finite task that may crash servers waits for a server without other tasks, and
 	// maxLongRunningTrialWait a long-running one, whose job fails only by what happens there.
 	maxFiniteTrialWait      = 500 * time.Millisecond
-	maxLongRunningTrialWait = 3 * time.Second
+	maxLongRunningTrialWait = 2 * time.Second
+	// trialServersDivisor sets how many of a pool's servers may run a task alone: a quarter, and one at least.
+	trialServersDivisor = 4
 	// trialDuration is how long a run must have worked to be no longer isolated.
 	trialDuration = 2 * time.Second
 	// maxCrashDelay is how long a run must have worked for earlier crashes to be no fault of its task.
@@ -62,10 +64,30 @@
 	r.isolated = on
 }
 
-// canTry reports whether a task that may crash servers may run on the server: if that runs nothing else, or once the task has
-// waited for long enough.
+// trials counts the servers of a pool that run a task alone.
+type trials struct {
+	running, limit int
+}
+
+// countTrials sets the trials of a pool's usable servers.
+func countTrials(l []*serverState) {
+	x := &trials{limit: max(len(l)/trialServersDivisor, 1)}
+	for _, v := range l {
+		v.trials = x
+		if v.isolates() {
+			x.running++
+		}
+	}
+}
+
+// canTryAlone reports whether a task may run alone on the server.
+func (v *serverState) canTryAlone() bool {
+	return v.isEmpty() && v.trials != nil && v.trials.running < v.trials.limit
+}
+
+// canTry reports whether a task that may crash servers may run on the server: alone, or once it has waited for long enough.
 func (v *serverState) canTry(t *task, now time.Time) bool {
-	return v.isEmpty() || now.Sub(t.suspectedAt) > t.maxTrialWait()
+	return v.canTryAlone() || now.Sub(t.suspectedAt) > t.maxTrialWait()
 }
 
 // maxTrialWait returns how long the task waits for a server without other tasks.
@@ -86,7 +108,7 @@
 // worked for maxCrashDelay.
 func (s *Scheduler) endTrial(r *run) {
 	t, d := r.task, r.server.listedAt.Sub(r.startedAt)
-	if t.crashes == 0 || d < trialDuration {
+	if !r.isolated && !t.suspected && t.crashes == 0 || d < trialDuration {
 		return
 	}
 	if r.isolated {
@@ -160,6 +182,12 @@
 	return !r.inherited && r.server.aliveAt().Sub(r.startedAt) < suspicionWindow
 }
 
+// hasBegun reports whether the server has surely begun the run. The members of a gang count as begun, since they cannot run
+// alone.
+func (r *run) hasBegun() bool {
+	return r.phase == working || r.phase == stopping || r.alone || r.task.step.step.Gang
+}
+
 // countCrash counts the crash of a run's server against its task, and fails the job once that has crashed too many.
 func (s *Scheduler) countCrash(r *run, now time.Time) {
 	t := r.task
@@ -169,12 +197,8 @@
 	t.suspected = t.suspected || r.hadJustBegun()
 	t.suspectedAt, t.crashedVM = now, r.server.info.VM
 	s.markProgress(t.state)
-	if r.phase != working && r.phase != stopping && !r.alone && !t.step.step.Gang {
-		t.unexplained++
-		return
-	}
 	t.crashes++
-	if r.hadJustBegun() {
+	if r.hadJustBegun() && r.hasBegun() {
 		t.earlyCrashes++
 	}
 	s.addDecision(r.decision("server crashed under the task"))
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -98,6 +98,9 @@
 			m[v.info.Pool] = append(m[v.info.Pool], v)
 		}
 	}
+	for _, l := range m {
+		countTrials(l)
+	}
 	return m
 }
 
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -60,8 +60,11 @@
 func (s *Scheduler) assign(t *task, v *serverState, number int) *run {
 	t.lastRun = number
 	r := &run{task: t, number: number, server: v, pace: fullPace}
-	r.alone = t.mayCrashServers() && v.isEmpty()
-	r.setIsolated(r.alone)
+	if t.mayCrashServers() && v.canTryAlone() {
+		r.alone = true
+		r.setIsolated(true)
+		v.trials.running++
+	}
 	t.run = r
 	v.addRun(r)
 	s.markDirty(t.state)
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -57,8 +57,9 @@
 	endedByList bool
 	shownOnVM   bool
 	knownSince  time.Time
-	// isolatedRuns counts the isolated runs.
+	// isolatedRuns counts the isolated runs, trials those of the pool's usable servers.
 	isolatedRuns int
+	trials       *trials
 	// lost holds the runs that were given up while it was not known whether the server had crashed.
 	lost []*run
 }
