--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -73,6 +73,9 @@
 	lastRun    int
 	failures   int
 	checkpoint string
+	// abandoned are the runs, by number, that this owner gave up while their server was unreachable, and whose end it has not
+	// seen.
+	abandoned map[int]*run
 	// recorded is the state that the store holds once the last batch is stored.
 	recorded taskRecord
 	// avoidedServer is the ID of the server on which the task last failed, stalled or was slow.
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -64,6 +64,10 @@
 func (s *Scheduler) checkRun(v *serverState, r *run, now time.Time) {
 	if r.phase == working && !v.reachable && r.task.step.step.Speculative && now.Sub(v.listedAt) > speculationDelay {
 		s.drop(r, now, "server is unreachable: restarting the speculative task elsewhere")
+		if r.task.abandoned == nil {
+			r.task.abandoned = map[int]*run{}
+		}
+		r.task.abandoned[r.number] = r
 		return
 	}
 	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now)) {
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -65,10 +65,20 @@
 }
 
 // applySpeculativeEnd processes the end of a run that is no longer assigned. It finishes a speculative task if it is
-// the first of the task's runs to succeed, and stops the other run.
+// the first of the task's runs to succeed, and stops the other run. A failure counts only for a run that this owner
+// abandoned, since a previous owner may have counted the others.
 func (s *Scheduler) applySpeculativeEnd(e server.EndedRun, now time.Time) {
 	t := s.findTask(e.Task)
-	if t == nil || t.done || !t.step.step.Speculative || e.Reason != job.EndDone || t.state.phase.Ended() {
+	if t == nil || t.done || !t.step.step.Speculative || t.state.phase.Ended() {
+		return
+	}
+	abandoned := t.abandoned[e.Number]
+	delete(t.abandoned, e.Number)
+	if abandoned != nil && e.Reason == job.EndFailed {
+		s.markProgress(t.state)
+		s.countFailure(abandoned, now)
+	}
+	if e.Reason != job.EndDone {
 		return
 	}
 	if t.run != nil {
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -193,6 +193,25 @@
 		gomega.Expect(w.JobPhase(newRecord(1, 1).Id).Phase).To(gomega.Equal(job.Completed))
 	})
 
+	ginkgo.It("counts a failed run of a speculative task that was restarted elsewhere meanwhile", func() {
+		w.submit(newRecord(1, 1, func(s *schema.StepRecord) { s.Speculative = true }))
+		for range 3 {
+			s := w.acceptStarts()[0]
+			w.reportRuns(s.Server.ID, listedRun(s, 10))
+			w.ServerUnreachable(s.Server.ID, start, w.now, "timeout")
+			for range 6 {
+				w.advance(200 * time.Millisecond)
+				w.reportRuns(otherServer(s.Server.ID))
+			}
+			w.commit()
+			w.reportEnd(s.Server.ID, s.Task, s.Number, job.EndFailed)
+			w.commit()
+		}
+		gomega.Expect(w.JobPhase(newRecord(1, 1).Id).Phase).To(gomega.Equal(job.Failed))
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1), "the run that began before the last failure was known")
+		gomega.Expect(w.takeStops()).NotTo(gomega.BeEmpty())
+	})
+
 	ginkgo.It("stops using a server on which every run fails", func() {
 		failed := 0
 		for i := range 10 {
