--- a/entry/owner/lease_test.go
+++ b/entry/owner/lease_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -56,12 +57,30 @@
 	}
 }
 
+// The owner noticed that the server was silent after up to 1.6 s and stored that half a second later. If it was lost just before,
+// the successor had to wait for 10 s or more after the loss of the server.
+func TestTasksRestartIfTheOwnerIsLostBeforeItStoresThatAServerIs(t *testing.T) {
+	const limit = 9 * time.Second
+	for gap := 300 * time.Millisecond; gap <= 3*time.Second; gap += 300 * time.Millisecond {
+		for phase := time.Duration(0); phase < time.Second; phase += 210 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s/%s", gap, phase), func(t *testing.T) {
+				runTest(t, func(g *gomega.WithT, s *cluster) {
+					x := loseServerAndOwner(g, s, losses{cores: 1, phase: phase, gap: gap})
+					g.Expect(x.sinceLoss).To(gomega.BeNumerically("<=", limit))
+				})
+			})
+		}
+	}
+}
+
 // losses describes the loss of a server and the owner. cores are those of the next owner, storeLatency is the latency of the
 // store and phase shifts the time of the losses. missedOwner makes the next owner miss that there was another one.
 type losses struct {
 	cores               float64
 	storeLatency, phase time.Duration
-	missedOwner         bool
+	// gap is the time from the loss of the server to that of the owner, 100 ms if it is zero.
+	gap         time.Duration
+	missedOwner bool
 }
 
 // restart is the time until the task of the lost server is started on another one: since the server was lost, since the owner
@@ -70,7 +89,7 @@
 	sinceLoss, sinceVacant, sinceTaken time.Duration
 }
 
-// loseServerAndOwner loses the server of a long-running task, and the owner 100 ms later.
+// loseServerAndOwner loses the server of a long-running task, and the owner after the gap.
 func loseServerAndOwner(g *gomega.WithT, s *cluster, l losses) restart {
 	p := serverPair{"s": {waits: true, lasts: true}, "t": {waits: true, lasts: true}}
 	s.servers, s.killed = p, true
@@ -96,7 +115,7 @@
 	lost.lost = true
 	lost.lock.Unlock()
 	lostAt := time.Now()
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(cmp.Or(l.gap, 100*time.Millisecond))
 	stop()
 	if l.missedOwner {
 		_, err := s.store.Transact(s.ctx, store.Transaction{Writes: []store.Write{{Key: "tarragonbank/term"}}})
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -16,8 +16,8 @@
 	// orderRetryPeriod bounds an order to a server and its retries. The server's listing shows the outcome of orders
 	// without an answer.
 	orderRetryPeriod = 900 * time.Millisecond
-	// idlePollWait is how long a poll waits for a run end on a server without finite runs, busyPollWait on other
-	// servers. A lost answer delays the report of ends for as long.
+	// idlePollWait is how long a poll waits for a run end on a server without runs, busyPollWait on other servers. A lost
+	// answer delays the report of ends for as long, and a silent server is noticed after this time.
 	idlePollWait = time.Second
 	busyPollWait = 400 * time.Millisecond
 	// finalRenewalLead is how long before the renewal of leases ends the polls return, so that the next ones renew them once
@@ -225,7 +225,7 @@
 // before leases are no longer renewed, so that the last renewal comes as late as possible.
 func (r *term) pollWait(h scheduler.PollRequest) time.Duration {
 	wait := idlePollWait
-	if h.ExpectsEnds {
+	if h.HasRuns {
 		wait = busyPollWait
 	}
 	if left := scheduler.MaxUnconfirmedRenewal - finalRenewalLead - r.confirmationAge(); left > 0 {
--- a/fleet/scheduler/lease.go
+++ b/fleet/scheduler/lease.go
@@ -18,8 +18,9 @@
 	// leaseExpiryPercent is the percentage of a lease's duration after which it has expired even on a server whose clock
 	// runs 2% slow and was last read some seconds before the renewal.
 	leaseExpiryPercent = 103
-	// leaseRecordDelay is how long a server is unreachable before the lease record lists it. Until the record has been
-	// stored without it, a server that answers again gets no renewal.
+	// leaseRecordDelay is how long a server has not answered a new owner before the lease record lists it; one that has
+	// answered is listed as soon as it is unreachable. Until the record has been stored without it, a server that answers
+	// again gets no renewal.
 	leaseRecordDelay = 500 * time.Millisecond
 	// leaseRecordInterval is the time between lease records with the same servers, which then have less time left.
 	leaseRecordInterval = 500 * time.Millisecond
@@ -84,9 +85,9 @@
 	}
 }
 
-// belongsInLeaseRecord reports whether the server has runs and has been unreachable for leaseRecordDelay.
+// belongsInLeaseRecord reports whether the server has runs and is unreachable, for leaseRecordDelay if it has never answered.
 func (v *serverState) belongsInLeaseRecord(now time.Time) bool {
-	return !v.reachable && len(v.runs) > 0 && !v.terminated && now.Sub(v.unreachableSince) >= leaseRecordDelay
+	return !v.reachable && len(v.runs) > 0 && !v.terminated && (v.listingClock > 0 || now.Sub(v.unreachableSince) >= leaseRecordDelay)
 }
 
 // buildLeaseRecord returns the lease record for the batch with the number.
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -260,8 +260,8 @@
 	LeaseUntil time.Duration
 	// AcknowledgedEnd is the sequence number up to which the server's run ends are stored.
 	AcknowledgedEnd uint64
-	// ExpectsEnds is true while the server has a finite run, so that the poll should wait for less time.
-	ExpectsEnds bool
+	// HasRuns is true while the server has runs, so that the poll should wait for less time.
+	HasRuns bool
 }
 
 // PreparePoll returns the next poll of a server; the result is false if the server needs no further polls. The lease of
@@ -272,7 +272,7 @@
 		return PollRequest{}, false
 	}
 	v.endLog.advance()
-	h := PollRequest{Server: v.info, AcknowledgedEnd: v.endLog.stored, ExpectsEnds: v.hasFiniteRun()}
+	h := PollRequest{Server: v.info, AcknowledgedEnd: v.endLog.stored, HasRuns: len(v.runs) > 0}
 	if v.lastClock > 0 && v.reachable && !v.leaseRecorded {
 		h.LeaseUntil = v.expectedClock(now) + s.limits.leaseDuration()
 		v.leaseUntil = max(v.leaseUntil, h.LeaseUntil)
@@ -280,16 +280,6 @@
 	return h, v.registered || len(v.runs) > 0 || len(v.endLog.pending) > 0
 }
 
-// hasFiniteRun reports whether the server has a run of a task that is not long-running.
-func (v *serverState) hasFiniteRun() bool {
-	for _, r := range v.runs {
-		if !r.task.step.step.LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // HasUnstoredEnds reports whether the server has reported run ends that are not stored yet.
 func (s *Scheduler) HasUnstoredEnds(id string) bool {
 	v := s.servers[id]
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -379,8 +379,19 @@
 		gomega.Expect(b.Leases.GetServers()).To(gomega.BeEmpty())
 	})
 
-	ginkgo.It("leaves out a server that is silent for less than the delay", func() {
-		gomega.Expect(silence(300 * time.Millisecond)).To(gomega.BeNil())
+	ginkgo.It("lists a server at once that has answered before", func() {
+		gomega.Expect(silence(100 * time.Millisecond).GetServers()).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("leaves out a server that has not answered this owner yet for less than the delay", func() {
+		x := newHarness()
+		x.Restore(newRecord(1, 1, longRunning), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, x.now)
+		x.now = x.now.Add(300 * time.Millisecond)
+		x.Tick(x.now)
+		gomega.Expect(x.NextBatch(batchLimit, x.now)).To(gomega.BeNil())
+		x.now = x.now.Add(300 * time.Millisecond)
+		x.Tick(x.now)
+		gomega.Expect(x.NextBatch(batchLimit, x.now).Leases.GetServers()).To(gomega.HaveLen(1))
 	})
 
 	ginkgo.It("is stored without a server before the server's lease is renewed or it gets new runs", func() {
