--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -34,6 +34,8 @@
 	EntryCores float64
 	// Untimed extends the time after a cancellation in which task starts are still allowed, for busy machines.
 	Untimed bool
+	// UnguardedPools lists the pools whose servers start whatever they are ordered to, even beyond their capacity.
+	UnguardedPools []string
 }
 
 // Site is a running site with its simulated platform, proxies and entries.
@@ -87,6 +89,7 @@
 	moveTime             = 1500 * time.Millisecond
 	maintenanceTime      = 2 * time.Second
 	cancelTimeout        = 3 * time.Second
+	contactTime          = 3 * time.Second
 	untimedCancelTimeout = time.Minute
 )
 
@@ -157,6 +160,7 @@
 		Table: s.Table, StoreAddress: s.block.Address(groupPlatform, 1, portStore), CloudAddress: s.block.Address(groupPlatform, 1, portCloud),
 		Seed: s.Options.Seed, MaxLease: maxLease, GangTimeout: gangTimeout, HeartbeatInterval: heartbeatInterval, DrainTime: drainTime, MoveTime: moveTime,
 		MaintenanceTime: maintenanceTime, CancelTimeout: cancelTimeout, RegisteredAddress: s.proxyAddress,
+		ContactTime: contactTime, UnguardedPools: s.Options.UnguardedPools,
 	}
 	if s.Options.Untimed {
 		p.CancelTimeout = untimedCancelTimeout
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -42,12 +42,14 @@
 	ctx     context.Context
 	site    *jobsite.Site
 	callers *jobsite.Callers
-	// faultRandom is used only by the goroutine that injects faults, loadRandom only by the one that submits jobs.
-	faultRandom  *rand.Rand
-	loadRandom   *rand.Rand
-	activeFaults sync.WaitGroup
-	waves        int
-	started      time.Time
+	// Each random stream is used by one goroutine: faultRandom by the one that injects faults, loadRandom by the one that
+	// submits jobs, capacityRandom by the one that changes capacities.
+	faultRandom    *rand.Rand
+	loadRandom     *rand.Rand
+	capacityRandom *rand.Rand
+	activeFaults   sync.WaitGroup
+	waves          int
+	started        time.Time
 	// cancelLimit bounds the time until the tasks of a cancelled job have ended, changeLimit the time until a
 	// configuration change is in force.
 	cancelLimit time.Duration
@@ -80,6 +82,7 @@
 // returns an error if the site cannot be started.
 func Run(ctx context.Context, p Options) (*Result, error) {
 	random := rand.New(rand.NewPCG(p.Seed, 11))
+	capacityRandom := rand.New(rand.NewPCG(p.Seed, 13))
 	cores := 0.0
 	if p.Seed%2 == 1 {
 		cores = fewCores
@@ -88,7 +91,7 @@
 		EntryCores: cores,
 		Binaries:   p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: minEntries + random.IntN(maxEntries-minEntries+1), VMsPerPool: minVMsPerPool + random.IntN(maxVMsPerPool-minVMsPerPool+1),
-		Untimed: p.Untimed,
+		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom),
 	})
 	if err != nil {
 		return nil, err
@@ -96,22 +99,25 @@
 	defer s.Stop()
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
-		reserved: map[*jobsite.Entry]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		capacityRandom: capacityRandom, reserved: map[*jobsite.Entry]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
 	}
+	r.recordFault(fmt.Sprintf("unguarded pools %v", s.Options.UnguardedPools), 0)
 	pollCtx, stopPolling := context.WithCancel(ctx)
 	defer stopPolling()
 	go r.callers.PollPhases(pollCtx)
 	faultCtx, stopFaults := context.WithTimeout(ctx, p.FaultDuration)
 	defer stopFaults()
 	var work sync.WaitGroup
-	work.Add(1)
-	go func() {
-		defer work.Done()
-		r.submitJobs(faultCtx)
-	}()
+	for _, f := range []func(context.Context){r.submitJobs, r.changeCapacities} {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			f(faultCtx)
+		}()
+	}
 	r.injectFaults(faultCtx)
 	work.Wait()
 	r.clearFaults()
@@ -167,6 +173,9 @@
 		p.SetFault(proxy.Fault{})
 		r.site.Platform.SetServerFaults(n, simulator.ServerFaults{})
 	}
+	for _, v := range r.site.Platform.Options.VMs {
+		r.setCapacity(v, fullCapacity)
+	}
 	r.site.Platform.Store.SetFaults(simulator.StoreFaults{})
 }
 
