--- a/bench/jobsite/job.go
+++ b/bench/jobsite/job.go
@@ -37,6 +37,13 @@
 	})
 }
 
+// Deadly returns a job of three tasks, the first of which crashes every server that starts it.
+func Deadly(id, queue string) Job {
+	return newJob(id, queue, []simulator.Step{
+		{Count: 3, Size: job.Size{CPU: 1000, MemoryMB: 500}, RunTime: taskTime, DeadlyTasks: 1},
+	})
+}
+
 // LongRunning returns a job whose two tasks run on different servers until the job is cancelled. One task at a time may
 // be unavailable.
 func LongRunning(id, queue string) Job {
--- a/bench/jobsite/jobsite_test.go
+++ b/bench/jobsite/jobsite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,11 +26,11 @@
 
 const limit = time.Minute
 
-func start(ctx context.Context) *jobsite.Site {
+func start(ctx context.Context, vmsPerPool int) *jobsite.Site {
 	binaries := ginkgo.GinkgoT().TempDir()
 	text, err := exec.Command("go", "build", "-o", binaries+"/", "../../platform/cmd/tarragonjobs").CombinedOutput()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(text))
-	s, err := jobsite.New(ctx, jobsite.Options{Binaries: binaries, Out: ginkgo.GinkgoT().TempDir(), Seed: 1, Entries: 2, VMsPerPool: 2, Untimed: true})
+	s, err := jobsite.New(ctx, jobsite.Options{Binaries: binaries, Out: ginkgo.GinkgoT().TempDir(), Seed: 1, Entries: 2, VMsPerPool: vmsPerPool, Untimed: true})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(s.Stop)
 	return s
@@ -72,7 +73,7 @@
 var _ = ginkgo.It("exports exactly the metrics that the operations manual lists", func() {
 	ctx, stop := context.WithTimeout(context.Background(), limit)
 	defer stop()
-	s := start(ctx)
+	s := start(ctx, 2)
 	gomega.Expect(s.Platform.RequestWave(1, []string{"ledger-1"}, limit, 1)).To(gomega.Succeed())
 	c := jobsite.NewCallers(s, 1)
 	j := jobsite.Speculative(c.NewJobID(), jobsite.Pools[0])
@@ -100,3 +101,40 @@
 		return wrong
 	}, "30s", "200ms").Should(gomega.BeEmpty())
 })
+
+// deadlyLimit bounds the time until jobs whose tasks crash servers are given up and the jobs beside them are completed.
+const deadlyLimit = 18 * time.Second
+
+// Guards against restarting a task that crashes every server that starts it without end, which takes one server after
+// another from the other jobs.
+var _ = ginkgo.It("gives up jobs whose tasks crash servers and completes the jobs beside them", func(ctx ginkgo.SpecContext) {
+	s := start(ctx, 4)
+	c := jobsite.NewCallers(s, 1)
+	go c.PollPhases(ctx)
+	expected := map[string]string{}
+	submit := func(j jobsite.Job, phase string) {
+		c.Submit(ctx, j)
+		expected[j.Request.Id] = phase
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, q := range jobsite.Pools {
+		for range 3 {
+			submit(jobsite.TwoStep(c.NewJobID(), q, random), "completed")
+		}
+		submit(jobsite.Deadly(c.NewJobID(), q), "failed")
+		submit(jobsite.Speculative(c.NewJobID(), q), "completed")
+	}
+	c.Wait()
+	gomega.Eventually(func() (map[string]string, error) {
+		if l := s.Platform.Checker.Violations(); len(l) > 0 {
+			return nil, gomega.StopTrying(strings.Join(l, "\n"))
+		}
+		m := map[string]string{}
+		for _, x := range c.Submissions() {
+			m[x.Request.Id] = x.Phase
+		}
+		return m, nil
+	}, deadlyLimit, "100ms").Should(gomega.Equal(expected))
+	gomega.Expect(s.Platform.Checker.Violations()).To(gomega.BeEmpty())
+	gomega.Expect(s.Platform.Errors()).To(gomega.BeEmpty())
+}, ginkgo.SpecTimeout(limit))
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -10,6 +10,9 @@
 const (
 	minPause = 50 * time.Millisecond
 	maxPause = 500 * time.Millisecond
+	// Deadly jobs are rare, since each takes at least two servers away for seconds.
+	minDeadlyPause = time.Second
+	maxDeadlyPause = 9 * time.Second
 	// burst is the number of jobs in an occasional burst.
 	burst = 8
 	// maxLongRunning bounds the number of long-running jobs per soak.
@@ -33,6 +36,20 @@
 	r.callers.Wait()
 }
 
+// submitDeadlyJobs submits a job whose tasks crash servers from time to time until the context ends. It draws from a stream
+// of its own so that the other jobs of a seed do not depend on it.
+func (r *run) submitDeadlyJobs(ctx context.Context) {
+	for {
+		wait(ctx, minDeadlyPause+time.Duration(r.deadlyRandom.Int64N(int64(maxDeadlyPause-minDeadlyPause))))
+		if ctx.Err() != nil {
+			return
+		}
+		q := jobsite.Pools[r.deadlyRandom.IntN(len(jobsite.Pools))]
+		r.recordFault("deadly job for "+q, 0)
+		r.callers.Submit(r.ctx, jobsite.Deadly(r.callers.NewJobID(), q))
+	}
+}
+
 func (r *run) submit() {
 	q, id := jobsite.Pools[r.loadRandom.IntN(len(jobsite.Pools))], r.callers.NewJobID()
 	var j jobsite.Job
