--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -37,6 +37,7 @@
 	lastRun, failures  int
 	crashes            int
 	earlyCrashes       int
+	doubtfulCrashes    int
 	suspected          bool
 	done               bool
 	checkpoint, server string
@@ -44,7 +45,10 @@
 }
 
 func (t *task) record() taskRecord {
-	r := taskRecord{lastRun: t.lastRun, failures: t.failures, crashes: t.crashes, earlyCrashes: t.earlyCrashes, suspected: t.suspected, done: t.done}
+	r := taskRecord{
+		lastRun: t.lastRun, failures: t.failures, crashes: t.crashes, earlyCrashes: t.earlyCrashes,
+		doubtfulCrashes: t.doubtfulCrashes, suspected: t.suspected, done: t.done,
+	}
 	if !t.done {
 		r.checkpoint = t.checkpoint
 	}
@@ -61,7 +65,7 @@
 	p := &schema.TaskProgress{
 		Occurrence: int32(t.key.Occurrence), Step: int32(t.key.Step), Index: int32(t.key.Index),
 		LastRun: int32(r.lastRun), Failures: int32(r.failures), Done: r.done, Checkpoint: r.checkpoint, Server: r.server,
-		Crashes: int32(r.crashes), EarlyCrashes: int32(r.earlyCrashes), Suspected: r.suspected,
+		Crashes: int32(r.crashes), EarlyCrashes: int32(r.earlyCrashes), DoubtfulCrashes: int32(r.doubtfulCrashes), Suspected: r.suspected,
 	}
 	if r.server != "" {
 		p.BornMs = r.startedAt.UnixMilli()
@@ -73,7 +77,7 @@
 func (t *task) restoreRecord(m *schema.TaskProgress) {
 	t.recorded = taskRecord{
 		lastRun: int(m.LastRun), failures: int(m.Failures), done: m.Done, checkpoint: m.Checkpoint, server: m.Server,
-		crashes: int(m.Crashes), earlyCrashes: int(m.EarlyCrashes), suspected: m.Suspected,
+		crashes: int(m.Crashes), earlyCrashes: int(m.EarlyCrashes), doubtfulCrashes: int(m.DoubtfulCrashes), suspected: m.Suspected,
 	}
 	if m.Server != "" {
 		t.recorded.startedAt = time.UnixMilli(m.BornMs)
--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -6,14 +6,19 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 )
 
-// A crash ends all runs of a server and does not tell its cause. These limits decide when the job of a task fails.
+// A crash ends all runs of a server and does not tell its cause. These limits decide when the job of a task fails. Servers
+// also crash in groups for reasons of their own.
 const (
-	// maxIsolatedCrashes is the number of crashes if the last server ran nothing else.
+	// maxIsolatedCrashes is the number of crashes if the last server ran nothing else and the task had just begun there.
 	maxIsolatedCrashes = 2
+	// maxLateCrashes is the number of crashes if the last server ran nothing else.
+	maxLateCrashes = 3
 	// maxEarlyCrashes is the number of crashes on which a finite task had just begun.
 	maxEarlyCrashes = 3
-	// maxCrashes is the number of crashes of any kind for a finite task, also on servers that may not have begun it.
-	maxCrashes = 5
+	// maxIsolatedDoubtfulCrashes and maxDoubtfulCrashes include the servers that may not have begun the task, the first if
+	// the last server ran nothing else, the second for finite tasks.
+	maxIsolatedDoubtfulCrashes = 4
+	maxDoubtfulCrashes         = 5
 )
 
 const (
@@ -35,12 +40,12 @@
 
 // mayCrashServers reports whether the task is a likely cause of the crash of a server, so that it should run alone.
 func (t *task) mayCrashServers() bool {
-	return !t.step.step.Gang && (t.suspected || t.crashes+t.unexplained >= minSuspiciousCrashes)
+	return !t.step.step.Gang && (t.suspected || t.crashes+t.doubtfulCrashes+t.unexplained >= minSuspiciousCrashes)
 }
 
 // hasLostServer reports whether a server crashed, or fell silent, while it ran the task.
 func (t *task) hasLostServer() bool {
-	return t.crashes+t.unexplained > 0
+	return t.crashes+t.doubtfulCrashes+t.unexplained > 0
 }
 
 // isolates reports whether the server runs a task that may crash it, and so gets no other.
@@ -108,7 +113,7 @@
 // worked for maxCrashDelay.
 func (s *Scheduler) endTrial(r *run) {
 	t, d := r.task, r.server.listedAt.Sub(r.startedAt)
-	if !r.isolated && !t.suspected && t.crashes == 0 || d < trialDuration {
+	if !r.isolated && !t.suspected && t.crashes+t.doubtfulCrashes == 0 || d < trialDuration {
 		return
 	}
 	if r.isolated {
@@ -121,7 +126,7 @@
 	}
 	t.suspected, t.earlyCrashes = false, 0
 	if d >= maxCrashDelay {
-		t.crashes = 0
+		t.crashes, t.doubtfulCrashes = 0, 0
 	}
 	s.markProgress(t.state)
 }
@@ -185,7 +190,7 @@
 // hasBegun reports whether the server has surely begun the run. The members of a gang count as begun, since they cannot run
 // alone.
 func (r *run) hasBegun() bool {
-	return r.phase == working || r.phase == stopping || r.alone || r.task.step.step.Gang
+	return r.phase == working || r.phase == stopping || r.task.step.step.Gang
 }
 
 // countCrash counts the crash of a run's server against its task, and fails the job once that has crashed too many.
@@ -197,24 +202,30 @@
 	t.suspected = t.suspected || r.hadJustBegun()
 	t.suspectedAt, t.crashedVM = now, r.server.info.VM
 	s.markProgress(t.state)
-	t.crashes++
-	if r.hadJustBegun() && r.hasBegun() {
+	switch {
+	case !r.hasBegun():
+		t.doubtfulCrashes++
+	case r.hadJustBegun():
+		t.crashes++
 		t.earlyCrashes++
+	default:
+		t.crashes++
 	}
 	s.addDecision(r.decision("server crashed under the task"))
-	if t.crashesServers(r.alone) {
+	if t.crashesServers(r) {
 		s.addDecision(Decision{Job: t.job.ID, Task: t.key.String(), Pool: t.job.Pool, Run: t.lastRun, Reason: "job failed: the task crashes the servers that start it"})
 		s.endJob(t.state, job.Failed, now)
 	}
 }
 
-// crashesServers reports whether a task is surely the cause of crashes; alone is true if the last server ran nothing else.
-// Long-running tasks see many crashes that others cause.
-func (t *task) crashesServers(alone bool) bool {
-	if t.crashes >= maxIsolatedCrashes && alone {
-		return true
+// crashesServers reports whether a task is surely the cause of crashes, the last of them under the run. Long-running tasks
+// see many crashes that others cause.
+func (t *task) crashesServers(r *run) bool {
+	all := t.crashes + t.doubtfulCrashes
+	if r.alone {
+		return t.crashes >= maxIsolatedCrashes && r.hadJustBegun() || t.crashes >= maxLateCrashes || all >= maxIsolatedDoubtfulCrashes
 	}
-	return !t.step.step.LongRunning && (t.earlyCrashes >= maxEarlyCrashes || t.crashes >= maxCrashes)
+	return !t.step.step.LongRunning && (t.earlyCrashes >= maxEarlyCrashes || all >= maxDoubtfulCrashes)
 }
 
 // aliveAt returns when the server last gave a sign of life.
