--- a/bench/jobsite/job.go
+++ b/bench/jobsite/job.go
@@ -37,10 +37,10 @@
 	})
 }
 
-// Deadly returns a job of three tasks, the first of which crashes every server that starts it.
-func Deadly(id, queue string) Job {
+// Crashing returns a job of three tasks, the first of which crashes every server that starts it.
+func Crashing(id, queue string) Job {
 	return newJob(id, queue, []simulator.Step{
-		{Count: 3, Size: job.Size{CPU: 1000, MemoryMB: 500}, RunTime: taskTime, DeadlyTasks: 1},
+		{Count: 3, Size: job.Size{CPU: 1000, MemoryMB: 500}, RunTime: taskTime, CrashingTasks: 1},
 	})
 }
 
--- a/bench/jobsite/jobsite_test.go
+++ b/bench/jobsite/jobsite_test.go
@@ -102,8 +102,8 @@
 	}, "30s", "200ms").Should(gomega.BeEmpty())
 })
 
-// deadlyLimit bounds the time until jobs whose tasks crash servers are given up and the jobs beside them are completed.
-const deadlyLimit = 18 * time.Second
+// crashingLimit bounds the time until jobs whose tasks crash servers are given up and the jobs beside them are completed.
+const crashingLimit = 18 * time.Second
 
 // Guards against restarting a task that crashes every server that starts it without end, which takes one server after
 // another from the other jobs.
@@ -121,7 +121,7 @@
 		for range 3 {
 			submit(jobsite.TwoStep(c.NewJobID(), q, random), "completed")
 		}
-		submit(jobsite.Deadly(c.NewJobID(), q), "failed")
+		submit(jobsite.Crashing(c.NewJobID(), q), "failed")
 		submit(jobsite.Speculative(c.NewJobID(), q), "completed")
 	}
 	c.Wait()
@@ -134,7 +134,7 @@
 			m[x.Request.Id] = x.Phase
 		}
 		return m, nil
-	}, deadlyLimit, "100ms").Should(gomega.Equal(expected))
+	}, crashingLimit, "100ms").Should(gomega.Equal(expected))
 	gomega.Expect(s.Platform.Checker.Violations()).To(gomega.BeEmpty())
 	gomega.Expect(s.Platform.Errors()).To(gomega.BeEmpty())
 }, ginkgo.SpecTimeout(limit))
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -10,9 +10,9 @@
 const (
 	minPause = 50 * time.Millisecond
 	maxPause = 500 * time.Millisecond
-	// Deadly jobs are rare, since each takes at least two servers away for seconds.
-	minDeadlyPause = time.Second
-	maxDeadlyPause = 9 * time.Second
+	// Crashing jobs are rare, since each takes at least two servers away for seconds.
+	minCrashingPause = time.Second
+	maxCrashingPause = 9 * time.Second
 	// burst is the number of jobs in an occasional burst.
 	burst = 8
 	// maxLongRunning bounds the number of long-running jobs per soak.
@@ -36,17 +36,17 @@
 	r.callers.Wait()
 }
 
-// submitDeadlyJobs submits a job whose tasks crash servers from time to time until the context ends. It draws from a stream
+// submitCrashingJobs submits a job whose tasks crash servers from time to time until the context ends. It draws from a stream
 // of its own so that the other jobs of a seed do not depend on it.
-func (r *run) submitDeadlyJobs(ctx context.Context) {
+func (r *run) submitCrashingJobs(ctx context.Context) {
 	for {
-		wait(ctx, minDeadlyPause+time.Duration(r.deadlyRandom.Int64N(int64(maxDeadlyPause-minDeadlyPause))))
+		wait(ctx, minCrashingPause+time.Duration(r.crashingRandom.Int64N(int64(maxCrashingPause-minCrashingPause))))
 		if ctx.Err() != nil {
 			return
 		}
-		q := jobsite.Pools[r.deadlyRandom.IntN(len(jobsite.Pools))]
-		r.recordFault("deadly job for "+q, 0)
-		r.callers.Submit(r.ctx, jobsite.Deadly(r.callers.NewJobID(), q))
+		q := jobsite.Pools[r.crashingRandom.IntN(len(jobsite.Pools))]
+		r.recordFault("crashing job for "+q, 0)
+		r.callers.Submit(r.ctx, jobsite.Crashing(r.callers.NewJobID(), q))
 	}
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -43,12 +43,12 @@
 	site    *jobsite.Site
 	callers *jobsite.Callers
 	// Each random stream is used by one goroutine: faultRandom by the one that injects faults, loadRandom by the one that
-	// submits jobs, capacityRandom by the one that changes capacities, deadlyRandom by the one that submits deadly
+	// submits jobs, capacityRandom by the one that changes capacities, crashingRandom by the one that submits crashing
 	// jobs.
 	faultRandom    *rand.Rand
 	loadRandom     *rand.Rand
 	capacityRandom *rand.Rand
-	deadlyRandom   *rand.Rand
+	crashingRandom *rand.Rand
 	activeFaults   sync.WaitGroup
 	waves          int
 	started        time.Time
@@ -101,7 +101,7 @@
 	defer s.Stop()
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
-		capacityRandom: capacityRandom, deadlyRandom: rand.New(rand.NewPCG(p.Seed, 14)), reserved: map[*jobsite.Entry]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), reserved: map[*jobsite.Entry]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
@@ -113,7 +113,7 @@
 	faultCtx, stopFaults := context.WithTimeout(ctx, p.FaultDuration)
 	defer stopFaults()
 	var work sync.WaitGroup
-	for _, f := range []func(context.Context){r.submitJobs, r.submitDeadlyJobs, r.changeCapacities} {
+	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities} {
 		work.Add(1)
 		go func() {
 			defer work.Done()
