--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -38,6 +38,7 @@
 	crashes            int
 	earlyCrashes       int
 	doubtfulCrashes    int
+	isolatedCrashes    int
 	suspected          bool
 	done               bool
 	checkpoint, server string
@@ -47,7 +48,7 @@
 func (t *task) record() taskRecord {
 	r := taskRecord{
 		lastRun: t.lastRun, failures: t.failures, crashes: t.crashes, earlyCrashes: t.earlyCrashes,
-		doubtfulCrashes: t.doubtfulCrashes, suspected: t.suspected, done: t.done,
+		doubtfulCrashes: t.doubtfulCrashes, isolatedCrashes: t.isolatedCrashes, suspected: t.suspected, done: t.done,
 	}
 	if !t.done {
 		r.checkpoint = t.checkpoint
@@ -65,7 +66,7 @@
 	p := &schema.TaskProgress{
 		Occurrence: int32(t.key.Occurrence), Step: int32(t.key.Step), Index: int32(t.key.Index),
 		LastRun: int32(r.lastRun), Failures: int32(r.failures), Done: r.done, Checkpoint: r.checkpoint, Server: r.server,
-		Crashes: int32(r.crashes), EarlyCrashes: int32(r.earlyCrashes), DoubtfulCrashes: int32(r.doubtfulCrashes), Suspected: r.suspected,
+		Crashes: int32(r.crashes), EarlyCrashes: int32(r.earlyCrashes), DoubtfulCrashes: int32(r.doubtfulCrashes), IsolatedCrashes: int32(r.isolatedCrashes), Suspected: r.suspected,
 	}
 	if r.server != "" {
 		p.BornMs = r.startedAt.UnixMilli()
@@ -77,7 +78,7 @@
 func (t *task) restoreRecord(m *schema.TaskProgress) {
 	t.recorded = taskRecord{
 		lastRun: int(m.LastRun), failures: int(m.Failures), done: m.Done, checkpoint: m.Checkpoint, server: m.Server,
-		crashes: int(m.Crashes), earlyCrashes: int(m.EarlyCrashes), doubtfulCrashes: int(m.DoubtfulCrashes), suspected: m.Suspected,
+		crashes: int(m.Crashes), earlyCrashes: int(m.EarlyCrashes), doubtfulCrashes: int(m.DoubtfulCrashes), isolatedCrashes: int(m.IsolatedCrashes), suspected: m.Suspected,
 	}
 	if m.Server != "" {
 		t.recorded.startedAt = time.UnixMilli(m.BornMs)
--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -6,19 +6,17 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 )
 
-// A crash ends all runs of a server and does not tell its cause. These limits decide when the job of a task fails. Servers
-// also crash in groups for reasons of their own.
+// A crash ends all runs of a server and does not tell its cause, and servers also crash in groups for reasons of their own.
+// These limits decide when the job of a task fails.
 const (
-	// maxIsolatedCrashes is the number of crashes if the last server ran nothing else and the task had just begun there.
+	// maxEarlyIsolatedCrashes is the number of crashes if the last server ran nothing else and the task had just begun there.
+	maxEarlyIsolatedCrashes = 2
+	// maxIsolatedCrashes is the number of crashes of servers that ran nothing else.
 	maxIsolatedCrashes = 2
-	// maxLateCrashes is the number of crashes if the last server ran nothing else.
-	maxLateCrashes = 3
 	// maxEarlyCrashes is the number of crashes on which a finite task had just begun.
 	maxEarlyCrashes = 3
-	// maxIsolatedDoubtfulCrashes and maxDoubtfulCrashes include the servers that may not have begun the task, the first if
-	// the last server ran nothing else, the second for finite tasks.
-	maxIsolatedDoubtfulCrashes = 4
-	maxDoubtfulCrashes         = 5
+	// maxCrashes is the number of crashes of any kind for a finite task, also on servers that may not have begun it.
+	maxCrashes = 5
 )
 
 const (
@@ -124,7 +122,7 @@
 	if !t.suspected && d < maxCrashDelay {
 		return
 	}
-	t.suspected, t.earlyCrashes = false, 0
+	t.suspected, t.earlyCrashes, t.isolatedCrashes = false, 0, 0
 	if d >= maxCrashDelay {
 		t.crashes, t.doubtfulCrashes = 0, 0
 	}
@@ -202,6 +200,9 @@
 	t.suspected = t.suspected || r.hadJustBegun()
 	t.suspectedAt, t.crashedVM = now, r.server.info.VM
 	s.markProgress(t.state)
+	if r.alone {
+		t.isolatedCrashes++
+	}
 	switch {
 	case !r.hasBegun():
 		t.doubtfulCrashes++
@@ -221,11 +222,10 @@
 // crashesServers reports whether a task is surely the cause of crashes, the last of them under the run. Long-running tasks
 // see many crashes that others cause.
 func (t *task) crashesServers(r *run) bool {
-	all := t.crashes + t.doubtfulCrashes
-	if r.alone {
-		return t.crashes >= maxIsolatedCrashes && r.hadJustBegun() || t.crashes >= maxLateCrashes || all >= maxIsolatedDoubtfulCrashes
+	if r.alone && r.hadJustBegun() && t.crashes >= maxEarlyIsolatedCrashes || t.isolatedCrashes >= maxIsolatedCrashes {
+		return true
 	}
-	return !t.step.step.LongRunning && (t.earlyCrashes >= maxEarlyCrashes || all >= maxDoubtfulCrashes)
+	return !t.step.step.LongRunning && (t.earlyCrashes >= maxEarlyCrashes || t.crashes+t.doubtfulCrashes >= maxCrashes)
 }
 
 // aliveAt returns when the server last gave a sign of life.
--- a/fleet/scheduler/crash_test.go
+++ b/fleet/scheduler/crash_test.go
@@ -309,6 +309,19 @@
 		ginkgo.Entry("after it has worked alone for a while", true, 800*time.Millisecond),
 		ginkgo.Entry("if it may not have begun before the first", false, time.Duration(0)))
 
+	// A long-running task that had seen three crashes of other causes was given up when the next server crashed as well.
+	ginkgo.It("is not blamed for the first crash of a server that runs nothing else", func() {
+		w = newHarness()
+		w.Restore(newRecord(1, 1, longRunning), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 3, Crashes: 3}}}, w.now)
+		w.addServers("a")
+		w.commit()
+		o := w.acceptStarts()[0]
+		w.advance(time.Second)
+		w.reportRuns("a", listedRun(o, 100))
+		crash("a")
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
 	ginkgo.It("is not blamed if the server was to leave", func() {
 		for range 4 {
 			v := newServer("a")
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -74,8 +74,9 @@
 	failures   int
 	checkpoint string
 	// crashes counts the servers that crashed while they ran the task, earlyCrashes those of them on which it had just begun,
-	// doubtfulCrashes the servers that may have crashed before they began it, unexplained those that fell silent.
-	crashes, earlyCrashes, doubtfulCrashes, unexplained int
+	// doubtfulCrashes the servers that may have crashed before they began it, isolatedCrashes the servers of both kinds that
+	// were to run nothing else, unexplained those that fell silent.
+	crashes, earlyCrashes, doubtfulCrashes, isolatedCrashes, unexplained int
 	// suspected is true while the task should run alone, since it may have crashed a server; suspectedAt is when that last
 	// happened.
 	suspected   bool
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -57,7 +57,8 @@
 	t.restoreRecord(m)
 	t.lastRun = int(m.LastRun)
 	t.failures = int(m.Failures)
-	t.crashes, t.earlyCrashes, t.doubtfulCrashes = int(m.Crashes), int(m.EarlyCrashes), int(m.DoubtfulCrashes)
+	t.crashes, t.earlyCrashes = int(m.Crashes), int(m.EarlyCrashes)
+	t.doubtfulCrashes, t.isolatedCrashes = int(m.DoubtfulCrashes), int(m.IsolatedCrashes)
 	t.suspected, t.suspectedAt = m.Suspected, now
 	t.checkpoint = m.Checkpoint
 	if m.Checkpoint != "" {
