--- a/entry/mirror/mirror.go
+++ b/entry/mirror/mirror.go
@@ -44,6 +44,10 @@
 	retryInterval = 150 * time.Millisecond
 	// responseGrace is how much later than its poll timeout a watch may answer; a slow store takes 250 ms.
 	responseGrace = 700 * time.Millisecond
+	// minReadTimeout bounds the first attempt to read a page. Each further one may take twice as long, up to maxReadTimeout,
+	// since a page of 1 MB takes seconds on a slow link.
+	minReadTimeout = time.Second
+	maxReadTimeout = 8 * time.Second
 )
 
 // Option configures a Mirror.
@@ -67,16 +71,19 @@
 func (m *Mirror) Run(ctx context.Context) {
 	after := store.Revision(0)
 	failed := false
+	readTimeout := minReadTimeout
 	for ctx.Err() == nil {
 		var err error
 		if after == 0 {
-			after, err = m.readAll(ctx)
+			after, err = m.readAll(ctx, readTimeout)
+			readTimeout = min(2*readTimeout, maxReadTimeout)
 		} else {
 			after, err = m.poll(ctx, after)
 		}
 		if err == nil {
 			m.lastContactNs.Store(time.Now().UnixNano())
 			failed = false
+			readTimeout = minReadTimeout
 			continue
 		}
 		if ctx.Err() == nil && !failed {
@@ -97,13 +104,13 @@
 }
 
 // readAll passes the items of all pages to the sink and returns the revision of the first page, so that the watch repeats
-// changes made while later pages were read.
-func (m *Mirror) readAll(ctx context.Context) (store.Revision, error) {
+// changes made while later pages were read. Each page has to arrive within the timeout.
+func (m *Mirror) readAll(ctx context.Context, timeout time.Duration) (store.Revision, error) {
 	var l []store.Item
 	first := store.Revision(0)
 	after := ""
 	for {
-		p, err := m.store.Range(ctx, m.prefix, after)
+		p, err := m.readPage(ctx, after, timeout)
 		if err != nil {
 			return 0, err
 		}
@@ -120,6 +127,12 @@
 	return first, nil
 }
 
+func (m *Mirror) readPage(ctx context.Context, after string, timeout time.Duration) (store.Page, error) {
+	c, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	return m.store.Range(c, m.prefix, after)
+}
+
 // poll waits for changes and returns the revision to continue from. It returns 0, to have all items read again, if the
 // store has compacted the changes after the given revision.
 func (m *Mirror) poll(ctx context.Context, after store.Revision) (store.Revision, error) {
--- a/entry/mirror/mirror_test.go
+++ b/entry/mirror/mirror_test.go
@@ -15,10 +15,13 @@
 
 // scriptedStore answers watches with the given responses in turn, and then without changes.
 type scriptedStore struct {
-	lock      sync.Mutex
-	items     []store.Item
-	at        store.Revision
-	responses []response
+	lock sync.Mutex
+	// silentReads is the number of reads that get no answer, readTime is how long the others take.
+	silentReads int
+	readTime    time.Duration
+	items       []store.Item
+	at          store.Revision
+	responses   []response
 }
 
 type response struct {
@@ -27,7 +30,20 @@
 	err    error
 }
 
-func (s *scriptedStore) Range(context.Context, string, string) (store.Page, error) {
+func (s *scriptedStore) Range(ctx context.Context, _, _ string) (store.Page, error) {
+	s.lock.Lock()
+	silent := s.silentReads > 0
+	s.silentReads--
+	s.lock.Unlock()
+	d := s.readTime
+	if silent {
+		d = time.Hour
+	}
+	select {
+	case <-ctx.Done():
+		return store.Page{}, &store.UnavailableError{Call: "range", Detail: ctx.Err().Error()}
+	case <-time.After(d):
+	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	return store.Page{Items: s.items, Revision: s.at}, nil
@@ -127,3 +143,25 @@
 		})
 	}
 }
+
+// A read on a connection that had gone silent never ended: servers that drained, shrank or were gone stayed as they had been.
+func TestReadWithoutAnswerIsRepeated(t *testing.T) {
+	for name, s := range map[string]*scriptedStore{
+		"on a silent connection":                      {silentReads: 1},
+		"of a page that takes seconds on a slow link": {readTime: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				s.items, s.at = []store.Item{item("a", "1")}, 5
+				k := &recordingSink{}
+				ctx, stop := context.WithCancel(context.Background())
+				go mirror.New(s, "", k).Run(ctx)
+				time.Sleep(10 * time.Second)
+				stop()
+				synctest.Wait()
+				g.Expect(k.values).To(gomega.Equal(map[string]string{"a": "1"}))
+			})
+		})
+	}
+}
