--- a/fleet/scheduler/incarnation_test.go
+++ b/fleet/scheduler/incarnation_test.go
@@ -94,9 +94,12 @@
 	})
 
 	ginkgo.It("proves nothing about a server that has answered since, as after a step of the VM's clock", func() {
+		w.now = w.now.Add(1100 * time.Millisecond)
 		v := next(start.Add(time.Second))
 		w.Register(v, w.now)
 		answer(v)
+		h, _ := w.PreparePoll(v.ID, w.now)
+		gomega.Expect(h.LeaseUntil).NotTo(gomega.BeZero(), "it has answered")
 		w.now = w.now.Add(10 * time.Millisecond)
 		w.reportRuns("a", listedRun(lost, 100))
 		lose()
