--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -35,11 +35,12 @@
 	if !s.needsPlan || s.table == nil {
 		return
 	}
-	s.needsPlan, s.awaitingTrial = false, false
+	s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
 	l := s.pendingSteps(now)
 	if len(l) == 0 {
 		return
 	}
+	s.resumesAt = s.nextResumption(now)
 	pools := s.usableServers(now)
 	full := map[string]*fullness{}
 	for _, w := range l {
@@ -104,6 +105,21 @@
 	return m
 }
 
+// nextResumption returns when the next pause of a server is over, zero if none is paused.
+func (s *Scheduler) nextResumption(now time.Time) time.Time {
+	var next time.Time
+	for _, v := range s.servers {
+		t := v.pausedUntil
+		if v.fullUntil.After(t) {
+			t = v.fullUntil
+		}
+		if v.exists() && t.After(now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	return next
+}
+
 // serversByID returns the servers sorted by ID, so that placement does not depend on map iteration order.
 func (s *Scheduler) serversByID() []*serverState {
 	if s.sortedServers == nil {
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 	unplacedAt map[string]time.Time
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
 	awaitingTrial bool
+	// resumesAt is when the first of the servers that were paused in the last pass may be used again, zero if there are none.
+	resumesAt time.Time
 	// sortedServers caches the servers sorted by ID; nil after the set of servers has changed.
 	sortedServers []*serverState
 	// incomingCores are the cores on their way to each pool, reserveCores those of the standby VMs, which any pool could get.
@@ -91,7 +93,7 @@
 	s.checkRuns(now)
 	s.purgeEndedJobs(now)
 	s.pace(now)
-	s.needsPlan = s.needsPlan || s.awaitingTrial
+	s.needsPlan = s.needsPlan || s.awaitingTrial || !s.resumesAt.IsZero() && !now.Before(s.resumesAt)
 	s.plan(now)
 }
 
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -46,6 +46,24 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", otherServer(s.Server.ID))))
 	})
 
+	// The end of a pause caused no placement, so the task waited until something else did.
+	ginkgo.DescribeTable("places a task again once the only server's pause is over", func(a scheduler.StartAnswer) {
+		w = newHarness()
+		w.addServers("a")
+		w.submit(newRecord(1, 1))
+		s := w.orders.Starts[0]
+		w.orders.Starts = nil
+		w.StartAnswered(s, a, 0, w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		w.reportRuns("a")
+		w.advance(1200 * time.Millisecond)
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	},
+		ginkgo.Entry("that accepted no connection", scheduler.Undelivered),
+		ginkgo.Entry("that was unhealthy", scheduler.Unhealthy),
+		ginkgo.Entry("that had no room", scheduler.InsufficientCapacity))
+
 	ginkgo.It("does not drop a run because of a listing that is older than the answer to its start", func() {
 		w.submit(newRecord(1, 1))
 		old := server.Listing{StartedAt: start, Clock: w.clock()}
