--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -269,7 +269,8 @@
 	// fullPause is how long no run is placed on a server that had less free capacity than expected. Runs last about a
 	// second, so capacity soon becomes free.
 	fullPause = 300 * time.Millisecond
-	// unhealthyPause is how long no run is placed on a server that reports itself unhealthy or accepts no connection.
+	// unhealthyPause is how long no run is placed on a server that reports itself unhealthy, accepts no connection or is
+	// not on the list of VMs, which may lag.
 	unhealthyPause = time.Second
 )
 
--- a/fleet/scheduler/vmlist.go
+++ b/fleet/scheduler/vmlist.go
@@ -27,7 +27,11 @@
 			continue
 		}
 		// A VM that has come up shows no server until that has started.
-		if x.State == vm.Up && x.ServerID == "" || v.terminated || v.reachable || !v.listIsNewer(now) {
+		if x.State == vm.Up && x.ServerID == "" || v.terminated || !v.listIsNewer(now) {
+			continue
+		}
+		if v.reachable {
+			v.pauseUntil(now.Add(unhealthyPause))
 			continue
 		}
 		s.addDecision(Decision{Server: v.info.ID, Pool: v.info.Pool, Reason: "server has ended: its VM is listed as " + x.State.String(), Age: now.Sub(v.listedAt)})
--- a/fleet/scheduler/vmlist_test.go
+++ b/fleet/scheduler/vmlist_test.go
@@ -98,6 +98,22 @@
 		ginkgo.Entry("if the list has never shown it and may be older", 4*time.Second, "z", false, vm.Down, ""),
 		ginkgo.Entry("if it is as young as the list may be old", 2*time.Second, "a", false, vm.Down, ""))
 
+	// Servers that run nothing are polled less often than others, so tasks were placed on them after they had crashed.
+	ginkgo.It("gets no runs before it has missed a poll", func() {
+		w := newHarness()
+		w.addServers("a")
+		w.listVM(vm.Up, "a")
+		w.advance(9 * time.Second)
+		w.addServers("a")
+		w.listVM(vm.Down, "")
+		w.submit(newRecord(1, 1))
+		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+		w.advance(2 * time.Second)
+		w.reportRuns("a")
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1), "the list was wrong")
+	})
+
 	ginkgo.It("is polled again once the list shows it again", func() {
 		w, _ := newHarnessWithRun()
 		w.listVM(vm.Up, "a")
