--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -108,12 +108,12 @@
 // nextResumption returns when the next pause of a server is over, zero if none is paused.
 func (s *Scheduler) nextResumption(now time.Time) time.Time {
 	var next time.Time
-	for _, v := range s.servers {
+	for _, v := range s.serversByID() {
 		t := v.pausedUntil
 		if v.fullUntil.After(t) {
 			t = v.fullUntil
 		}
-		if v.exists() && t.After(now) && (next.IsZero() || t.Before(next)) {
+		if !t.IsZero() && v.exists() && t.After(now) && (next.IsZero() || t.Before(next)) {
 			next = t
 		}
 	}
