--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -15,7 +16,8 @@
 	maxIsolatedCrashes = 2
 	// maxEarlyCrashes is the number of crashes on which a finite task had just begun.
 	maxEarlyCrashes = 3
-	// maxCrashes is the number of crashes of any kind for a finite task, also on servers that may not have begun it.
+	// maxCrashes is the number of crashes of any kind for a finite task, also on servers that may not have begun it. For a
+	// long-running task it includes only these and the ones on which it had just begun.
 	maxCrashes = 5
 )
 
@@ -122,9 +124,9 @@
 	if !t.suspected && d < maxCrashDelay {
 		return
 	}
-	t.suspected, t.earlyCrashes, t.isolatedCrashes = false, 0, 0
+	t.suspected, t.earlyCrashes, t.isolatedCrashes, t.doubtfulCrashes = false, 0, 0, 0
 	if d >= maxCrashDelay {
-		t.crashes, t.doubtfulCrashes = 0, 0
+		t.crashes = 0
 	}
 	s.markProgress(t.state)
 }
@@ -175,11 +177,20 @@
 	if v.info.Draining || v.terminated || s.cordonedVMs[v.info.VM] {
 		return
 	}
+	repeated := slices.ContainsFunc(l, (*run).repeatsCrash)
 	for _, r := range l {
-		s.countCrash(r, now)
+		if !repeated || r.repeatsCrash() || !r.task.step.step.LongRunning {
+			s.countCrash(r, now)
+		}
 	}
 }
 
+// repeatsCrash reports whether the run had just begun, like an earlier one of its task on a server that crashed. Such a run
+// explains a crash better than the long-running ones beside it.
+func (r *run) repeatsCrash() bool {
+	return r.hadJustBegun() && r.task.earlyCrashes+r.task.doubtfulCrashes > 0
+}
+
 // hadJustBegun reports whether the run had begun shortly before its server crashed, if it had begun at all.
 func (r *run) hadJustBegun() bool {
 	return !r.inherited && r.server.aliveAt().Sub(r.startedAt) < suspicionWindow
@@ -225,7 +236,10 @@
 	if r.alone && r.hadJustBegun() && t.crashes >= maxEarlyIsolatedCrashes || t.isolatedCrashes >= maxIsolatedCrashes {
 		return true
 	}
-	return !t.step.step.LongRunning && (t.earlyCrashes >= maxEarlyCrashes || t.crashes+t.doubtfulCrashes >= maxCrashes)
+	if t.step.step.LongRunning {
+		return t.earlyCrashes+t.doubtfulCrashes >= maxCrashes
+	}
+	return t.earlyCrashes >= maxEarlyCrashes || t.crashes+t.doubtfulCrashes >= maxCrashes
 }
 
 // aliveAt returns when the server last gave a sign of life.
