--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -170,6 +170,7 @@
 	for r.ctx.Err() == nil {
 		h, ok := r.nextPoll(id)
 		if !ok {
+			r.owner.forgetServer(id)
 			return
 		}
 		if err := r.poll(h, missed); err != nil {
@@ -315,6 +316,13 @@
 	o.servers[v.ID] = v
 }
 
+// forgetServer forgets a server that needs no further polls.
+func (o *Owner) forgetServer(id string) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	delete(o.servers, id)
+}
+
 // pollRemembered polls the servers with restored runs that this entry knows from an earlier term, and forgets the others. Their
 // registrations may have expired while the store was unavailable.
 func (r *term) pollRemembered() {
--- a/fleet/scheduler/crash_test.go
+++ b/fleet/scheduler/crash_test.go
@@ -258,6 +258,28 @@
 		gomega.Expect(x.acceptStarts()).To(gomega.BeEmpty())
 	})
 
+	// The counts were read from the store, but no test noticed that they had to be written.
+	ginkgo.It("is given up by the next owner after a second crash", func() {
+		x := newHarness()
+		x.addServers("b")
+		w.now = w.now.Add(time.Second)
+		v := newServer("a")
+		v.StartedAt = w.now
+		w.Register(v, w.now)
+		entries := []*schema.LogEntry{}
+		for b := w.NextBatch(batchLimit, w.now); b != nil; b = w.NextBatch(batchLimit, w.now) {
+			entries = append(entries, b.Log)
+			w.BatchCommitted(b, w.now)
+		}
+		x.RestoreLog(entries)
+		x.Restore(newRecord(1, 1), nil, x.now)
+		x.commit()
+		x.acceptStarts()
+		w = x
+		crash("b")
+		gomega.Expect(x.JobPhase(newRecord(1, 1).Id).Phase).To(gomega.Equal(job.Failed))
+	})
+
 	ginkgo.DescribeTable("runs alone next if another server runs on the VM now", func(pool string, alone bool) {
 		w.now = w.now.Add(time.Second)
 		w.ServerUnreachable("a", start, w.now, "connection refused")
