--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -38,7 +38,10 @@
 
 // modelServer simulates a backend server.
 type modelServer struct {
-	id           string
+	// id is that of the server that runs on the VM, which may change with a crash.
+	id, vm string
+	// crashes counts the servers that have crashed on the VM.
+	crashes      int
 	startedAt    time.Time
 	fencingToken uint64
 	leaseEnd     time.Time
@@ -127,7 +130,7 @@
 func (m *model) recordList() {
 	r := listReading{m.now, map[string]vm.PlatformStatus{}}
 	for _, s := range m.servers {
-		x := vm.PlatformStatus{Name: newServer(s.id).VM, ServerID: s.id}
+		x := vm.PlatformStatus{Name: s.vm, ServerID: s.id}
 		if s.isDown(m.now) || m.disabled.listWrong && s.partitioned {
 			x.State, x.ServerID = vm.Down, ""
 		}
@@ -149,7 +152,7 @@
 		jobs: map[string]*schema.JobRecord{}, progress: map[string]*schema.JobProgress{}, log: map[uint64]*schema.LogEntry{}, acknowledged: map[job.Task]bool{},
 	}
 	for i := range 4 {
-		s := &modelServer{id: fmt.Sprintf("s%d", i), startedAt: start.Add(-time.Minute), clockRate: 1 - 0.02*m.rand.Float64()}
+		s := &modelServer{id: fmt.Sprintf("s%d", i), vm: fmt.Sprintf("vm-%d", i), startedAt: start.Add(-time.Minute), clockRate: 1 - 0.02*m.rand.Float64()}
 		s.reset()
 		s.capacity = modelCapacity
 		m.servers = append(m.servers, s)
@@ -267,9 +270,7 @@
 		s.reset()
 		s.startedAt = m.now
 	case m.chance(0.001):
-		s.reset()
-		s.downUntil = m.now.Add(time.Duration(500+m.rand.IntN(6000)) * time.Millisecond)
-		s.startedAt = s.downUntil
+		m.crash(s)
 	case m.chance(0.001):
 		m.owners[len(m.owners)-1].frozen = m.now.Add(time.Duration(m.rand.IntN(4000)) * time.Millisecond)
 	case m.chance(0.0015):
@@ -287,6 +288,26 @@
 	}
 }
 
+// crash ends a server and all its runs. The next one on its VM starts after some seconds, under the same ID or another. Owners
+// find that the server that they knew no longer answers.
+func (m *model) crash(s *modelServer) {
+	id, startedAt := s.id, s.startedAt
+	s.reset()
+	s.downUntil = m.now.Add(time.Duration(500+m.rand.IntN(6000)) * time.Millisecond)
+	s.startedAt = s.downUntil
+	if m.chance(0.5) {
+		s.crashes++
+		s.id = fmt.Sprintf("%s-%d", s.vm, s.crashes)
+	}
+	for _, o := range m.owners {
+		m.messages = append(m.messages, message{m.now.Add(time.Duration(m.rand.IntN(1500)) * time.Millisecond), func() {
+			if !o.dead && !m.now.Before(o.frozen) {
+				o.ServerUnreachable(id, startedAt, m.now, "connection refused")
+			}
+		}})
+	}
+}
+
 // cancel cancels one of the jobs that the owner has accepted.
 func (m *model) cancel() {
 	ids := []string{}
@@ -350,6 +371,7 @@
 			continue
 		}
 		v := newServer(s.id)
+		v.VM = s.vm
 		v.StartedAt, v.Capacity.CPU = s.startedAt, s.capacity
 		if m.disabled.capacityUnreported {
 			v.Capacity.CPU = modelCapacity
@@ -417,6 +439,9 @@
 
 func (m *model) sendStart(o *modelOwner, x scheduler.StartOrder) {
 	s := m.find(x.Server.ID)
+	if s == nil {
+		return
+	}
 	m.send(s, func() {
 		if !m.accepts(o, s, x.Server.StartedAt) {
 			return
@@ -475,6 +500,9 @@
 
 func (m *model) sendStop(o *modelOwner, x scheduler.StopOrder) {
 	s := m.find(x.Server.ID)
+	if s == nil {
+		return
+	}
 	m.send(s, func() {
 		if !m.accepts(o, s, x.Server.StartedAt) {
 			return
