Define the workspaces of a configuration and the fields that name them

Workspaces, their keys, weights and caps are a noun of their own, so that the parts built on them can start from one definition. Nothing reads them yet: Table.Workspaces is nil and a call needs no key. Measured: nothing, no behaviour changes.

--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -16,7 +16,11 @@
 	// AcceptedAt is when the job was first submitted to the owner, by the owner's clock, even if it was refused then.
 	AcceptedAt time.Time
 	DataCentre string
-	Repeat     Repeat
+	// Workspace is the name of the workspace that submitted the job, empty if it was submitted without one.
+	Workspace string
+	// Excess reports whether the job exceeded the job rate of its workspace's weight when it was accepted.
+	Excess bool
+	Repeat Repeat
 }
 
 // Repeat is the schedule of a job; the zero value runs the steps once and immediately.
@@ -163,7 +167,7 @@
 func New(m *schema.JobRecord) *Job {
 	j := &Job{
 		ID: m.Id, Queue: m.Queue, Pool: m.Pool, Payload: m.Payload,
-		AcceptedAt: time.UnixMilli(m.AcceptedMs), DataCentre: m.DataCentre,
+		AcceptedAt: time.UnixMilli(m.AcceptedMs), DataCentre: m.DataCentre, Workspace: m.Workspace, Excess: m.Excess,
 	}
 	if m.Repeats > 0 {
 		j.Repeat = Repeat{
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/workspace"
 )
 
 // Queue accepts jobs under a host and a path prefix; their tasks run in a pool.
@@ -21,6 +23,8 @@
 	LatencyAllowance time.Duration
 	// UsesAdvice reports whether the advice service decides which servers may run a step.
 	UsesAdvice bool
+	// Public reports whether calls to the queue need no key of a workspace.
+	Public bool
 }
 
 // Pool is the configuration of a pool.
@@ -42,12 +46,23 @@
 	Queues  []Queue
 	Pools   map[string]Pool
 	Limits  Limits
-	byName  map[string]*Queue
-	byHost  map[string][]*Queue
+	// Workspaces holds the workspaces that share the fleet. It is nil if workspaces are not in use, and calls need no key
+	// then.
+	Workspaces *workspace.Directory
+	byName     map[string]*Queue
+	byHost     map[string][]*Queue
+}
+
+// Option configures a new Table.
+type Option func(t *Table)
+
+// WithWorkspaces sets the workspaces that share the fleet.
+func WithWorkspaces(d *workspace.Directory) Option {
+	return func(t *Table) { t.Workspaces = d }
 }
 
 // New creates a table that indexes queues by name and by host.
-func New(version uint64, l []Queue, pools map[string]Pool, limits Limits) *Table {
+func New(version uint64, l []Queue, pools map[string]Pool, limits Limits, opts ...Option) *Table {
 	t := &Table{
 		Version: version, Queues: l, Pools: pools, Limits: limits,
 		byName: map[string]*Queue{}, byHost: map[string][]*Queue{},
@@ -58,6 +73,9 @@
 		h := strings.ToLower(q.Host)
 		t.byHost[h] = append(t.byHost[h], q)
 	}
+	for _, o := range opts {
+		o(t)
+	}
 	return t
 }
 
