Account for VM time by what the VMs are held for

Cause: VMs in pools are the largest price on every deployment, and nobody knew what held them. Change: package vmusage splits the time of the VMs that are on by cause (cores at work, free beside long-running or finite tasks, free while tasks wait that do not fit, held for forecast demand, surplus, moving, cordoned, unusable); the owner exports it as gauges and logs it every 5 s.

--- a/entry/vmcontroller/controller.go
+++ b/entry/vmcontroller/controller.go
@@ -59,6 +59,25 @@
 	Add(r decision.Record)
 }
 
+// Metrics sets gauges.
+type Metrics interface {
+	Gauge(name string, v float64)
+}
+
+// noMetrics drops all gauges.
+type noMetrics struct{}
+
+// Gauge drops the value.
+func (noMetrics) Gauge(string, float64) {}
+
+// Option configures a new Controller.
+type Option func(c *Controller)
+
+// WithMetrics reports the account of VM time as gauges.
+func WithMetrics(m Metrics) Option {
+	return func(c *Controller) { c.metrics = m }
+}
+
 // Timing holds the durations of orders to VMs.
 type Timing struct {
 	// MoveDowntime and MaintenanceDowntime are how long a VM is down for an order.
@@ -74,6 +93,7 @@
 	fleet    Fleet
 	statuses StatusEncoder
 	log      Logger
+	metrics  Metrics
 	timing   Timing
 	policy   rebalance.Policy
 	table    func() *queue.Table
@@ -101,11 +121,15 @@
 
 // New returns a controller for the entry of this name. The function table returns the active configuration, or nil if
 // there is none yet.
-func New(name string, f Fleet, e StatusEncoder, l Logger, t Timing, table func() *queue.Table) *Controller {
-	return &Controller{
-		name: name, fleet: f, statuses: e, log: l, timing: t, policy: rebalance.DefaultPolicy(), table: table,
+func New(name string, f Fleet, e StatusEncoder, l Logger, t Timing, table func() *queue.Table, opts ...Option) *Controller {
+	c := &Controller{
+		name: name, fleet: f, statuses: e, log: l, metrics: noMetrics{}, timing: t, policy: rebalance.DefaultPolicy(), table: table,
 		waves: map[int]wave.Wave{}, requestedAt: map[int]time.Time{},
 	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // AddWave adds a wave that the platform's operators request. A wave with a known number is ignored.
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
+	"github.com/tarragonbank/tarragonbank/fleet/vmusage"
 )
 
 // term is the controller's state for one term of this entry as owner.
@@ -24,6 +25,8 @@
 	vms           map[string]vm.PlatformStatus
 	listedAt      time.Time
 	poolsLoggedAt time.Time
+	usageLoggedAt time.Time
+	usage         *vmusage.Account
 	// previousLeasesExpired is true once no run of a previous owner can be left that the scheduler does not know.
 	previousLeasesExpired bool
 	// openOrders has at most one order per VM.
@@ -63,7 +66,7 @@
 
 func newTerm(c *Controller, o owner.Term) *term {
 	return &term{
-		controller: c, owner: o, vms: map[string]vm.PlatformStatus{}, openOrders: map[string]*order{}, waves: map[int]*progress{},
+		controller: c, owner: o, usage: vmusage.New(), vms: map[string]vm.PlatformStatus{}, openOrders: map[string]*order{}, waves: map[int]*progress{},
 		surplusSince: map[string]time.Time{}, invalidMoves: map[[2]string]bool{},
 		lastOrdered: map[string]time.Time{}, leasedUntil: map[string]time.Time{},
 	}
@@ -92,6 +95,7 @@
 		t.stepWave(ctx, w, loads, needs, now)
 	}
 	t.stepRebalance(loads, needs, now)
+	t.recordUsage(loads, needs, now)
 	t.sendPending(ctx)
 }
 
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -11,6 +11,8 @@
 	Pool string
 	// Cores are those that the server reports to have, which may be fewer than its VM is listed with.
 	Cores float64
+	// UsedCores are those that its runs hold.
+	UsedCores float64
 	// Listed is true once this owner has received a listing from the server.
 	Listed bool
 	// Runs counts the runs, RemainingWork is the expected work of the finite ones in core-seconds.
@@ -46,7 +48,7 @@
 		return ServerLoad{}
 	}
 	l := ServerLoad{
-		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore,
+		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore, UsedCores: float64(v.used.CPU) / milliPerCore,
 		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now),
 	}
 	for _, r := range v.runs {
@@ -170,6 +172,8 @@
 	// Servers is the number of servers that the anti-affinity of the pool's steps needs, with one spare to move tasks to.
 	// While a long-running task finds no server, it is at least one more than the usable servers.
 	Servers int
+	// Waiting is true while tasks of the pool wait for a server.
+	Waiting bool
 }
 
 // PoolNeeds returns the capacity that each pool needs, by its name.
@@ -182,6 +186,7 @@
 	for _, j := range s.active {
 		p := s.poolOf(j)
 		n := m[p]
+		n.Waiting = n.Waiting || j.hasWaitingTask()
 		for i := range j.job.Steps {
 			if x := &j.job.Steps[i]; x.AntiAffinity > 0 {
 				n.Servers = max(n.Servers, (x.Count+x.AntiAffinity-1)/x.AntiAffinity+1)
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -108,6 +108,18 @@
 	return s.pendingSteps == 0 && s.unfinished > 0
 }
 
+// hasWaitingTask reports whether a task of the job could start and has no server.
+func (j *jobState) hasWaitingTask() bool {
+	for _, o := range j.occurrences {
+		for _, p := range o.steps {
+			if p.isOpen() && p.hasPendingTask() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // await calls reply once the current version of the job is stored.
 func (j *jobState) await(reply func(Reply)) {
 	if j.committedVersion == j.version && j.stored {
