--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -48,6 +48,7 @@
 	if !known {
 		return nil
 	}
+	full := supply
 	if overdue {
 		supply.Now, supply.Later = supply.Now*overdueWorkShare, supply.Now*overdueWorkShare
 	}
@@ -57,6 +58,9 @@
 		s.addDemand(q.Pool, d)
 		return nil
 	}
+	if s.admitsLate(n, q.Pool, full, now) {
+		return nil
+	}
 	wait := time.Duration(shortfall / max(supply.Later, 1) * float64(time.Second))
 	return &Reply{
 		Result: Refused, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
@@ -101,7 +105,7 @@
 	if x == nil || now.Sub(x.at) > cacheLifetime {
 		x = &cachedDemands{at: now}
 		for _, j := range s.active {
-			if !j.job.Scheduled() && !j.job.LongRunning() && s.poolOf(j) == pool {
+			if !j.job.Scheduled() && !j.job.LongRunning() && !j.job.Late && s.poolOf(j) == pool {
 				x.demands = append(x.demands, backlog.Demand{
 					Due: j.job.AcceptedAt.Add(s.targetDuration(j.job)), Work: s.cachedRemainingWork(j, now),
 				})
@@ -115,10 +119,15 @@
 
 // addDemand adds an accepted job to the pool's demands.
 func (s *Scheduler) addDemand(pool string, d backlog.Demand) {
-	x := s.poolDemandCache[pool]
-	if x == nil {
-		return
+	for _, x := range []*cachedDemands{s.poolDemandCache[pool], s.poolLateDemandCache[pool]} {
+		if x != nil {
+			x.add(d)
+		}
 	}
+}
+
+// add adds a demand in the order of due times.
+func (x *cachedDemands) add(d backlog.Demand) {
 	i, _ := slices.BinarySearchFunc(x.demands, d, backlog.CompareDue)
 	x.demands = slices.Insert(x.demands, i, d)
 }
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -17,6 +17,8 @@
 	rankOnTime
 	// rankOverdue comes after on-time work, since late results are worth little whenever they arrive.
 	rankOverdue
+	// rankExpired comes after work whose result is still of use late.
+	rankExpired
 	// rankBestEffort takes the remaining capacity.
 	rankBestEffort
 )
@@ -181,7 +183,9 @@
 		w.rank = rankBestEffort
 	case p.step.LongRunning:
 		w.rank = rankLongRunning
-	case w.latestStart.Before(now):
+	case s.limits.ServeLate && s.lateDue(j.job).Before(now) && !j.job.Scheduled():
+		w.rank = rankExpired
+	case w.latestStart.Before(now) || j.job.Late:
 		w.rank = rankOverdue
 	}
 	return w
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -20,6 +20,8 @@
 	JobRetention time.Duration
 	// GangTimeout is how long a started gang member waits for the other members.
 	GangTimeout time.Duration
+	// ServeLate accepts finite jobs that cannot finish within their target duration if they can within lateFactor times it.
+	ServeLate bool
 }
 
 // Scheduler holds the jobs, servers and runs that the owner of the fleet knows. It is not safe for concurrent use.
@@ -49,6 +51,7 @@
 	rates                  map[string]*arrivals
 	poolCores              map[string]cachedValue
 	poolDemandCache        map[string]*cachedDemands
+	poolLateDemandCache    map[string]*cachedDemands
 	// unplacedAt is, by pool, when a long-running task last found no server with enough capacity.
 	unplacedAt map[string]time.Time
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
@@ -69,7 +72,7 @@
 		limits: x, startedAt: now,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
-		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{},
+		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, poolLateDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{},
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
