Forbid calls about another workspace's job

Cause: the workspace of a job was stored but not compared with the caller's, and the progress of an ended job lost it.

Change: Submit, Cancel and JobPhase answer with the new result Forbidden if both workspaces are named and differ; so does a relay without an owner that finds the job in the store. The progress of an ended job names its workspace. The owner gets a function for the age of the configuration's proof. Tests: only signatures changed.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -7,10 +7,13 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
@@ -67,7 +70,7 @@
 	return "server " + e.Server + " has accepted a later owner's fencing token"
 }
 
-// Dependencies are the services that an owner calls. Controller may be nil.
+// Dependencies are the services that an owner calls. Controller and ConfigAge may be nil.
 type Dependencies struct {
 	Store      Store
 	Servers    Servers
@@ -76,6 +79,9 @@
 	Log        Logger
 	Metrics    Metrics
 	Controller Controller
+	// ConfigAge returns how long ago this entry sent the last call by which the store proved that the configuration in force
+	// is the stored one. It is nil if nothing depends on that.
+	ConfigAge func() time.Duration
 }
 
 // Metrics counts events, observes durations and sets gauges.
@@ -162,20 +168,33 @@
 	return o.term
 }
 
-// Stored reports whether the store has a job, for an entry that cannot reach the owner. It fails if the store does not
-// answer within storedTimeout.
-func (o *Owner) Stored(ctx context.Context, id string) (bool, error) {
+// Stored looks a job up in the store, for an entry that cannot reach the owner, and returns whether the store has it and the
+// name of its workspace. It fails if the store does not answer within storedTimeout.
+func (o *Owner) Stored(ctx context.Context, id string) (stored bool, workspace string, err error) {
 	c, stop := context.WithTimeout(ctx, storedTimeout)
 	defer stop()
+	var m schema.JobRecord
+	if stored, err = o.readStored(c, jobPrefix+id, &m); stored || err != nil {
+		return stored, m.Workspace, err
+	}
 	// The record of an ended job is deleted in the transaction that stores its end, so its progress is read second.
-	for _, key := range []string{jobPrefix + id, progressPrefix + id} {
-		_, err := o.deps.Store.Get(c, key)
-		var notFound *store.NotFoundError
-		if !errors.As(err, &notFound) {
-			return err == nil, err
-		}
+	var p schema.JobProgress
+	stored, err = o.readStored(c, progressPrefix+id, &p)
+	return stored, p.Workspace, err
+}
+
+// readStored reads and decodes a key. The result is false if the store does not have the key.
+func (o *Owner) readStored(ctx context.Context, key string, m proto.Message) (bool, error) {
+	i, err := o.deps.Store.Get(ctx, key)
+	var notFound *store.NotFoundError
+	switch {
+	case errors.As(err, &notFound):
+		return false, nil
+	case err != nil:
+		return false, err
+	default:
+		return true, proto.Unmarshal(i.Value, m)
 	}
-	return false, nil
 }
 
 // storedTimeout bounds the lookup of a job while its caller waits. The store usually answers within milliseconds, and
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -299,7 +299,7 @@
 		time.Sleep(time.Second)
 		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
 		time.Sleep(time.Second)
-		g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(o.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 	})
 }
 
@@ -315,7 +315,7 @@
 				g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
 				time.Sleep(4 * time.Second)
 				g.Expect(s.server.startOrders()).To(gomega.HaveLen(2), "each task is started once")
-				g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+				g.Expect(o.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 			})
 		})
 	}
@@ -354,7 +354,7 @@
 		time.Sleep(2500 * time.Millisecond)
 		g.Expect(next.Current()).NotTo(gomega.BeNil())
 		for _, id := range []string{firstID, secondID} {
-			g.Expect(next.Current().JobPhase(id).Phase).To(gomega.Equal(job.Completed))
+			g.Expect(next.Current().JobPhase(id, "").Phase).To(gomega.Equal(job.Completed))
 		}
 		g.Expect(s.server.startOrders()).To(gomega.HaveLen(4), "no task ran twice")
 	})
@@ -396,7 +396,7 @@
 		close(release)
 		time.Sleep(time.Second)
 		g.Expect(s.store.commitCount()).To(gomega.Equal(commits), "the late commit is rejected")
-		g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(o.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 	})
 }
 
@@ -413,7 +413,7 @@
 		g.Expect(time.Since(began)).To(gomega.BeZero())
 		s.store.update(func() { s.store.unavailable = false })
 		time.Sleep(5 * time.Second)
-		g.Expect(o.Current().JobPhase(secondID).Result).To(gomega.Equal(scheduler.NotFound), "a refused job is never run")
+		g.Expect(o.Current().JobPhase(secondID, "").Result).To(gomega.Equal(scheduler.NotFound), "a refused job is never run")
 	})
 }
 
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -18,11 +18,12 @@
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
-// JobService answers callers' calls about jobs at the entry that owns the fleet.
+// JobService answers callers' calls about jobs at the entry that owns the fleet. Submissions, cancellations and queries of a
+// phase are Forbidden if the job belongs to another workspace than the caller; an empty workspace may do all.
 type JobService interface {
 	Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply
-	Cancel(ctx context.Context, id string) scheduler.Reply
-	JobPhase(id string) scheduler.Reply
+	Cancel(ctx context.Context, id, workspace string) scheduler.Reply
+	JobPhase(id, workspace string) scheduler.Reply
 	PendingJobs(queue string) scheduler.Reply
 	List(queue string) scheduler.Reply
 	Explain(id string) scheduler.Reply
@@ -303,10 +304,10 @@
 
 // Submit adds a job and returns once it is stored, refused or found malformed.
 func (r *term) Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply {
-	if r.storeUnavailable.Load() && r.JobPhase(m.Id).Result == scheduler.NotFound {
+	if r.storeUnavailable.Load() && r.JobPhase(m.Id, m.Workspace).Result == scheduler.NotFound {
 		return scheduler.Reply{Result: scheduler.Refused, Reason: storeUnavailableReason, RetryAfter: storeUnavailableRetry}
 	}
-	if r.overloaded.Load() && isFinite(m) && r.JobPhase(m.Id).Result == scheduler.NotFound {
+	if r.overloaded.Load() && isFinite(m) && r.JobPhase(m.Id, m.Workspace).Result == scheduler.NotFound {
 		return scheduler.Reply{Result: scheduler.Refused, Reason: overloadedReason, RetryAfter: overload.RetryAfter(m.Id)}
 	}
 	return r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
@@ -323,8 +324,12 @@
 }
 
 // Cancel ends a job and returns once the cancellation is stored.
-func (r *term) Cancel(ctx context.Context, id string) scheduler.Reply {
+func (r *term) Cancel(ctx context.Context, id, workspace string) scheduler.Reply {
 	return r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
+		if s.Forbids(id, workspace) {
+			reply(scheduler.Reply{Result: scheduler.Forbidden})
+			return
+		}
 		s.Cancel(id, now, reply)
 	})
 }
@@ -350,9 +355,12 @@
 }
 
 // JobPhase returns the phase of a job as far as it is stored.
-func (r *term) JobPhase(id string) scheduler.Reply {
+func (r *term) JobPhase(id, workspace string) scheduler.Reply {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	if r.scheduler.Forbids(id, workspace) {
+		return scheduler.Reply{Result: scheduler.Forbidden}
+	}
 	return r.scheduler.JobPhase(id)
 }
 
--- a/entry/owner/term_test.go
+++ b/entry/owner/term_test.go
@@ -89,13 +89,13 @@
 		time.Sleep(2 * time.Second)
 		_, err := s.store.Get(s.ctx, "tarragonbank/job/"+firstID)
 		g.Expect(err).To(gomega.BeAssignableToTypeOf(&store.NotFoundError{}))
-		known, err := o.Stored(s.ctx, firstID)
+		known, _, err := o.Stored(s.ctx, firstID)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(known).To(gomega.BeTrue(), "an entry without an owner must not refuse it")
 		next, _ := s.startEntry("e2")
 		stop()
 		time.Sleep(3 * time.Second)
-		g.Expect(next.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(next.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 		g.Expect(submit(next, firstID).Result).To(gomega.Equal(scheduler.Done), "it is still known")
 		l := next.Current().List("plans").Jobs
 		g.Expect(l).To(gomega.HaveLen(1))
@@ -112,7 +112,7 @@
 		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
 		s.store.update(func() { s.store.readDelay = 240 * time.Millisecond })
 		for id, want := range map[string]bool{firstID: true, secondID: false} {
-			known, err := o.Stored(s.ctx, id)
+			known, _, err := o.Stored(s.ctx, id)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(known).To(gomega.Equal(want))
 		}
@@ -139,7 +139,7 @@
 		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
 		time.Sleep(5 * time.Second)
 		g.Expect(c.terms.Load()).To(gomega.BeEquivalentTo(2))
-		g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(o.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 		g.Expect(submit(o, secondID).Result).To(gomega.Equal(scheduler.Done))
 	})
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -20,8 +20,8 @@
 	Current() owner.JobService
 	// Known returns the owner record as last read from the store; Revision 0 means that there is none.
 	Known() owner.Record
-	// Stored reports whether the store has a job, and fails if the store does not answer.
-	Stored(ctx context.Context, id string) (bool, error)
+	// Stored reports whether the store has a job, and its workspace. It fails if the store does not answer.
+	Stored(ctx context.Context, id string) (stored bool, workspace string, err error)
 	// RecordContact records that another entry called this one, with its strength in cores.
 	RecordContact(name string, strength float64, now time.Time)
 }
@@ -104,12 +104,15 @@
 }
 
 // answerFromStore answers a submission that did not reach an owner. An earlier attempt may have been accepted, which only
-// the store can tell: the job is accepted if it is stored, refused if it is not, and unknown if the store fails.
+// the store can tell: the job is accepted if it is stored, refused if it is not, and unknown if the store fails. A stored job
+// of another workspace is forbidden.
 func (r *Relay) answerFromStore(ctx context.Context, c *schema.JobCall, refused scheduler.Reply) scheduler.Reply {
-	stored, err := r.ownership.Stored(ctx, c.Id)
+	stored, workspace, err := r.ownership.Stored(ctx, c.Id)
 	switch {
 	case err != nil:
 		return scheduler.Reply{Result: scheduler.OutcomeUnknown, RetryAfter: retryAfter, Reason: refused.Reason + "; " + err.Error()}
+	case stored && workspace != "" && c.Workspace != "" && workspace != c.Workspace:
+		return scheduler.Reply{Result: scheduler.Forbidden}
 	case stored:
 		return scheduler.Reply{Result: scheduler.Done, Reason: "accepted before"}
 	default:
@@ -150,9 +153,9 @@
 	case schema.JobCall_SUBMIT:
 		return d.Submit(ctx, c.Job)
 	case schema.JobCall_CANCEL:
-		return d.Cancel(ctx, c.Id)
+		return d.Cancel(ctx, c.Id, c.Workspace)
 	case schema.JobCall_STATE:
-		return d.JobPhase(c.Id)
+		return d.JobPhase(c.Id, c.Workspace)
 	case schema.JobCall_PENDING:
 		return d.PendingJobs(c.Queue)
 	case schema.JobCall_LIST:
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -36,11 +36,11 @@
 	time.Sleep(o.delay)
 	return o.reply
 }
-func (o *fakeOwner) Cancel(context.Context, string) scheduler.Reply { return o.reply }
-func (o *fakeOwner) JobPhase(string) scheduler.Reply                { return o.reply }
-func (o *fakeOwner) PendingJobs(string) scheduler.Reply             { return scheduler.Reply{Pending: 7} }
-func (o *fakeOwner) List(queue string) scheduler.Reply              { return jobNamed(queue) }
-func (o *fakeOwner) Explain(id string) scheduler.Reply              { return jobNamed(id) }
+func (o *fakeOwner) Cancel(context.Context, string, string) scheduler.Reply { return o.reply }
+func (o *fakeOwner) JobPhase(string, string) scheduler.Reply                { return o.reply }
+func (o *fakeOwner) PendingJobs(string) scheduler.Reply                     { return scheduler.Reply{Pending: 7} }
+func (o *fakeOwner) List(queue string) scheduler.Reply                      { return jobNamed(queue) }
+func (o *fakeOwner) Explain(id string) scheduler.Reply                      { return jobNamed(id) }
 
 func (o *fakeOwner) Pools() scheduler.Reply {
 	return scheduler.Reply{Pools: []*schema.PoolStatus{{Name: "cups", Servers: 3}}}
@@ -56,8 +56,9 @@
 	known owner.Record
 	heard string
 	// stored is the id of the only job in the store.
-	stored     string
-	storeError error
+	stored          string
+	storedWorkspace string
+	storeError      error
 	// successors become the owner, one after the other, with each call of fail.
 	lock       sync.Mutex
 	successors []owner.Record
@@ -83,8 +84,8 @@
 	return o.known
 }
 
-func (o *fakeOwnership) Stored(_ context.Context, id string) (bool, error) {
-	return o.stored == id, o.storeError
+func (o *fakeOwnership) Stored(_ context.Context, id string) (bool, string, error) {
+	return o.stored == id, o.storedWorkspace, o.storeError
 }
 func (o *fakeOwnership) RecordContact(name string, _ float64, _ time.Time) { o.heard = name }
 
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -220,6 +220,7 @@
 	if j.phase.Ended() {
 		p.EndedMs = j.endedAt.UnixMilli()
 		p.Queue, p.Pool, p.AcceptedMs = j.job.Queue, j.job.Pool, j.job.AcceptedAt.UnixMilli()
+		p.Workspace = j.job.Workspace
 		return p
 	}
 	for _, o := range j.occurrences {
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -41,7 +41,7 @@
 	if !job.Phase(p.Phase).Ended() {
 		return false
 	}
-	s.Restore(&schema.JobRecord{Id: id, Queue: p.Queue, Pool: p.Pool, AcceptedMs: p.AcceptedMs}, p, now)
+	s.Restore(&schema.JobRecord{Id: id, Queue: p.Queue, Pool: p.Pool, AcceptedMs: p.AcceptedMs, Workspace: p.Workspace}, p, now)
 	return true
 }
 
--- a/fleet/scheduler/result_enumer.go
+++ b/fleet/scheduler/result_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ResultName = "donerefusedabsentunsureinvalid"
+const _ResultName = "donerefusedabsentunsureinvalidforbidden"
 
-var _ResultIndex = [...]uint8{0, 4, 11, 17, 23, 30}
+var _ResultIndex = [...]uint8{0, 4, 11, 17, 23, 30, 39}
 
-const _ResultLowerName = "donerefusedabsentunsureinvalid"
+const _ResultLowerName = "donerefusedabsentunsureinvalidforbidden"
 
 func (i Result) String() string {
 	if i < 0 || i >= Result(len(_ResultIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[NotFound-(2)]
 	_ = x[OutcomeUnknown-(3)]
 	_ = x[Invalid-(4)]
+	_ = x[Forbidden-(5)]
 }
 
-var _ResultValues = []Result{Done, Refused, NotFound, OutcomeUnknown, Invalid}
+var _ResultValues = []Result{Done, Refused, NotFound, OutcomeUnknown, Invalid, Forbidden}
 
 var _ResultNameToValueMap = map[string]Result{
 	_ResultName[0:4]:   Done,
@@ -39,6 +40,7 @@
 	_ResultName[11:17]: NotFound,
 	_ResultName[17:23]: OutcomeUnknown,
 	_ResultName[23:30]: Invalid,
+	_ResultName[30:39]: Forbidden,
 }
 
 var _ResultLowerNameToValueMap = map[string]Result{
@@ -47,6 +49,7 @@
 	_ResultLowerName[11:17]: NotFound,
 	_ResultLowerName[17:23]: OutcomeUnknown,
 	_ResultLowerName[23:30]: Invalid,
+	_ResultLowerName[30:39]: Forbidden,
 }
 
 var _ResultNames = []string{
@@ -55,6 +58,7 @@
 	_ResultName[11:17],
 	_ResultName[17:23],
 	_ResultName[23:30],
+	_ResultName[30:39],
 }
 
 // ResultString retrieves an enum value from the enum constants string name.
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -133,6 +133,8 @@
 	OutcomeUnknown // unsure
 	// Invalid means that the job is malformed.
 	Invalid
+	// Forbidden means that the job belongs to another workspace.
+	Forbidden
 )
 
 // Reply is the answer to a call. Pending is the result of PendingJobs. Reason says why a job was refused or is
@@ -150,9 +152,13 @@
 }
 
 // Submit adds a job and calls reply once the job is stored, or at once if it is refused or malformed. It is
-// idempotent: submitting a known ID again reports the existing job.
+// idempotent: submitting a known ID again reports the existing job, unless that belongs to another workspace.
 func (s *Scheduler) Submit(m *schema.JobRecord, now time.Time, reply func(Reply)) {
 	if j := s.jobs[m.Id]; j != nil {
+		if s.Forbids(m.Id, m.Workspace) {
+			reply(Reply{Result: Forbidden})
+			return
+		}
 		if j.stored {
 			reply(Reply{Result: Done, Phase: j.reportedPhase})
 			return
@@ -204,6 +210,13 @@
 	j.await(reply)
 }
 
+// Forbids reports whether a job belongs to another workspace than the given one. A caller without a workspace, and any
+// caller in the case of a job without one, is not forbidden anything.
+func (s *Scheduler) Forbids(id, workspace string) bool {
+	j := s.jobs[id]
+	return j != nil && j.job.Workspace != "" && workspace != "" && j.job.Workspace != workspace
+}
+
 // JobPhase returns the phase of a job as far as it is stored.
 func (s *Scheduler) JobPhase(id string) Reply {
 	j := s.jobs[id]
