Record when the store last proved a mirror's state

Cause: a withdrawn key must stop working at an entry that does not reach the store or was suspended, so the entry has to know how old its configuration may be.

A sink may refuse a state, which leaves the proof as it is.

--- a/entry/mirror/mirror.go
+++ b/entry/mirror/mirror.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/entry/boottime"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
@@ -26,6 +28,12 @@
 	Failed(err error)
 }
 
+// Refuser is a Sink that may refuse what it receives.
+type Refuser interface {
+	// Refused reports whether the sink holds an older state than the one that it was given last.
+	Refused() bool
+}
+
 // Mirror passes the items under one prefix and their changes to a sink.
 type Mirror struct {
 	store         Store
@@ -33,6 +41,10 @@
 	sink          Sink
 	pollTimeout   time.Duration
 	lastContactNs atomic.Int64
+	// clock returns the time since boot.
+	clock func() time.Duration
+	// provedAt is the time since boot at which the last call was sent whose result the sink holds, nil if there is none.
+	provedAt atomic.Pointer[time.Duration]
 }
 
 // DefaultPollTimeout is how long the store holds a watch without changes. It also bounds for how long a silent connection
@@ -58,9 +70,14 @@
 	return func(m *Mirror) { m.pollTimeout = d }
 }
 
+// WithClock sets the clock that measures the age of the proof. The default is boottime.Now.
+func WithClock(f func() time.Duration) Option {
+	return func(m *Mirror) { m.clock = f }
+}
+
 // New returns a mirror of a prefix that passes what it reads to the sink.
 func New(s Store, prefix string, k Sink, opts ...Option) *Mirror {
-	m := &Mirror{store: s, prefix: prefix, sink: k, pollTimeout: DefaultPollTimeout}
+	m := &Mirror{store: s, prefix: prefix, sink: k, pollTimeout: DefaultPollTimeout, clock: boottime.Now}
 	for _, o := range opts {
 		o(m)
 	}
@@ -74,11 +91,16 @@
 	readTimeout := minReadTimeout
 	for ctx.Err() == nil {
 		var err error
+		sent, compacted := m.clock(), false
 		if after == 0 {
 			after, err = m.readAll(ctx, readTimeout)
 			readTimeout = min(2*readTimeout, maxReadTimeout)
 		} else {
 			after, err = m.poll(ctx, after)
+			compacted = after == 0
+		}
+		if err == nil && !compacted {
+			m.recordProof(sent)
 		}
 		if err == nil {
 			m.lastContactNs.Store(time.Now().UnixNano())
@@ -103,6 +125,26 @@
 	return time.Unix(0, n)
 }
 
+// recordProof records that the sink holds what the store held at some moment after the time sent, unless it refused that.
+func (m *Mirror) recordProof(sent time.Duration) {
+	if r, ok := m.sink.(Refuser); ok && r.Refused() {
+		return
+	}
+	m.provedAt.Store(&sent)
+}
+
+// ProofAge returns how long ago the last call was sent whose result the sink holds: for a full read, its first page. The
+// store's state was the sink's at some moment since. Without such a call the age is unlimited.
+//
+// To act on a state and its proof, read the age before the state, so that the state is not older than the proof.
+func (m *Mirror) ProofAge() time.Duration {
+	t := m.provedAt.Load()
+	if t == nil {
+		return math.MaxInt64
+	}
+	return m.clock() - *t
+}
+
 // readAll passes the items of all pages to the sink and returns the revision of the first page, so that the watch repeats
 // changes made while later pages were read. Each page has to arrive within the timeout.
 func (m *Mirror) readAll(ctx context.Context, timeout time.Duration) (store.Revision, error) {
