Test that jobs of other workspaces are forbidden

Cause: nothing covered the workspace of a stored, an ended and a taken-over job.

Change: a test at the owner before and after the end of the job and a takeover, and one of a relay without an owner.

--- a/entry/owner/term_test.go
+++ b/entry/owner/term_test.go
@@ -104,6 +104,39 @@
 	})
 }
 
+// A workspace that could read, cancel or take over another one's job would learn and end what is not its own, also once the
+// job has ended and another entry owns the fleet.
+func TestJobsOfOtherWorkspacesAreForbidden(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		check := func(o *owner.Owner) {
+			c := o.Current()
+			for workspace, want := range map[string]scheduler.Result{"cups": scheduler.Done, "": scheduler.Done, "saws": scheduler.Forbidden} {
+				m := jobRecord(firstID)
+				m.Workspace = workspace
+				g.Expect(c.Submit(s.ctx, m).Result).To(gomega.Equal(want), workspace)
+				g.Expect(c.JobPhase(firstID, workspace).Result).To(gomega.Equal(want), workspace)
+				g.Expect(c.Cancel(s.ctx, firstID, workspace).Result).To(gomega.Equal(want), workspace)
+			}
+			_, workspace, err := o.Stored(s.ctx, firstID)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(workspace).To(gomega.Equal("cups"))
+		}
+		o, stop := s.startEntry("e1")
+		time.Sleep(time.Second)
+		m := jobRecord(firstID)
+		m.Workspace = "cups"
+		g.Expect(o.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+		_, workspace, err := o.Stored(s.ctx, firstID)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(workspace).To(gomega.Equal("cups"))
+		check(o)
+		next, _ := s.startEntry("e2")
+		stop()
+		time.Sleep(3 * time.Second)
+		check(next)
+	})
+}
+
 // An entry without an owner told callers that it doesn't know what became of their job when the store took 240 ms.
 func TestStoredJobIsFoundInASlowStore(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -183,6 +183,14 @@
 		gomega.Expect(ask(o, &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: "b"}).Result).To(gomega.Equal(scheduler.Refused))
 		gomega.Expect(ask(o, &schema.JobCall{Kind: schema.JobCall_STATE, Id: "a"}).Result).To(gomega.Equal(scheduler.Refused))
 	})
+	// Its caller would take the other workspace's job for its own.
+	ginkgo.It("is forbidden if the store has the job for another workspace", func() {
+		o := &fakeOwnership{stored: "a", storedWorkspace: "cups"}
+		for workspace, want := range map[string]scheduler.Result{"cups": scheduler.Done, "": scheduler.Done, "saws": scheduler.Forbidden} {
+			c := &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: "a", Workspace: workspace}
+			gomega.Expect(ask(o, c).Result).To(gomega.Equal(want), workspace)
+		}
+	})
 	ginkgo.It("has an unknown outcome if neither an owner nor the store can tell about earlier attempts", func() {
 		r := ask(&fakeOwnership{storeError: &store.BusyError{Call: "get"}}, submit)
 		gomega.Expect(r.Result).To(gomega.Equal(scheduler.OutcomeUnknown))
