Pass the proof of the configuration with the owner's replies to pings

Cause: an entry that the store does not answer rejects calls after the revocation time although the owner, which it reaches, has the same configuration and its proof.

Change: the reply to a ping carries the store's revision of the sender's configuration and the age of its proof. An entry with the configuration of that revision counts it as proved at the sending of the ping less the age. JobReply has two more fields.

--- a/entry/mirror/mirror.go
+++ b/entry/mirror/mirror.go
@@ -43,7 +43,7 @@
 	lastContactNs atomic.Int64
 	// clock returns the time since boot.
 	clock func() time.Duration
-	// provedAt is the time since boot at which the last call was sent whose result the sink holds, nil if there is none.
+	// provedAt is the latest time since boot after which the store is known to have held the sink's state, nil if there is none.
 	provedAt atomic.Pointer[time.Duration]
 }
 
@@ -127,14 +127,24 @@
 
 // recordProof records that the sink holds what the store held at some moment after the time sent, unless it refused that.
 func (m *Mirror) recordProof(sent time.Duration) {
-	if r, ok := m.sink.(Refuser); ok && r.Refused() {
-		return
+	if r, ok := m.sink.(Refuser); !ok || !r.Refused() {
+		m.Confirm(sent)
+	}
+}
+
+// Confirm records that the sink holds what the store held at some moment after t, a time since boot.
+func (m *Mirror) Confirm(t time.Duration) {
+	for {
+		old := m.provedAt.Load()
+		if old != nil && *old >= t || m.provedAt.CompareAndSwap(old, &t) {
+			return
+		}
 	}
-	m.provedAt.Store(&sent)
 }
 
 // ProofAge returns how long ago the last call was sent whose result the sink holds: for a full read, its first page. The
-// store's state was the sink's at some moment since. Without such a call the age is unlimited.
+// store's state was the sink's at some moment since. A later Confirm counts in the same way. Without either the age is
+// unlimited.
 //
 // To act on a state and its proof, read the age before the state, so that the state is not older than the proof.
 func (m *Mirror) ProofAge() time.Duration {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/entry/boottime"
 	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
@@ -39,6 +40,17 @@
 	executors Executors
 	owner     *ownerConn
 	onPanic   func(x any)
+	proof     ConfigProof
+	clock     func() time.Duration
+}
+
+// ConfigProof tells how recently this entry's configuration was proved to be the one in the store.
+type ConfigProof interface {
+	// Proof returns the revision at which the store wrote the configuration, and a time within which the store held it at
+	// some moment. The revision is 0 if there is no proof.
+	Proof() (store.Revision, time.Duration)
+	// Confirm records that the store held the configuration of the revision at some moment after t, a time since boot.
+	Confirm(r store.Revision, t time.Duration)
 }
 
 const (
@@ -60,7 +72,7 @@
 // New returns a relay for this entry. Entries that call it join the executors; handle answers the calls that the owner
 // makes on this entry's connection.
 func New(o Ownership, self owner.Identity, x Executors, handle channel.Handler, l ...Option) *Relay {
-	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, onPanic: func(any) {}}
+	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, onPanic: func(any) {}, clock: boottime.Now}
 	for _, f := range l {
 		f(r)
 	}
@@ -76,6 +88,12 @@
 	return func(r *Relay) { r.onPanic = f }
 }
 
+// WithConfigProof passes the proof of this entry's configuration to the entries that ping it, and takes over that of the
+// owner. So an entry that reaches the owner but not the store keeps its proof while the configuration stays the same.
+func WithConfigProof(p ConfigProof) Option {
+	return func(r *Relay) { r.proof = p }
+}
+
 // Call answers a call here or forwards it to the owner, within callTimeout. Failures are part of the reply: Refused means
 // that the call was not carried out, OutcomeUnknown that it may have been.
 //
@@ -197,10 +215,27 @@
 	}
 	c, stop := context.WithTimeout(ctx, pingTimeout)
 	defer stop()
-	// A failed ping leaves the time of the last reply as it is, which Ready checks.
-	_, _, _ = r.owner.call(c, k.Address, &schema.JobCall{
+	sent := r.clock()
+	m, _, err := r.owner.call(c, k.Address, &schema.JobCall{
 		Kind: schema.JobCall_PING, From: r.self.Name, Strength: r.self.Cores, DataCentre: r.self.DataCentre,
 	})
+	if err != nil {
+		// A failed ping leaves the time of the last reply as it is, which Ready checks.
+		return
+	}
+	if r.proof != nil {
+		// The owner told the age after the ping was sent, so that the proof is not older than this.
+		r.proof.Confirm(store.Revision(m.GetConfigRevision()), sent-time.Duration(m.GetConfigAgeMs())*time.Millisecond)
+	}
+}
+
+// addProof adds the proof of this entry's configuration to the reply to a ping.
+func (r *Relay) addProof(m *schema.JobReply) {
+	if r.proof == nil {
+		return
+	}
+	v, age := r.proof.Proof()
+	m.ConfigRevision, m.ConfigAgeMs = uint64(v), (age + time.Millisecond - 1).Milliseconds()
 }
 
 // Ready reports whether this entry owns the fleet or the owner replied within the last 1.5 s.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonbank/tarragonbank/entry/boottime"
 	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
@@ -39,8 +40,9 @@
 func (o *fakeOwner) Cancel(context.Context, string, string) scheduler.Reply { return o.reply }
 func (o *fakeOwner) JobPhase(string, string) scheduler.Reply                { return o.reply }
 func (o *fakeOwner) PendingJobs(string) scheduler.Reply                     { return scheduler.Reply{Pending: 7} }
-func (o *fakeOwner) List(queue string) scheduler.Reply                      { return jobNamed(queue) }
-func (o *fakeOwner) Explain(id string) scheduler.Reply                      { return jobNamed(id) }
+
+func (o *fakeOwner) List(queue string) scheduler.Reply { return jobNamed(queue) }
+func (o *fakeOwner) Explain(id string) scheduler.Reply { return jobNamed(id) }
 
 func (o *fakeOwner) Pools() scheduler.Reply {
 	return scheduler.Reply{Pools: []*schema.PoolStatus{{Name: "cups", Servers: 3}}}
@@ -90,14 +92,29 @@
 func (o *fakeOwnership) RecordContact(name string, _ float64, _ time.Time) { o.heard = name }
 
 // serve runs a relay that answers calls of other entries, and returns its address and a function to stop it.
-func serve(o *fakeOwnership) (netip.AddrPort, func()) {
+func serve(o *fakeOwnership, l ...relay.Option) (netip.AddrPort, func()) {
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
-	go relay.New(o, owner.Identity{}, &fakeExecutors{}, nil).Serve(ctx, n)
+	go relay.New(o, owner.Identity{}, &fakeExecutors{}, nil, l...).Serve(ctx, n)
 	return netip.MustParseAddrPort(n.Addr().String()), func() { stop(); n.Close() }
 }
 
+// fakeProof has a fixed proof and keeps what is confirmed.
+type fakeProof struct {
+	revision  store.Revision
+	age       time.Duration
+	confirmed chan time.Duration
+}
+
+func (p *fakeProof) Proof() (store.Revision, time.Duration) { return p.revision, p.age }
+
+func (p *fakeProof) Confirm(r store.Revision, t time.Duration) {
+	if r == p.revision {
+		p.confirmed <- t
+	}
+}
+
 // fakeExecutors records the entries that join.
 type fakeExecutors struct {
 	lock   sync.Mutex
@@ -244,3 +261,22 @@
 		gomega.Expect(ask(&fakeOwnership{known: owner.Record{Address: a, Revision: 5}}, submit).Result).To(gomega.Equal(scheduler.OutcomeUnknown))
 	})
 })
+
+// The owner's proof is as old as it says from when the ping was sent. Counted from the reply, a slow link would make it
+// younger than it is, and a withdrawn key could be used for longer.
+var _ = ginkgo.Describe("a ping", func() {
+	ginkgo.It("brings the proof of the owner's configuration", func() {
+		const age = 1400 * time.Millisecond
+		a, stopOwner := serve(&fakeOwnership{owner: &fakeOwner{}}, relay.WithConfigProof(&fakeProof{revision: 7, age: age}))
+		defer stopOwner()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		p := &fakeProof{revision: 7, confirmed: make(chan time.Duration, 9)}
+		began := boottime.Now()
+		go relay.New(&fakeOwnership{known: owner.Record{Address: a, Revision: 5}}, owner.Identity{Name: "here"}, &fakeExecutors{}, nil,
+			relay.WithConfigProof(p)).Run(ctx)
+		var t time.Duration
+		gomega.Eventually(p.confirmed, 3*time.Second).Should(gomega.Receive(&t))
+		gomega.Expect(t).To(gomega.And(gomega.BeNumerically(">=", began-age), gomega.BeNumerically("<=", boottime.Now()-age)))
+	})
+})
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -64,5 +64,8 @@
 	if d := x.relay.ownership.Current(); d != nil {
 		reply = encodeReply(Invoke(ctx, d, m))
 	}
+	if m.Kind == schema.JobCall_PING {
+		x.relay.addProof(reply)
+	}
 	return &schema.Reply{Body: &schema.Reply_Job{Job: reply}}
 }
