--- a/entry/owner/term_test.go
+++ b/entry/owner/term_test.go
@@ -89,13 +89,13 @@
 		time.Sleep(2 * time.Second)
 		_, err := s.store.Get(s.ctx, "tarragonbank/job/"+firstID)
 		g.Expect(err).To(gomega.BeAssignableToTypeOf(&store.NotFoundError{}))
-		known, err := o.Stored(s.ctx, firstID)
+		known, _, err := o.Stored(s.ctx, firstID)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(known).To(gomega.BeTrue(), "an entry without an owner must not refuse it")
 		next, _ := s.startEntry("e2")
 		stop()
 		time.Sleep(3 * time.Second)
-		g.Expect(next.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(next.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 		g.Expect(submit(next, firstID).Result).To(gomega.Equal(scheduler.Done), "it is still known")
 		l := next.Current().List("plans").Jobs
 		g.Expect(l).To(gomega.HaveLen(1))
@@ -104,6 +104,39 @@
 	})
 }
 
+// A workspace that could read, cancel or take over another one's job would learn and end what is not its own, also once the
+// job has ended and another entry owns the fleet.
+func TestJobsOfOtherWorkspacesAreForbidden(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		check := func(o *owner.Owner) {
+			c := o.Current()
+			for workspace, want := range map[string]scheduler.Result{"cups": scheduler.Done, "": scheduler.Done, "saws": scheduler.Forbidden} {
+				m := jobRecord(firstID)
+				m.Workspace = workspace
+				g.Expect(c.Submit(s.ctx, m).Result).To(gomega.Equal(want), workspace)
+				g.Expect(c.JobPhase(firstID, workspace).Result).To(gomega.Equal(want), workspace)
+				g.Expect(c.Cancel(s.ctx, firstID, workspace).Result).To(gomega.Equal(want), workspace)
+			}
+			_, workspace, err := o.Stored(s.ctx, firstID)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(workspace).To(gomega.Equal("cups"))
+		}
+		o, stop := s.startEntry("e1")
+		time.Sleep(time.Second)
+		m := jobRecord(firstID)
+		m.Workspace = "cups"
+		g.Expect(o.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+		_, workspace, err := o.Stored(s.ctx, firstID)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(workspace).To(gomega.Equal("cups"))
+		check(o)
+		next, _ := s.startEntry("e2")
+		stop()
+		time.Sleep(3 * time.Second)
+		check(next)
+	})
+}
+
 // An entry without an owner told callers that it doesn't know what became of their job when the store took 240 ms.
 func TestStoredJobIsFoundInASlowStore(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
@@ -112,7 +145,7 @@
 		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
 		s.store.update(func() { s.store.readDelay = 240 * time.Millisecond })
 		for id, want := range map[string]bool{firstID: true, secondID: false} {
-			known, err := o.Stored(s.ctx, id)
+			known, _, err := o.Stored(s.ctx, id)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(known).To(gomega.Equal(want))
 		}
@@ -139,7 +172,7 @@
 		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done))
 		time.Sleep(5 * time.Second)
 		g.Expect(c.terms.Load()).To(gomega.BeEquivalentTo(2))
-		g.Expect(o.Current().JobPhase(firstID).Phase).To(gomega.Equal(job.Completed))
+		g.Expect(o.Current().JobPhase(firstID, "").Phase).To(gomega.Equal(job.Completed))
 		g.Expect(submit(o, secondID).Result).To(gomega.Equal(scheduler.Done))
 	})
 }
