Send callers elsewhere when the owner is cut off together with their data centre

Cause: an owner that is cut off from the store goes on answering pings, so the entries of its data centre stayed ready and passed on its refusals for the whole cut, although another owner served the rest. Ruled out: overload of the pool (3 refusals 'would be late'). Change: the owner's reply to a ping tells how old the store's confirmation of its ownership is; an entry whose owner was last confirmed more than 2 s ago is not ready, an owner neither.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -168,6 +168,18 @@
 	return o.term
 }
 
+// OwnershipAge returns how long ago this entry sent the last call by which the store confirmed its ownership. The result is
+// false if it does not own the fleet.
+func (o *Owner) OwnershipAge() (time.Duration, bool) {
+	o.lock.Lock()
+	r := o.term
+	o.lock.Unlock()
+	if r == nil || !r.accepting() {
+		return 0, false
+	}
+	return r.confirmationAge(), true
+}
+
 // Stored looks a job up in the store, for an entry that cannot reach the owner, and returns whether the store has it and the
 // name of its workspace. It fails if the store does not answer within storedTimeout.
 func (o *Owner) Stored(ctx context.Context, id string) (stored bool, workspace string, err error) {
--- a/entry/relay/ownerconn.go
+++ b/entry/relay/ownerconn.go
@@ -36,6 +36,17 @@
 	address     netip.AddrPort
 	channel     *channel.Channel
 	lastReplyNs atomic.Int64
+	// confirmedNs is when the store last confirmed the ownership of an owner that replied to a ping.
+	confirmedNs atomic.Int64
+}
+
+// confirm records that the store confirmed the owner's ownership after t.
+func (o *ownerConn) confirm(t time.Time) {
+	o.confirmedNs.Store(max(o.confirmedNs.Load(), t.UnixNano()))
+}
+
+func (o *ownerConn) confirmedAt() time.Time {
+	return time.Unix(0, o.confirmedNs.Load())
 }
 
 func (o *ownerConn) lastReply() time.Time {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -19,6 +19,9 @@
 type Ownership interface {
 	// Current returns the job service of this entry's term, or nil if it does not own the fleet or has not loaded the jobs.
 	Current() owner.JobService
+	// OwnershipAge returns how old the store's last confirmation of this entry's ownership is, and false if it is not the
+	// owner.
+	OwnershipAge() (time.Duration, bool)
 	// Known returns the owner record as last read from the store; Revision 0 means that there is none.
 	Known() owner.Record
 	// Stored reports whether the store has a job, and its workspace. It fails if the store does not answer.
@@ -67,6 +70,10 @@
 	pingTimeout        = 600 * time.Millisecond
 	// maxReplyAge is how old the owner's last reply may be while this entry counts as ready.
 	maxReplyAge = 1500 * time.Millisecond
+	// maxOwnershipAge is how old the store's confirmation of the ownership may be while this entry counts as ready. An owner
+	// that is cut off from the store together with its data centre refuses jobs, and another one is elected once the owner
+	// lease has expired, 1.3 s after the last confirmation. A slow store and the interval of pings add up to 0.7 s.
+	maxOwnershipAge = 2 * time.Second
 )
 
 // New returns a relay for this entry. Entries that call it join the executors; handle answers the calls that the owner
@@ -215,7 +222,7 @@
 	}
 	c, stop := context.WithTimeout(ctx, pingTimeout)
 	defer stop()
-	sent := r.clock()
+	sent, asked := r.clock(), time.Now()
 	m, _, err := r.owner.call(c, k.Address, &schema.JobCall{
 		Kind: schema.JobCall_PING, From: r.self.Name, Strength: r.self.Cores, DataCentre: r.self.DataCentre,
 	})
@@ -223,14 +230,20 @@
 		// A failed ping leaves the time of the last reply as it is, which Ready checks.
 		return
 	}
+	if m.Result != notOwner {
+		r.owner.confirm(asked.Add(-time.Duration(m.OwnershipAgeMs) * time.Millisecond))
+	}
 	if r.proof != nil {
 		// The owner told the age after the ping was sent, so that the proof is not older than this.
 		r.proof.Confirm(store.Revision(m.GetConfigRevision()), sent-time.Duration(m.GetConfigAgeMs())*time.Millisecond)
 	}
 }
 
-// addProof adds the proof of this entry's configuration to the reply to a ping.
+// addProof adds the proofs of this entry's ownership and of its configuration to the reply to a ping.
 func (r *Relay) addProof(m *schema.JobReply) {
+	if a, ok := r.ownership.OwnershipAge(); ok {
+		m.OwnershipAgeMs = a.Milliseconds()
+	}
 	if r.proof == nil {
 		return
 	}
@@ -238,12 +251,13 @@
 	m.ConfigRevision, m.ConfigAgeMs = uint64(v), (age + time.Millisecond - 1).Milliseconds()
 }
 
-// Ready reports whether this entry owns the fleet or the owner replied within the last 1.5 s.
+// Ready reports whether this entry owns the fleet or the owner replied within the last 1.5 s, and the store has lately
+// confirmed that ownership.
 func (r *Relay) Ready() bool {
-	if r.ownership.Current() != nil {
-		return true
+	if a, ok := r.ownership.OwnershipAge(); ok {
+		return a < maxOwnershipAge
 	}
-	return time.Since(r.owner.lastReply()) < maxReplyAge
+	return time.Since(r.owner.lastReply()) < maxReplyAge && time.Since(r.owner.confirmedAt()) < maxOwnershipAge
 }
 
 // notOwner is the result on the wire of a call to an entry that does not own the fleet; it is no scheduler.Result.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -61,6 +61,8 @@
 	stored          string
 	storedWorkspace string
 	storeError      error
+	// unconfirmed is how long ago the store last confirmed the ownership.
+	unconfirmed time.Duration
 	// successors become the owner, one after the other, with each call of fail.
 	lock       sync.Mutex
 	successors []owner.Record
@@ -80,6 +82,8 @@
 	return o.owner
 }
 
+func (o *fakeOwnership) OwnershipAge() (time.Duration, bool) { return o.unconfirmed, o.owner != nil }
+
 func (o *fakeOwnership) Known() owner.Record {
 	o.lock.Lock()
 	defer o.lock.Unlock()
@@ -155,6 +159,26 @@
 		gomega.Expect(m.GetOrder().ClockMs).To(gomega.BeEquivalentTo(7))
 		gomega.Eventually(r.Ready).Should(gomega.BeTrue())
 	})
+
+	// A data centre that is cut off together with the owner must send its callers elsewhere: the owner answers its pings but
+	// cannot accept jobs, and another owner is elected outside.
+	ginkgo.It("is not ready while the store does not confirm the owner's ownership", func() {
+		a, stop := serve(&fakeOwnership{owner: &fakeOwner{}, unconfirmed: 3 * time.Second})
+		defer stop()
+		ctx, end := context.WithCancel(context.Background())
+		defer end()
+		c := make(chan time.Duration, 100)
+		o := &fakeOwnership{known: owner.Record{Name: "there", Address: a, Revision: 5}}
+		r := relay.New(o, owner.Identity{Name: "here"}, &fakeExecutors{}, nil, relay.WithConfigProof(&fakeProof{confirmed: c}))
+		go r.Run(ctx)
+		gomega.Eventually(c).Should(gomega.Receive(), "the owner has answered a ping")
+		gomega.Consistently(r.Ready, 200*time.Millisecond).Should(gomega.BeFalse())
+	})
+
+	ginkgo.DescribeTable("is ready as the owner only while the store confirms that", func(age time.Duration, ready bool) {
+		r := relay.New(&fakeOwnership{owner: &fakeOwner{}, unconfirmed: age}, owner.Identity{}, &fakeExecutors{}, nil)
+		gomega.Expect(r.Ready()).To(gomega.Equal(ready))
+	}, ginkgo.Entry("within a slow store's answers", 1500*time.Millisecond, true), ginkgo.Entry("not when it is cut off", 2500*time.Millisecond, false))
 })
 
 var _ = ginkgo.Describe("a call", func() {
