--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -18,18 +18,6 @@
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
 
-// JobService answers callers' calls about jobs at the entry that owns the fleet. Submissions, cancellations and queries of a
-// phase are Forbidden if the job belongs to another workspace than the caller; an empty workspace may do all.
-type JobService interface {
-	Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply
-	Cancel(ctx context.Context, id, workspace string) scheduler.Reply
-	JobPhase(id, workspace string) scheduler.Reply
-	PendingJobs(queue string) scheduler.Reply
-	List(queue string) scheduler.Reply
-	Explain(id string) scheduler.Reply
-	Pools() scheduler.Reply
-}
-
 // term is one period of this entry's ownership. token is its fencing token: the revision of the owner record.
 type term struct {
 	owner *Owner
