--- a/entry/jobapi/jobapi_test.go
+++ b/entry/jobapi/jobapi_test.go
@@ -88,7 +88,7 @@
 		status, answer, _ := request(f, "POST", "/v1/jobs", kind, body)
 		gomega.Expect(status).To(gomega.Equal(http.StatusOK))
 		gomega.Expect(answer).To(gomega.MatchJSON(`{"id":"5c0e7a21d94b36f8","queue":"plans","pool":"","phase":"queued",
-			"acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"tasks":[]}`))
+			"acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"tasks":[],"workspace":""}`))
 		gomega.Expect(f.call.Kind).To(gomega.Equal(schema.JobCall_SUBMIT))
 		gomega.Expect(proto.Equal(f.call.Job, accepted)).To(gomega.BeTrue())
 	},
@@ -166,13 +166,13 @@
 		gomega.Expect([]any{f.call.Kind, f.call.Id, f.call.Queue}).To(gomega.Equal([]any{kind, id, of}))
 	},
 		ginkgo.Entry("about the jobs of a queue", "GET", "/v1/jobs?queue=plans", one, schema.JobCall_LIST, "", "plans",
-			`[{"id":"a","queue":"","pool":"","phase":"running","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,
+			`[{"id":"a","queue":"","pool":"","phase":"running","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"workspace":"",
 			"tasks":[{"task":"a.0.0.0","state":"","waitsFor":"room","server":"","run":0,"failures":0,"percent":0,"heardAgeMs":"0"}]}]`),
 		ginkgo.Entry("about a job", "GET", "/v1/jobs/a", one, schema.JobCall_EXPLAIN, "a", "",
-			`{"id":"a","queue":"","pool":"","phase":"running","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,
+			`{"id":"a","queue":"","pool":"","phase":"running","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"workspace":"",
 			"tasks":[{"task":"a.0.0.0","state":"","waitsFor":"room","server":"","run":0,"failures":0,"percent":0,"heardAgeMs":"0"}]}`),
 		ginkgo.Entry("by cancelling it", "DELETE", "/v1/jobs/a", scheduler.Reply{Phase: job.Cancelled}, schema.JobCall_CANCEL, "a", "",
-			`{"id":"a","queue":"","pool":"","phase":"cancelled","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"tasks":[]}`),
+			`{"id":"a","queue":"","pool":"","phase":"cancelled","acceptedMs":"0","endedMs":"0","nextDueMs":"0","waiting":0,"running":0,"done":0,"tasks":[],"workspace":""}`),
 		ginkgo.Entry("about the queues", "GET", "/v1/queues", scheduler.Reply{Pending: 3}, schema.JobCall_PENDING, "", "plans",
 			`[{"name":"plans","pool":"carving","priority":1,"attempts":3,"pending":3}]`))
 
