Answer calls about the workspaces at the owner

Operators cannot see what a workspace has running and waiting. Scheduler.Workspaces lists the configured workspaces and those that only have work left, with weight, cap, use and jobs; the relay carries it as JobCall WORKSPACES. Refusals and shares are not counted yet.

--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -27,6 +27,7 @@
 	List(queue string) scheduler.Reply
 	Explain(id string) scheduler.Reply
 	Pools() scheduler.Reply
+	Workspaces() scheduler.Reply
 }
 
 // term is one period of this entry's ownership. token is its fencing token: the revision of the owner record.
@@ -383,3 +384,10 @@
 	defer r.lock.Unlock()
 	return r.scheduler.Pools(time.Now())
 }
+
+// Workspaces returns the configuration of each workspace and what it has running and waiting.
+func (r *term) Workspaces() scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.Workspaces(time.Now())
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -161,6 +161,8 @@
 		return d.Explain(c.Id)
 	case schema.JobCall_POOLS:
 		return d.Pools()
+	case schema.JobCall_WORKSPACES:
+		return d.Workspaces()
 	default:
 		return scheduler.Reply{Result: scheduler.Done}
 	}
@@ -214,13 +216,13 @@
 func decodeReply(m *schema.JobReply) scheduler.Reply {
 	return scheduler.Reply{
 		Result: scheduler.Result(m.Result), Phase: job.Phase(m.Phase), Pending: int(m.Pending),
-		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs, Pools: m.Pools,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs, Pools: m.Pools, Workspaces: m.Workspaces,
 	}
 }
 
 func encodeReply(r scheduler.Reply) *schema.JobReply {
 	return &schema.JobReply{
 		Result: int32(r.Result), Phase: int32(r.Phase), Pending: int32(r.Pending),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs, Pools: r.Pools,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs, Pools: r.Pools, Workspaces: r.Workspaces,
 	}
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -46,6 +46,17 @@
 	return scheduler.Reply{Pools: []*schema.PoolStatus{{Name: "cups", Servers: 3}}}
 }
 
+func (o *fakeOwner) Workspaces() scheduler.Reply {
+	return scheduler.Reply{Workspaces: []*schema.WorkspaceStatus{workspaceStatus}}
+}
+
+// workspaceStatus has a value in each field, so that one that is lost on the way shows.
+var workspaceStatus = &schema.WorkspaceStatus{
+	Name: "dev", Weight: 1.5, Cap: &schema.ResourceAmount{CpuMilli: 1, MemoryMb: 2, Accelerators: 3},
+	Running: &schema.ResourceAmount{CpuMilli: 4}, TasksRunning: 5, TasksWaiting: 6, Jobs: 7,
+	Refused: map[string]int64{"cap": 8}, Shares: []*schema.WorkspaceShare{{Pool: "cups", Used: 0.5, Fair: 0.25}},
+}
+
 func jobNamed(name string) scheduler.Reply {
 	return scheduler.Reply{Jobs: []*schema.JobStatus{{Id: name, Tasks: []*schema.TaskStatus{{Task: "a", WaitsFor: "room"}}}}}
 }
@@ -158,6 +169,9 @@
 		gomega.Expect(ask(o, submit)).To(gomega.Equal(want))
 		gomega.Expect(ask(o, &schema.JobCall{Kind: schema.JobCall_PENDING}).Pending).To(gomega.Equal(7))
 		gomega.Expect(ask(o, &schema.JobCall{Kind: schema.JobCall_POOLS}).Pools[0].Servers).To(gomega.BeEquivalentTo(3))
+		w := ask(o, &schema.JobCall{Kind: schema.JobCall_WORKSPACES}).Workspaces
+		gomega.Expect(w).To(gomega.HaveLen(1))
+		gomega.Expect(proto.Equal(w[0], workspaceStatus)).To(gomega.BeTrue())
 		for _, c := range []*schema.JobCall{{Kind: schema.JobCall_LIST, Queue: "plans"}, {Kind: schema.JobCall_EXPLAIN, Id: "plans"}} {
 			got := ask(o, c).Jobs
 			gomega.Expect(got).To(gomega.HaveLen(1))
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -147,6 +147,8 @@
 	Jobs []*schema.JobStatus
 	// Pools holds the state of the pools.
 	Pools []*schema.PoolStatus
+	// Workspaces holds the state of the workspaces.
+	Workspaces []*schema.WorkspaceStatus
 }
 
 // Submit adds a job and calls reply once the job is stored, or at once if it is refused or malformed. It is
