Add tarragonctl workspace list and workspace show

GET /v1/workspaces and /v1/workspaces/NAME ask the owner; the commands print the result as tables or JSON. job explain prints the workspace of a job that has one.

--- a/ctl/cmd/tarragonctl/main.go
+++ b/ctl/cmd/tarragonctl/main.go
@@ -112,6 +112,9 @@
 	case "job list":
 		s.String(&o.Queue, "q", "queue", "list only the jobs of this queue")
 		return
+	case "workspace show":
+		s.AddPositionalValue(&o.Argument, "NAME", 1, true, "the workspace")
+		return
 	case "job show", "job explain", "job wait", "job cancel":
 		s.AddPositionalValue(&o.Argument, "ID", 1, true, "the job's ID")
 		return
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -72,6 +72,8 @@
 	{"queues", "list the job queues", listQueues},
 	{"owner", "show the entry that owns all pools", showOwner},
 	{"fleet pools", "list the capacity and demand of the pools that run jobs", listPoolCapacity},
+	{"workspace list", "list the workspaces with what they have running, waiting and refused", listWorkspaces},
+	{"workspace show", "show a workspace's weight, cap and use, and its share of each pool", showWorkspace},
 	{"fleet waves", "list the platform's maintenance waves and their progress", listWaves},
 }
 
--- a/ctl/tarragonctl/command_test.go
+++ b/ctl/tarragonctl/command_test.go
@@ -55,6 +55,10 @@
 	{"task":"a1.0.0.0","state":"working","server":"s-7","run":2,"failures":1,"percent":40,"heardAgeMs":"120"},
 	{"task":"a1.0.1.0","state":"waiting","waitsFor":"steps [0]","heardAgeMs":"0"}]}`
 
+const workspaceBody = `{"name":"dev","weight":1.5,"cap":{"cpuMilli":"8000","memoryMb":"0","accelerators":"2"},
+	"running":{"cpuMilli":"2500","memoryMb":"64","accelerators":"0"},"tasksRunning":3,"tasksWaiting":4,"jobs":7,
+	"refused":{"share":"1","cap":"2"},"shares":[{"pool":"cups","used":0.5,"fair":0.125},{"pool":"plans","used":0,"fair":1}]}`
+
 var _ = ginkgo.DescribeTable("a command sends its request and prints the result of",
 	func(name, body, request, want string) {
 		e := &fakeEntry{status: http.StatusOK, body: body}
@@ -75,6 +79,19 @@
 			"task      state    run  failures  percent  server  heard ms ago  waits for\n"+
 			"a1.0.0.0  working  2    1         40       s-7     120           \n"+
 			"a1.0.1.0  waiting  0    0         0                0             steps [0]\n"),
+	ginkgo.Entry("the tasks of a job of a workspace", "job explain", `{"id":"a1","phase":"queued","waiting":1,"workspace":"dev","tasks":[
+		{"task":"a1.0.0.0","state":"waiting","waitsFor":"the cap of workspace dev"}]}`, "GET /v1/jobs/cups ",
+		"a1 queued: 1 waiting, 0 running, 0 done\nworkspace dev\n"+
+			"task      state    run  failures  percent  server  heard ms ago  waits for\n"+
+			"a1.0.0.0  waiting  0    0         0                              the cap of workspace dev\n"),
+	ginkgo.Entry("a list of workspaces", "workspace list", "["+workspaceBody+`,{"name":"ops"}]`, "GET /v1/workspaces ",
+		"name  weight  jobs  tasksRunning  tasksWaiting  running           cap                      refused\n"+
+			"dev   1.5     7     3             4             2.5 cores, 64 MB  8 cores, 2 accelerators  2 cap, 1 share\n"+
+			"ops   0       0     0             0             nothing           no limit                 none\n"),
+	ginkgo.Entry("a workspace", "workspace show", workspaceBody, "GET /v1/workspaces/cups ",
+		"name          dev\nweight        1.5\ncap           8 cores, 2 accelerators\nrunning       2.5 cores, 64 MB\n"+
+			"tasksRunning  3\ntasksWaiting  4\njobs          7\nrefused       2 cap, 1 share\n"+
+			"\npool   used   fair share\ncups   50.0%  12.5%\nplans  0.0%   100.0%\n"),
 	ginkgo.Entry("a wait for a job that has completed", "job wait", strings.Replace(jobBody, "running", "completed", 1), "GET /v1/jobs/cups ",
 		"a1 completed: 1 waiting, 1 running, 0 done\n"),
 	ginkgo.Entry("a cancellation", "job cancel", `{"id":"a1","phase":"cancelled"}`, "DELETE /v1/jobs/cups ",
--- a/ctl/tarragonctl/job.go
+++ b/ctl/tarragonctl/job.go
@@ -63,17 +63,19 @@
 
 // jobStatus is the status of a job as an entry reports it.
 type jobStatus struct {
-	ID         string       `json:"id"`
-	Queue      string       `json:"queue"`
-	Pool       string       `json:"pool"`
-	Phase      string       `json:"phase"`
-	AcceptedMs string       `json:"acceptedMs"`
-	EndedMs    string       `json:"endedMs"`
-	NextDueMs  string       `json:"nextDueMs"`
-	Waiting    int          `json:"waiting"`
-	Running    int          `json:"running"`
-	Done       int          `json:"done"`
-	Tasks      []taskStatus `json:"tasks,omitempty"`
+	ID         string `json:"id"`
+	Queue      string `json:"queue"`
+	Pool       string `json:"pool"`
+	Phase      string `json:"phase"`
+	AcceptedMs string `json:"acceptedMs"`
+	EndedMs    string `json:"endedMs"`
+	NextDueMs  string `json:"nextDueMs"`
+	Waiting    int    `json:"waiting"`
+	Running    int    `json:"running"`
+	Done       int    `json:"done"`
+	// Workspace is empty if the job was submitted without one.
+	Workspace string       `json:"workspace,omitempty"`
+	Tasks     []taskStatus `json:"tasks,omitempty"`
 }
 
 // ended reports whether the phase is final.
@@ -141,6 +143,9 @@
 	if err := printJob(w, o, v); err != nil {
 		return err
 	}
+	if v.Workspace != "" {
+		fmt.Fprintln(w, "workspace "+v.Workspace)
+	}
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "task\tstate\trun\tfailures\tpercent\tserver\theard ms ago\twaits for")
 	for _, x := range v.Tasks {
--- a/entry/jobapi/jobapi_test.go
+++ b/entry/jobapi/jobapi_test.go
@@ -186,6 +186,26 @@
 		gomega.Expect(answer).To(gomega.MatchJSON(`[{"number":2,"beganMs":"7","maintained":["vm-1"],"complete":false}]`))
 	})
 
+	ginkgo.It("about the workspaces is answered with all of them or the one that is named", func() {
+		f := &fakeRelay{reply: scheduler.Reply{Workspaces: []*schema.WorkspaceStatus{
+			{Name: "dev", Weight: 1.5, Cap: &schema.ResourceAmount{CpuMilli: 2000}, TasksWaiting: 2, Refused: map[string]int64{"cap": 3}}, {Name: "ops"},
+		}}}
+		dev := `{"name":"dev","weight":1.5,"cap":{"cpuMilli":"2000","memoryMb":"0","accelerators":"0"},"running":null,
+			"tasksRunning":0,"tasksWaiting":2,"jobs":0,"refused":{"cap":"3"},"shares":[]}`
+		_, answer, _ := request(f, "GET", "/v1/workspaces", "", "")
+		gomega.Expect(f.call.Kind).To(gomega.Equal(schema.JobCall_WORKSPACES))
+		gomega.Expect(answer).To(gomega.MatchJSON("[" + dev + `,{"name":"ops","weight":0,"cap":null,"running":null,
+			"tasksRunning":0,"tasksWaiting":0,"jobs":0,"refused":{},"shares":[]}]`))
+		_, answer, _ = request(f, "GET", "/v1/workspaces/dev", "", "")
+		gomega.Expect(answer).To(gomega.MatchJSON(dev))
+		code, answer, _ := request(f, "GET", "/v1/workspaces/none", "", "")
+		gomega.Expect(code).To(gomega.Equal(http.StatusNotFound))
+		gomega.Expect(answer).To(gomega.MatchJSON(`{"kind":"workspace","error":"there is no workspace none"}`))
+		f.reply = scheduler.Reply{Result: scheduler.Refused, Reason: "nobody owns the fleet at present"}
+		code, _, _ = request(f, "GET", "/v1/workspaces/dev", "", "")
+		gomega.Expect(code).To(gomega.Equal(http.StatusTooManyRequests))
+	})
+
 	ginkgo.It("about the owner is answered by this entry", func() {
 		_, answer, _ := request(&fakeRelay{}, "GET", "/v1/owner", "", "")
 		gomega.Expect(answer).To(gomega.MatchJSON(`{"name":"njiro-1","address":"10.0.0.1:7000","revision":12,"config":4,"logsDropped":5}`))
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -70,6 +70,8 @@
 	s.mux.HandleFunc("GET /v1/owner", s.owner)
 	s.mux.HandleFunc("GET /v1/pools", s.pools)
 	s.mux.HandleFunc("GET /v1/waves", s.waves)
+	s.mux.HandleFunc("GET /v1/workspaces", s.workspaces)
+	s.mux.HandleFunc("GET /v1/workspaces/{name}", s.workspace)
 	return s
 }
 
--- /dev/null
+++ b/entry/jobapi/workspace.go
@@ -0,0 +1,36 @@
+package jobapi
+
+import (
+	"net/http"
+
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+)
+
+func (s *Server) workspaces(w http.ResponseWriter, r *http.Request) {
+	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_WORKSPACES})
+	if x.Result != scheduler.Done {
+		s.writeReply(w, x, nil)
+		return
+	}
+	writeMessages(w, x.Workspaces)
+}
+
+func (s *Server) workspace(w http.ResponseWriter, r *http.Request) {
+	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_WORKSPACES})
+	if x.Result != scheduler.Done {
+		s.writeReply(w, x, nil)
+		return
+	}
+	for _, m := range x.Workspaces {
+		if m.Name == r.PathValue("name") {
+			writeMessage(w, m)
+			return
+		}
+	}
+	writeNoWorkspace(w, r.PathValue("name"))
+}
+
+func writeNoWorkspace(w http.ResponseWriter, name string) {
+	writeError(w, http.StatusNotFound, errorResponse{Kind: "workspace", Error: "there is no workspace " + name})
+}
