Report running cores, waiting tasks and refusals by workspace

The owner updates them once a second. The gauges return to 0 with the term, since the next owner reports then.

--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -80,3 +80,13 @@
 func (m *Metrics) Gauge(name string, v float64) {
 	m.scope.Gauge(name).Update(v)
 }
+
+// TaggedGauge sets the named gauge with the given labels.
+func (m *Metrics) TaggedGauge(name string, tags map[string]string, v float64) {
+	m.scope.Tagged(tags).Gauge(name).Update(v)
+}
+
+// TaggedCount adds n to the named counter with the given labels.
+func (m *Metrics) TaggedCount(name string, tags map[string]string, n int64) {
+	m.scope.Tagged(tags).Counter(name).Inc(n)
+}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -83,6 +83,9 @@
 	Event(name, kind string)
 	Time(name, kind string, d time.Duration)
 	Gauge(name string, v float64)
+	// TaggedGauge and TaggedCount are for metrics with labels of their own.
+	TaggedGauge(name string, tags map[string]string, v float64)
+	TaggedCount(name string, tags map[string]string, n int64)
 }
 
 // Identity describes this entry to the others. Address is where its peers reach it.
@@ -100,6 +103,7 @@
 	limits        scheduler.Limits
 	deps          Dependencies
 	largerEntries entryContacts
+	workspaces    *workspaceMetrics
 
 	// lock guards the fields below and is not held during I/O.
 	lock    sync.Mutex
@@ -131,7 +135,10 @@
 
 // New returns an Owner without a term; Run starts the election.
 func New(self Identity, l scheduler.Limits, d Dependencies) *Owner {
-	return &Owner{self: self, limits: l, deps: d, servers: map[string]server.Server{}, wakeup: make(chan struct{}, 1)}
+	return &Owner{
+		self: self, limits: l, deps: d, workspaces: newWorkspaceMetrics(d.Metrics), servers: map[string]server.Server{},
+		wakeup: make(chan struct{}, 1),
+	}
 }
 
 // SetTable applies the queue table of a newer configuration.
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -205,6 +205,9 @@
 func (discard) Time(string, string, time.Duration) {}
 func (discard) Gauge(string, float64)              {}
 
+func (discard) TaggedGauge(string, map[string]string, float64) {}
+func (discard) TaggedCount(string, map[string]string, int64)   {}
+
 var table = queue.New(1, []queue.Queue{{Name: "plans", Pool: "carving", MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
 	map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{})
 
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -249,6 +249,7 @@
 func (r *term) tick() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	defer r.owner.workspaces.endTerm()
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -291,6 +292,7 @@
 		t.TasksWaiting += p.TasksWaiting
 	}
 	r.owner.setGauges(t)
+	r.owner.workspaces.report(r.Workspaces().Workspaces)
 	r.owner.deps.Metrics.Gauge("owner_delay_seconds", r.delays.Delay().Seconds())
 }
 
