--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -149,6 +149,8 @@
 	Pools []*schema.PoolStatus
 	// Workspaces holds the state of the workspaces.
 	Workspaces []*schema.WorkspaceStatus
+	// Preview is the result of Preview.
+	Preview *schema.JobPreview
 }
 
 // Submit adds a job and calls reply once the job is stored, or at once if it is refused or malformed. It is
