Show where a job in a file would be placed

The checks of a submission apply, an overloaded owner refuses, and an owner of an earlier version is told apart by its empty reply. The entry reads jobs for submissions and previews by the same code. Measured: tests of relay, owner, jobapi and tarragonctl pass, those of entry with -race.

--- a/ctl/cmd/tarragonctl/main.go
+++ b/ctl/cmd/tarragonctl/main.go
@@ -115,7 +115,13 @@
 	case "workspace show":
 		s.AddPositionalValue(&o.Argument, "NAME", 1, true, "the workspace")
 		return
-	case "job show", "job explain", "job wait", "job cancel":
+	case "job explain":
+		s.AddPositionalValue(&o.Argument, "ID", 1, false, "the job's ID; without it, --file names a job that is not submitted")
+		s.String(&o.File, "f", "file", "the file with a job, in TOML or JSON, to show where it would be placed now")
+		s.String(&o.JobID, "i", "id", "the ID under which the job in the file would be submitted")
+		s.String(&o.Workspace, "w", "workspace", "the workspace that would submit the job in the file")
+		return
+	case "job show", "job wait", "job cancel":
 		s.AddPositionalValue(&o.Argument, "ID", 1, true, "the job's ID")
 		return
 	default:
--- a/ctl/tarragonctl/command.go
+++ b/ctl/tarragonctl/command.go
@@ -38,6 +38,9 @@
 	Argument string
 	// JobID is the ID under which a job is submitted; a random one is used if it is empty.
 	JobID string
+	// File is the name of a file with a job to explain, and Workspace the workspace as which it would be submitted.
+	File      string
+	Workspace string
 	// Queue restricts a list of jobs to one queue if it is set.
 	Queue string
 	// JSON selects JSON instead of text as the output format.
@@ -66,7 +69,7 @@
 	{"job submit", "submit the job in a file", submitJob},
 	{"job list", "list the known jobs, latest first", listJobs},
 	{"job show", "show a job's phase and task counts", showJob},
-	{"job explain", "show the state of each task of a job and what it waits for", explainJob},
+	{"job explain", "show the state of each task of a job and what it waits for, or where the job in a file would be placed", explainJob},
 	{"job wait", "print a job's progress until it ends", waitJob},
 	{"job cancel", "cancel a job", cancelJob},
 	{"queues", "list the job queues", listQueues},
--- a/ctl/tarragonctl/command_test.go
+++ b/ctl/tarragonctl/command_test.go
@@ -139,6 +139,32 @@
 	},
 		ginkgo.Entry("in TOML", "job.toml", "application/toml"), ginkgo.Entry("in JSON", "job.json", "application/json"))
 
+	ginkgo.DescribeTable("previews a job file and prints", func(body, want string) {
+		f := filepath.Join(ginkgo.GinkgoT().TempDir(), "job.toml")
+		gomega.Expect(os.WriteFile(f, []byte("the job"), 0o600)).To(gomega.Succeed())
+		e := &fakeEntry{status: http.StatusOK, body: body}
+		out, err := run(e, "job explain", tarragonctl.Options{File: f, JobID: "00000000000000aa", Workspace: "dev"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect([]string{e.request, e.query, e.contentType, out}).To(gomega.Equal([]string{
+			"POST /v1/preview the job", "file=job.toml&id=00000000000000aa&workspace=dev", "application/toml", want,
+		}))
+	},
+		ginkgo.Entry("where its tasks would go", `{"accepted":true,"reason":"admitted","retryAfterMs":"0","tasks":[
+			{"task":"a.0.0.0","server":"s-1","cost":0.25,"alternatives":[{"server":"s-2","cost":0.5}],"excluded":{"silent":2,"full":1},"expectedStartMs":"1800000000000"},
+			{"task":"a.0.0.1","server":"","cost":0,"waitsFor":"room","expectedStartMs":"0"}]}`,
+			"would be accepted: admitted\n"+
+				"task     server  cost  next best  expected start        waits for  servers ruled out\n"+
+				"a.0.0.0  s-1     0.25  s-2 0.50   2027-01-15T08:00:00Z             1 full, 2 silent\n"+
+				"a.0.0.1                           unknown               room       \n"),
+		ginkgo.Entry("its refusal", `{"accepted":false,"reason":"would be late","retryAfterMs":"1200"}`, "would be refused: would be late\nretry after: 1.2s\n"))
+
+	ginkgo.It("explains either a submitted job or a file", func() {
+		for _, o := range []tarragonctl.Options{{}, {Argument: "a", File: "job.toml"}} {
+			_, err := run(&fakeEntry{}, "job explain", o)
+			gomega.Expect(trace.IsBadParameter(err)).To(gomega.BeTrue())
+		}
+	})
+
 	ginkgo.It("generates a job ID if none is given", func() {
 		f := filepath.Join(ginkgo.GinkgoT().TempDir(), "job.json")
 		gomega.Expect(os.WriteFile(f, []byte("{}"), 0o600)).To(gomega.Succeed())
--- a/ctl/tarragonctl/job.go
+++ b/ctl/tarragonctl/job.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/url"
 	"os"
-	"path/filepath"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -84,13 +83,9 @@
 }
 
 func submitJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
-	b, err := os.ReadFile(o.Argument)
+	b, contentType, err := readJobFile(o.Argument)
 	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	contentType := jsonContentType
-	if strings.HasSuffix(o.Argument, ".toml") {
-		contentType = tomlContentType
+		return err
 	}
 	id := o.JobID
 	if id == "" {
@@ -98,14 +93,24 @@
 			return trace.Wrap(err, "generating a job ID")
 		}
 	}
-	q := url.Values{"file": {filepath.Base(o.Argument)}, "id": {id}}
 	var v jobStatus
-	if err := c.PostBody(ctx, "/v1/jobs?"+q.Encode(), contentType, b, &v); err != nil {
+	if err := c.PostBody(ctx, "/v1/jobs?"+fileQuery(o.Argument, id).Encode(), contentType, b, &v); err != nil {
 		return trace.Wrap(&SubmissionError{ID: id, Reason: trace.Unwrap(err).Error()})
 	}
 	return printJob(w, o, v)
 }
 
+// readJobFile returns the contents of a file with a job and their content type.
+func readJobFile(name string) (b []byte, contentType string, err error) {
+	if b, err = os.ReadFile(name); err != nil {
+		return nil, "", trace.ConvertSystemError(err)
+	}
+	if strings.HasSuffix(name, ".toml") {
+		return b, tomlContentType, nil
+	}
+	return b, jsonContentType, nil
+}
+
 func newJobID() (string, error) {
 	b := make([]byte, jobIDBytes)
 	_, err := rand.Read(b)
@@ -132,7 +137,14 @@
 	return printJob(w, o, v)
 }
 
+// explainJob explains a submitted job, or one in a file that is not submitted.
 func explainJob(ctx context.Context, c *Client, o Options, w io.Writer) error {
+	if (o.Argument == "") == (o.File == "") {
+		return trace.BadParameter("give either the ID of a job or --file")
+	}
+	if o.File != "" {
+		return previewJob(ctx, c, o, w)
+	}
 	var v jobStatus
 	if err := c.Get(ctx, jobPath(o.Argument), &v); err != nil {
 		return err
--- a/entry/jobapi/jobapi_test.go
+++ b/entry/jobapi/jobapi_test.go
@@ -24,6 +24,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/suite"
+	"github.com/tarragonbank/tarragonbank/fleet/workspace"
 )
 
 func TestJobAPI(t *testing.T) {
@@ -45,7 +46,9 @@
 type fakeEntry struct{}
 
 func (fakeEntry) Table() *queue.Table {
-	return queue.New(4, []queue.Queue{{Name: "plans", Pool: "carving", Priority: 1, MaxAttempts: 3}}, nil, queue.Limits{})
+	d, err := workspace.New([]workspace.Definition{{Workspace: workspace.Workspace{Name: "dev"}}})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return queue.New(4, []queue.Queue{{Name: "plans", Pool: "carving", Priority: 1, MaxAttempts: 3}}, nil, queue.Limits{}, queue.WithWorkspaces(d))
 }
 
 func (fakeEntry) Owner() owner.Record {
@@ -156,6 +159,29 @@
 		ginkgo.Entry("invalid", scheduler.Reply{Result: scheduler.Invalid, Reason: "steps: none"}, 400, `{"kind":"job","error":"steps: none"}`, ""))
 })
 
+var _ = ginkgo.Describe("a preview", func() {
+	ginkgo.It("is asked for as the workspace, and answered with the decision", func() {
+		f := &fakeRelay{reply: scheduler.Reply{Preview: &schema.JobPreview{Reason: "would be late", RetryAfterMs: 500}}}
+		code, answer, _ := request(f, "POST", "/v1/preview?workspace=dev", "", jsonJob)
+		gomega.Expect([]any{code, f.call.Kind, f.call.Job.Workspace, f.call.Job.Payload}).To(gomega.Equal([]any{200, schema.JobCall_PREVIEW, "dev", "p"}))
+		gomega.Expect(answer).To(gomega.MatchJSON(`{"accepted":false,"reason":"would be late","retryAfterMs":"500","tasks":[]}`))
+	})
+
+	ginkgo.DescribeTable("that cannot be answered gets an error", func(path, body string, x scheduler.Reply, status int, want string) {
+		code, answer, _ := request(&fakeRelay{reply: x}, "POST", path, "", body)
+		gomega.Expect(answer).To(gomega.MatchJSON(want))
+		gomega.Expect(code).To(gomega.Equal(status))
+	},
+		ginkgo.Entry("a job that a submission refuses", "/v1/preview", strings.Replace(jsonJob, "5c0e7a21d94b36f8", "cup", 1), scheduler.Reply{}, 400,
+			`{"kind":"job","place":"id","error":"id: not 16 hexadecimal digits"}`),
+		ginkgo.Entry("an unknown workspace", "/v1/preview?workspace=none", jsonJob, scheduler.Reply{}, 404,
+			`{"kind":"workspace","error":"there is no workspace none"}`),
+		ginkgo.Entry("an overloaded owner", "/v1/preview", jsonJob, scheduler.Reply{Result: scheduler.Refused, Reason: "the owner is overloaded"}, 429,
+			`{"kind":"refused","error":"the owner is overloaded"}`),
+		ginkgo.Entry("an owner of an earlier version", "/v1/preview", jsonJob, scheduler.Reply{}, 501,
+			`{"kind":"preview","error":"the owner is of a version without previews"}`))
+})
+
 var _ = ginkgo.Describe("a query", func() {
 	one := scheduler.Reply{Jobs: []*schema.JobStatus{{Id: "a", Phase: "running", Tasks: []*schema.TaskStatus{{Task: "a.0.0.0", WaitsFor: "room"}}}}}
 	ginkgo.DescribeTable("is answered", func(method, path string, x scheduler.Reply, kind schema.JobCall_Kind, id, of, want string) {
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -66,6 +66,7 @@
 	s.mux.HandleFunc("GET /v1/jobs", s.list)
 	s.mux.HandleFunc("GET /v1/jobs/{id}", s.explain)
 	s.mux.HandleFunc("DELETE /v1/jobs/{id}", s.cancel)
+	s.mux.HandleFunc("POST /v1/preview", s.preview)
 	s.mux.HandleFunc("GET /v1/queues", s.queues)
 	s.mux.HandleFunc("GET /v1/owner", s.owner)
 	s.mux.HandleFunc("GET /v1/pools", s.pools)
@@ -88,10 +89,24 @@
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	q, ok := s.readJob(w, r, func(id, reason string) { s.logDecision(id, "refused: "+reason, start) })
+	if !ok {
+		return
+	}
+	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: q.Id, Queue: q.Queue, Job: job.FromRequest(q)})
+	s.logDecision(q.Id, "submission "+x.Result.String()+" "+x.Reason, start)
+	s.metrics.Event("submissions", x.Result.String())
+	s.metrics.Time("submission_duration", x.Result.String(), time.Since(start))
+	s.writeReply(w, x, &schema.JobStatus{Id: q.Id, Queue: q.Queue, Phase: x.Phase.String()})
+}
+
+// readJob reads the job in a request. If the job cannot be submitted, it writes the error, passes the reason to refused and
+// returns false.
+func (s *Server) readJob(w http.ResponseWriter, r *http.Request, refused func(id, reason string)) (*schema.JobRequest, bool) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		writeError(w, http.StatusRequestEntityTooLarge, errorResponse{Kind: "body", Error: err.Error()})
-		return
+		return nil, false
 	}
 	q, err := decodeJob(r.Header.Get("Content-Type"), r.URL.Query().Get("file"), b)
 	if err == nil {
@@ -101,20 +116,16 @@
 		err = job.ValidateRequest(q)
 	}
 	if err != nil {
-		s.logDecision(q.GetId(), "refused: "+err.Error(), start)
+		refused(q.GetId(), err.Error())
 		writeError(w, http.StatusBadRequest, invalidJob(err))
-		return
+		return nil, false
 	}
 	if t := s.entry.Table(); t.ByName(q.Queue) == nil {
-		s.logDecision(q.Id, "refused: no queue "+q.Queue, start)
+		refused(q.Id, "no queue "+q.Queue)
 		writeError(w, http.StatusNotFound, errorResponse{Kind: "queue", Field: "queue", Error: "there is no queue " + q.Queue})
-		return
+		return nil, false
 	}
-	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_SUBMIT, Id: q.Id, Queue: q.Queue, Job: job.FromRequest(q)})
-	s.logDecision(q.Id, "submission "+x.Result.String()+" "+x.Reason, start)
-	s.metrics.Event("submissions", x.Result.String())
-	s.metrics.Time("submission_duration", x.Result.String(), time.Since(start))
-	s.writeReply(w, x, &schema.JobStatus{Id: q.Id, Queue: q.Queue, Phase: x.Phase.String()})
+	return q, true
 }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -28,6 +28,7 @@
 	Explain(id string) scheduler.Reply
 	Pools() scheduler.Reply
 	Workspaces() scheduler.Reply
+	Preview(m *schema.JobRecord) scheduler.Reply
 }
 
 // term is one period of this entry's ownership. token is its fencing token: the revision of the owner record.
@@ -386,10 +387,3 @@
 	defer r.lock.Unlock()
 	return r.scheduler.Pools(time.Now())
 }
-
-// Workspaces returns the configuration of each workspace and what it has running and waiting.
-func (r *term) Workspaces() scheduler.Reply {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return r.scheduler.Workspaces(time.Now())
-}
--- a/entry/owner/term_test.go
+++ b/entry/owner/term_test.go
@@ -158,6 +158,7 @@
 		g.Expect(x.Result).To(gomega.Equal(scheduler.Refused))
 		g.Expect(x.Reason).To(gomega.ContainSubstring("overloaded"))
 		g.Expect(x.RetryAfter).To(gomega.BeNumerically(">=", time.Second))
+		g.Expect(o.Current().Preview(&schema.JobRecord{Id: secondID}).Reason).To(gomega.Equal(x.Reason), "a preview costs as much as a pass")
 		g.Expect(submit(o, firstID).Result).To(gomega.Equal(scheduler.Done), "a known job is not refused")
 		c.busy.Store(false)
 		time.Sleep(3 * time.Second)
--- a/entry/owner/workspace.go
+++ b/entry/owner/workspace.go
@@ -1,7 +1,10 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/tarragonbank/tarragonbank/entry/metrics"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
@@ -80,3 +83,10 @@
 	m.report(nil)
 	m.refused = map[refusalClass]int64{}
 }
+
+// Workspaces returns the configuration of each workspace and what it has running and waiting.
+func (r *term) Workspaces() scheduler.Reply {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.Workspaces(time.Now())
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -163,6 +163,8 @@
 		return d.Pools()
 	case schema.JobCall_WORKSPACES:
 		return d.Workspaces()
+	case schema.JobCall_PREVIEW:
+		return d.Preview(c.Job)
 	default:
 		return scheduler.Reply{Result: scheduler.Done}
 	}
@@ -217,6 +219,7 @@
 	return scheduler.Reply{
 		Result: scheduler.Result(m.Result), Phase: job.Phase(m.Phase), Pending: int(m.Pending),
 		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs, Pools: m.Pools, Workspaces: m.Workspaces,
+		Preview: m.Preview,
 	}
 }
 
@@ -224,5 +227,6 @@
 	return &schema.JobReply{
 		Result: int32(r.Result), Phase: int32(r.Phase), Pending: int32(r.Pending),
 		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs, Pools: r.Pools, Workspaces: r.Workspaces,
+		Preview: r.Preview,
 	}
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -50,6 +50,17 @@
 	return scheduler.Reply{Workspaces: []*schema.WorkspaceStatus{workspaceStatus}}
 }
 
+func (o *fakeOwner) Preview(m *schema.JobRecord) scheduler.Reply {
+	return scheduler.Reply{Preview: previewOf(m.Id)}
+}
+
+func previewOf(id string) *schema.JobPreview {
+	return &schema.JobPreview{Accepted: true, Reason: "admitted", RetryAfterMs: 1, Tasks: []*schema.TaskPreview{{
+		Task: id, Server: "s-1", Cost: 0.5, Alternatives: []*schema.ServerCost{{Server: "s-2", Cost: 1}},
+		Excluded: map[string]int32{"silent": 2}, WaitsFor: "room", ExpectedStartMs: 3,
+	}}}
+}
+
 // workspaceStatus has a value in each field, so that one that is lost on the way shows.
 var workspaceStatus = &schema.WorkspaceStatus{
 	Name: "dev", Weight: 1.5, Cap: &schema.ResourceAmount{CpuMilli: 1, MemoryMb: 2, Accelerators: 3},
@@ -172,6 +183,8 @@
 		w := ask(o, &schema.JobCall{Kind: schema.JobCall_WORKSPACES}).Workspaces
 		gomega.Expect(w).To(gomega.HaveLen(1))
 		gomega.Expect(proto.Equal(w[0], workspaceStatus)).To(gomega.BeTrue())
+		p := ask(o, &schema.JobCall{Kind: schema.JobCall_PREVIEW, Job: &schema.JobRecord{Id: "a"}}).Preview
+		gomega.Expect(proto.Equal(p, previewOf("a"))).To(gomega.BeTrue())
 		for _, c := range []*schema.JobCall{{Kind: schema.JobCall_LIST, Queue: "plans"}, {Kind: schema.JobCall_EXPLAIN, Id: "plans"}} {
 			got := ask(o, c).Jobs
 			gomega.Expect(got).To(gomega.HaveLen(1))
