Preview the placement by the scheduler's own placement

The preview repeated the steps of place, so that a rule added there would have been missing in it. It now calls place on the copy of the scheduler, with copies of the tasks that wait before the job's. An id that another workspace has used is refused. The jobs of the tests belong to a workspace, so that what is counted by workspace is compared too.

--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -19,6 +19,9 @@
 // changing anything. A malformed job is Invalid.
 func (s *Scheduler) Preview(m *schema.JobRecord, now time.Time) Reply {
 	if j := s.jobs[m.Id]; j != nil {
+		if w := j.job.Workspace; w != "" && m.Workspace != "" && w != m.Workspace {
+			return previewReply(&schema.JobPreview{Reason: "the job belongs to another workspace"})
+		}
 		return previewReply(&schema.JobPreview{Accepted: true, Reason: "the job was accepted before and is " + j.reportedPhase.String()})
 	}
 	pool := ""
@@ -92,84 +95,80 @@
 	}
 }
 
-// occupy takes the room that another job's waiting step gets before the previewed job.
+// occupy gives another job's waiting step the room that it gets before the previewed job. It places copies of the tasks.
 func (p *preview) occupy(w pendingStep, l []*serverState) {
 	if p.full.rulesOut(w.step.step.Demand()) {
 		p.waitsAhead = true
 		return
 	}
-	allowed, ok := p.scheduler.advisedServers(w, l, p.now)
-	if !ok {
-		return
+	x := *w.step
+	x.tasks = nil
+	for _, t := range w.step.tasks {
+		k := *t
+		k.step, k.state = &x, w.state
+		x.tasks = append(x.tasks, &k)
 	}
+	w.step = &x
+	p.scheduler.place(w, l, &p.full, p.now)
+	p.waitsAhead = p.waitsAhead || x.hasPendingTask()
+}
+
+// previewStep places the step's tasks, all of a gang or each by itself, and lists them.
+func (p *preview) previewStep(w pendingStep, l []*serverState) {
 	if w.step.step.Gang {
-		p.occupyGang(w, allowed)
+		p.previewTasks(w, l)
 		return
 	}
 	for _, t := range w.step.tasks {
-		if t.done || t.run != nil {
-			continue
-		}
-		v := bestServer(t, allowed, p.now)
-		if v == nil {
-			p.waitsAhead = true
-			if len(allowed) == len(l) && !t.mayCrashServers() {
-				p.full.add(w.step.step)
-			}
+		x := *w.step
+		x.tasks = []*task{t}
+		w.step = &x
+		p.previewTasks(w, l)
+		if len(p.result.Tasks) >= maxPreviewTasks {
 			return
 		}
-		v.addRun(&run{task: t, number: t.lastRun + 1, server: v})
 	}
 }
 
-func (p *preview) occupyGang(w pendingStep, l []*serverState) {
-	if slices.ContainsFunc(w.step.tasks, func(t *task) bool { return t.run != nil || t.done }) {
+// previewTasks places the step's tasks at once, and lists them.
+func (p *preview) previewTasks(w pendingStep, l []*serverState) {
+	if p.sameWait(w.step.tasks[0]) {
 		return
 	}
-	chosen := gangPlacement(w.step, l)
-	p.waitsAhead = p.waitsAhead || chosen == nil
-	for i, v := range chosen {
-		t := w.step.tasks[i]
-		v.addRun(&run{task: t, number: t.lastRun + 1, server: v})
+	first := w.step.tasks[0]
+	allowed, _ := p.scheduler.advisedServers(w, l, p.now)
+	costs, excluded := p.costs(first, allowed), p.excluded(first, allowed)
+	p.scheduler.place(w, l, &p.full, p.now)
+	for _, t := range w.step.tasks[:min(len(w.step.tasks), maxPreviewTasks-len(p.result.Tasks))] {
+		m := &schema.TaskPreview{Task: t.key.String(), Excluded: excluded}
+		if t.run == nil {
+			p.explainWait(w, t, allowed, m)
+		} else {
+			m.Server, m.ExpectedStartMs = t.run.server.info.ID, p.now.UnixMilli()
+		}
+		if !w.step.step.Gang {
+			setCosts(m, costs)
+		}
+		p.result.Tasks = append(p.result.Tasks, m)
 	}
 }
 
-// previewStep places the step's tasks, all of a gang or each by itself, and lists them.
-func (p *preview) previewStep(w pendingStep, l []*serverState) {
-	allowed, advised := p.scheduler.advisedServers(w, l, p.now)
-	var gang []*serverState
-	if w.step.step.Gang && advised {
-		gang = gangPlacement(w.step, allowed)
+// sameWait lists a task like the one before it if that is of the same step and waits: the tasks of a new step are equal.
+func (p *preview) sameWait(t *task) bool {
+	if len(p.result.Tasks) == 0 || t.key.Index == 0 {
+		return false
 	}
-	var waiting *schema.TaskPreview
-	for i, t := range w.step.tasks[:min(len(w.step.tasks), maxPreviewTasks-len(p.result.Tasks))] {
-		if waiting != nil {
-			// The tasks of a new step are equal, so what one waits for the next ones wait for too.
-			p.result.Tasks = append(p.result.Tasks, &schema.TaskPreview{
-				Task: t.key.String(), Excluded: waiting.Excluded, WaitsFor: waiting.WaitsFor, ExpectedStartMs: waiting.ExpectedStartMs,
-			})
-			continue
-		}
-		m := &schema.TaskPreview{Task: t.key.String(), Excluded: p.excluded(t, allowed)}
-		p.result.Tasks = append(p.result.Tasks, m)
-		var v *serverState
-		switch {
-		case gang != nil:
-			v = gang[i]
-		case !w.step.step.Gang:
-			v = p.listCosts(t, allowed, m)
-		}
-		if v == nil {
-			p.explainWait(w, t, allowed, m)
-			waiting = m
-			continue
-		}
-		m.Server, m.Cost, m.ExpectedStartMs = v.info.ID, placementCost(t, v, p.now), p.now.UnixMilli()
-		p.scheduler.assign(t, v, t.lastRun+1)
+	last := p.result.Tasks[len(p.result.Tasks)-1]
+	if last.Server != "" {
+		return false
 	}
+	p.result.Tasks = append(p.result.Tasks, &schema.TaskPreview{
+		Task: t.key.String(), Excluded: last.Excluded, WaitsFor: last.WaitsFor, ExpectedStartMs: last.ExpectedStartMs,
+	})
+	return true
 }
 
-// explainWait lists what a task waits for that was not placed, and its expected start if no other step waits before it.
+// explainWait sets what a task waits for that was not placed, and its expected start if no other step waits before it.
 func (p *preview) explainWait(w pendingStep, t *task, allowed []*serverState, m *schema.TaskPreview) {
 	m.WaitsFor = p.waitsFor(w, t)
 	if p.waitsAhead || w.step.step.Gang {
@@ -188,17 +187,28 @@
 	return p.scheduler.waitsFor(t, w.state.occurrences[t.key.Occurrence], p.now)
 }
 
-// listCosts returns the best server for a task and lists those with the next lowest costs.
-func (p *preview) listCosts(t *task, l []*serverState, m *schema.TaskPreview) *serverState {
-	best := bestServer(t, l, p.now)
+// costs returns the placement costs of the servers that are eligible for the task, the lowest first.
+func (p *preview) costs(t *task, l []*serverState) []*schema.ServerCost {
+	c := []*schema.ServerCost{}
 	for _, v := range l {
-		if v != best && eligible(t, v, p.now) {
-			m.Alternatives = append(m.Alternatives, &schema.ServerCost{Server: v.info.ID, Cost: placementCost(t, v, p.now)})
+		if eligible(t, v, p.now) {
+			c = append(c, &schema.ServerCost{Server: v.info.ID, Cost: placementCost(t, v, p.now)})
+		}
+	}
+	slices.SortStableFunc(c, func(a, b *schema.ServerCost) int { return cmp.Compare(a.Cost, b.Cost) })
+	return c
+}
+
+// setCosts sets the cost of the task's server, and the next best servers.
+func setCosts(m *schema.TaskPreview, costs []*schema.ServerCost) {
+	for _, x := range costs {
+		switch {
+		case x.Server == m.Server:
+			m.Cost = x.Cost
+		case len(m.Alternatives) < maxAlternatives:
+			m.Alternatives = append(m.Alternatives, x)
 		}
 	}
-	slices.SortStableFunc(m.Alternatives, func(a, b *schema.ServerCost) int { return cmp.Compare(a.Cost, b.Cost) })
-	m.Alternatives = m.Alternatives[:min(len(m.Alternatives), maxAlternatives)]
-	return best
 }
 
 // excluded counts the servers of the pool that cannot take the task, by reason.
@@ -262,7 +272,8 @@
 	x := *v
 	x.runs = maps.Clone(v.runs)
 	for _, r := range slices.SortedFunc(maps.Keys(ends), func(a, b *run) int { return ends[a].Compare(ends[b]) }) {
-		x.removeRun(r)
+		delete(x.runs, r.task.key)
+		x.used = x.used.Sub(r.task.step.step.Demand())
 		if eligible(t, &x, p.now) {
 			return ends[r]
 		}
--- a/fleet/scheduler/preview_test.go
+++ b/fleet/scheduler/preview_test.go
@@ -12,26 +12,40 @@
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/workspace"
 )
 
 // busyHarness returns a scheduler with two servers, of which the first is fuller, and a task that waits for room.
 func busyHarness() *harness {
 	w := newHarness()
+	w.setWorkspaces(2, dev)
 	w.addServers("s-1", "s-2")
-	w.submit(newRecord(1, 1, func(s *schema.StepRecord) { s.CpuMilli, s.EstimateMs = 40000, 3000 }))
+	w.submit(ofDev(newRecord(1, 1, func(s *schema.StepRecord) { s.CpuMilli, s.EstimateMs = 40000, 3000 })))
 	w.acceptStarts()
-	w.submit(newRecord(2, 1, longRunning, func(s *schema.StepRecord) { s.CpuMilli = 30000 }))
+	w.submit(newRecord(2, 1, longRunning, cores(30)))
 	w.acceptStarts()
-	w.submit(newRecord(3, 1, longRunning, func(s *schema.StepRecord) { s.CpuMilli = 60000 }))
+	w.submit(ofDev(newRecord(3, 1, longRunning, cores(60))))
 	return w
 }
 
+var dev = workspace.Workspace{Name: "dev", Weight: 1000}
+
+func ofDev(m *schema.JobRecord) *schema.JobRecord {
+	m.Workspace = "dev"
+	return m
+}
+
 func preview(w *harness, m *schema.JobRecord) *schema.JobPreview {
 	x := w.Preview(m, w.now)
 	gomega.Expect(x.Result).To(gomega.Equal(scheduler.Done))
 	return x.Preview
 }
 
+// startOf returns the order to start the only task of a job.
+func startOf(id int) scheduler.StartOrder {
+	return scheduler.StartOrder{Task: job.Task{Job: fmt.Sprintf("%016x", id)}, Number: 1}
+}
+
 func cores(n int64) func(*schema.StepRecord) {
 	return func(s *schema.StepRecord) { s.CpuMilli = n * 1000 }
 }
@@ -79,17 +93,26 @@
 		m := newRecord(9, 5000)
 		w.Submit(m, w.now, func(r scheduler.Reply) { x = r })
 		gomega.Expect(w.Preview(m, w.now)).To(gomega.Equal(x))
-		gomega.Expect(preview(w, newRecord(1, 1)).Reason).To(gomega.Equal("the job was accepted before and is queued"))
+	})
+
+	ginkgo.It("tells about a job of the same id only to its workspace", func() {
+		w := busyHarness()
+		m := newRecord(1, 1)
+		gomega.Expect(preview(w, ofDev(m)).Reason).To(gomega.Equal("the job was accepted before and is queued"))
+		m.Workspace = "ops"
+		p := preview(w, m)
+		gomega.Expect([]any{p.Accepted, p.Reason}).To(gomega.Equal([]any{false, "the job belongs to another workspace"}))
 	})
 
 	// A preview that counted as an arrival, or left a task placed, would change what later submissions get.
-	ginkgo.DescribeTable("changes nothing, and agrees with the submission that follows", func(m func() *schema.JobRecord, last func(*harness)) {
+	ginkgo.DescribeTable("changes nothing, and agrees with the submission that follows", func(job func() *schema.JobRecord, last func(*harness)) {
+		m := func() *schema.JobRecord { return ofDev(job()) }
 		setup := func() *harness {
 			w := busyHarness()
 			// Caches of earlier submissions are stale, and a pass is due.
 			w.now = w.now.Add(time.Second)
-			w.reportRuns("s-1", listedRun(scheduler.StartOrder{Task: job.Task{Job: fmt.Sprintf("%016x", 1)}, Number: 1}, 20))
-			w.reportRuns("s-2", listedRun(scheduler.StartOrder{Task: job.Task{Job: fmt.Sprintf("%016x", 2)}, Number: 1}, 20))
+			w.reportRuns("s-1", listedRun(startOf(1), 20))
+			w.reportRuns("s-2", listedRun(startOf(2), 20))
 			w.addServers("s-3")
 			last(w)
 			return w
@@ -117,8 +140,8 @@
 		ginkgo.Entry("too much work", func() *schema.JobRecord { return newRecord(9, 100, cores(20)) }, func(*harness) {}),
 		ginkgo.Entry("a task that is too large", func() *schema.JobRecord { return newRecord(9, 1, cores(65)) }, func(*harness) {}),
 		ginkgo.Entry("an advised step", func() *schema.JobRecord { return newRecord(9, 1) }, func(w *harness) {
-			w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", UsesAdvice: true, SlackFactor: 2, LatencyAllowance: time.Second}},
-				table.Pools, queue.Limits{}))
+			w.SetTable(queue.New(3, []queue.Queue{{Name: "plans", Pool: "carving", UsesAdvice: true, SlackFactor: 2, LatencyAllowance: time.Second}},
+				table.Pools, queue.Limits{}, queue.WithWorkspaces(must(workspace.New([]workspace.Definition{{Workspace: dev}})))))
 		}),
 		ginkgo.Entry("a job right after another, with fresh caches", func() *schema.JobRecord {
 			return newRecord(9, 1, func(s *schema.StepRecord) { s.EstimateMs = 100 })
