Let the workspaces of the metrics test hold the job

The test gave its workspaces a cap that its job does not fit, which is refused once caps are held. The cap plays no part in what the test checks. Measured: tests of owner pass with -race.

--- a/entry/owner/workspace_test.go
+++ b/entry/owner/workspace_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/onsi/gomega"
 
-	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/workspace"
@@ -49,7 +48,7 @@
 		s.metrics = m
 		l := []workspace.Definition{}
 		for i := range 70 {
-			l = append(l, workspace.Definition{Workspace: workspace.Workspace{Name: fmt.Sprintf("w-%02d", i), Cap: job.Size{CPU: 1}}})
+			l = append(l, workspace.Definition{Workspace: workspace.Workspace{Name: fmt.Sprintf("w-%02d", i), Weight: 1}})
 		}
 		d, err := workspace.New(l)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
