--- a/bench/jobsite/jobsite_test.go
+++ b/bench/jobsite/jobsite_test.go
@@ -67,9 +67,10 @@
 	return m
 }
 
-// rare lists documented metrics that do not appear in a short run without faults and without workspaces.
+// rare lists documented metrics that do not appear in a short run without faults, or without workspaces.
 var rare = map[string]bool{
 	"orders": true, "store_failures": true, "advice": true, "unauthorized": true, "forbidden": true, "stale_configuration": true,
+	"workspace_cores_running": true, "workspace_tasks_waiting": true, "workspace_refusals": true,
 }
 
 var _ = ginkgo.It("exports exactly the metrics that the operations manual lists", func() {
--- a/ctl/tarragonctl/command_test.go
+++ b/ctl/tarragonctl/command_test.go
@@ -55,6 +55,10 @@
 	{"task":"a1.0.0.0","state":"working","server":"s-7","run":2,"failures":1,"percent":40,"heardAgeMs":"120"},
 	{"task":"a1.0.1.0","state":"waiting","waitsFor":"steps [0]","heardAgeMs":"0"}]}`
 
+const workspaceBody = `{"name":"dev","weight":1.5,"cap":{"cpuMilli":"8000","memoryMb":"0","accelerators":"2"},
+	"running":{"cpuMilli":"2500","memoryMb":"64","accelerators":"0"},"tasksRunning":3,"tasksWaiting":4,"jobs":7,
+	"refused":{"share":"1","cap":"2"},"shares":[{"pool":"cups","used":0.5,"fair":0.125},{"pool":"plans","used":0,"fair":1}]}`
+
 var _ = ginkgo.DescribeTable("a command sends its request and prints the result of",
 	func(name, body, request, want string) {
 		e := &fakeEntry{status: http.StatusOK, body: body}
@@ -75,6 +79,19 @@
 			"task      state    run  failures  percent  server  heard ms ago  waits for\n"+
 			"a1.0.0.0  working  2    1         40       s-7     120           \n"+
 			"a1.0.1.0  waiting  0    0         0                0             steps [0]\n"),
+	ginkgo.Entry("the tasks of a job of a workspace", "job explain", `{"id":"a1","phase":"queued","waiting":1,"workspace":"dev","tasks":[
+		{"task":"a1.0.0.0","state":"waiting","waitsFor":"the cap of workspace dev"}]}`, "GET /v1/jobs/cups ",
+		"a1 queued: 1 waiting, 0 running, 0 done\nworkspace dev\n"+
+			"task      state    run  failures  percent  server  heard ms ago  waits for\n"+
+			"a1.0.0.0  waiting  0    0         0                              the cap of workspace dev\n"),
+	ginkgo.Entry("a list of workspaces", "workspace list", "["+workspaceBody+`,{"name":"ops"}]`, "GET /v1/workspaces ",
+		"name  weight  jobs  tasksRunning  tasksWaiting  running           cap                      refused\n"+
+			"dev   1.5     7     3             4             2.5 cores, 64 MB  8 cores, 2 accelerators  2 cap, 1 share\n"+
+			"ops   0       0     0             0             nothing           no limit                 none\n"),
+	ginkgo.Entry("a workspace", "workspace show", workspaceBody, "GET /v1/workspaces/cups ",
+		"name          dev\nweight        1.5\ncap           8 cores, 2 accelerators\nrunning       2.5 cores, 64 MB\n"+
+			"tasksRunning  3\ntasksWaiting  4\njobs          7\nrefused       2 cap, 1 share\n"+
+			"\npool   used   fair share\ncups   50.0%  12.5%\nplans  0.0%   100.0%\n"),
 	ginkgo.Entry("a wait for a job that has completed", "job wait", strings.Replace(jobBody, "running", "completed", 1), "GET /v1/jobs/cups ",
 		"a1 completed: 1 waiting, 1 running, 0 done\n"),
 	ginkgo.Entry("a cancellation", "job cancel", `{"id":"a1","phase":"cancelled"}`, "DELETE /v1/jobs/cups ",
@@ -122,6 +139,32 @@
 	},
 		ginkgo.Entry("in TOML", "job.toml", "application/toml"), ginkgo.Entry("in JSON", "job.json", "application/json"))
 
+	ginkgo.DescribeTable("previews a job file and prints", func(body, want string) {
+		f := filepath.Join(ginkgo.GinkgoT().TempDir(), "job.toml")
+		gomega.Expect(os.WriteFile(f, []byte("the job"), 0o600)).To(gomega.Succeed())
+		e := &fakeEntry{status: http.StatusOK, body: body}
+		out, err := run(e, "job explain", tarragonctl.Options{File: f, JobID: "00000000000000aa", Workspace: "dev"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect([]string{e.request, e.query, e.contentType, out}).To(gomega.Equal([]string{
+			"POST /v1/preview the job", "file=job.toml&id=00000000000000aa&workspace=dev", "application/toml", want,
+		}))
+	},
+		ginkgo.Entry("where its tasks would go", `{"accepted":true,"reason":"admitted","retryAfterMs":"0","tasks":[
+			{"task":"a.0.0.0","server":"s-1","cost":0.25,"alternatives":[{"server":"s-2","cost":0.5}],"excluded":{"silent":2,"full":1},"expectedStartMs":"1800000000000"},
+			{"task":"a.0.0.1","server":"","cost":0,"waitsFor":"room","expectedStartMs":"0"}]}`,
+			"would be accepted: admitted\n"+
+				"task     server  cost  next best  expected start        waits for  servers ruled out\n"+
+				"a.0.0.0  s-1     0.25  s-2 0.50   2027-01-15T08:00:00Z             1 full, 2 silent\n"+
+				"a.0.0.1                           unknown               room       \n"),
+		ginkgo.Entry("its refusal", `{"accepted":false,"reason":"would be late","retryAfterMs":"1200"}`, "would be refused: would be late\nretry after: 1.2s\n"))
+
+	ginkgo.It("explains either a submitted job or a file", func() {
+		for _, o := range []tarragonctl.Options{{}, {Argument: "a", File: "job.toml"}} {
+			_, err := run(&fakeEntry{}, "job explain", o)
+			gomega.Expect(trace.IsBadParameter(err)).To(gomega.BeTrue())
+		}
+	})
+
 	ginkgo.It("generates a job ID if none is given", func() {
 		f := filepath.Join(ginkgo.GinkgoT().TempDir(), "job.json")
 		gomega.Expect(os.WriteFile(f, []byte("{}"), 0o600)).To(gomega.Succeed())
--- a/entry/owner/jobservice.go
+++ b/entry/owner/jobservice.go
@@ -17,4 +17,6 @@
 	List(queue string) scheduler.Reply
 	Explain(id string) scheduler.Reply
 	Pools() scheduler.Reply
+	Workspaces() scheduler.Reply
+	Preview(m *schema.JobRecord) scheduler.Reply
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -189,6 +189,10 @@
 		return d.Explain(c.Id)
 	case schema.JobCall_POOLS:
 		return d.Pools()
+	case schema.JobCall_WORKSPACES:
+		return d.Workspaces()
+	case schema.JobCall_PREVIEW:
+		return d.Preview(c.Job)
 	default:
 		return scheduler.Reply{Result: scheduler.Done}
 	}
@@ -266,13 +270,15 @@
 func decodeReply(m *schema.JobReply) scheduler.Reply {
 	return scheduler.Reply{
 		Result: scheduler.Result(m.Result), Phase: job.Phase(m.Phase), Pending: int(m.Pending),
-		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs, Pools: m.Pools,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Reason: m.Reason, Jobs: m.Jobs, Pools: m.Pools, Workspaces: m.Workspaces,
+		Preview: m.Preview,
 	}
 }
 
 func encodeReply(r scheduler.Reply) *schema.JobReply {
 	return &schema.JobReply{
 		Result: int32(r.Result), Phase: int32(r.Phase), Pending: int32(r.Pending),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs, Pools: r.Pools,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, Jobs: r.Jobs, Pools: r.Pools, Workspaces: r.Workspaces,
+		Preview: r.Preview,
 	}
 }
--- a/fleet/vmusage/account.go
+++ b/fleet/vmusage/account.go
@@ -7,7 +7,7 @@
 
 // The causes. A VM with tasks counts as working for the share of its cores that they use, and for another cause for the rest.
 //
-//go:generate enumer -type=Cause -transform=title-lower
+//go:generate enumer -type=Cause -transform=snake
 const (
 	// Working cores run tasks.
 	Working Cause = iota
