Let callers of a test site belong to workspaces

The site's callers used the operators' interface only, which takes no key. With workspaces, they now submit on the callers' side of the entries with a key of theirs, sometimes with a withdrawn, an unknown or no key, and probe random entries; the site adds and withdraws keys and changes caps and weights. Sites without workspaces draw and send what they did.

--- a/bench/jobsite/caller.go
+++ b/bench/jobsite/caller.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/platform/simulator"
 )
@@ -41,6 +39,8 @@
 // Submission is a submitted job with the state that its caller has observed.
 type Submission struct {
 	Job
+	// Workspace is that of the caller, empty if the caller belongs to none.
+	Workspace string
 	// Sent is when the first attempt was sent, Answered when the result of the last attempt was known.
 	Sent     time.Time
 	Answered time.Time
@@ -59,15 +59,17 @@
 	site   *Site
 	client *http.Client
 
-	lock        sync.Mutex
-	random      *rand.Rand
+	lock   sync.Mutex
+	random *rand.Rand
+	// keyRandom draws workspaces and keys, so that the other draws of a seed do not depend on them.
+	keyRandom   *rand.Rand
 	submissions []*Submission
 	pending     sync.WaitGroup
 }
 
 // NewCallers returns callers of a site. The seed determines the choice of entries and the job IDs.
 func NewCallers(s *Site, seed uint64) *Callers {
-	return &Callers{site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, random: rand.New(rand.NewPCG(seed, 3))}
+	return &Callers{site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, random: rand.New(rand.NewPCG(seed, 3)), keyRandom: rand.New(rand.NewPCG(seed, 22))}
 }
 
 // Submissions returns copies of all submissions in their current state.
@@ -119,13 +121,20 @@
 	return fmt.Sprintf("%016x", c.random.Uint64())
 }
 
-// Submit submits a job in the background, with retries. Wait waits for the final answer.
+// Submit submits a job in the background, with retries. Wait waits for the final answer. If workspaces are in use, the job
+// is one of a random workspace.
 func (c *Callers) Submit(ctx context.Context, j Job) *Submission {
-	x := &Submission{Job: j, Sent: time.Now(), answered: make(chan struct{})}
+	if w := c.drawWorkspace(); w != "" {
+		return c.SubmitFor(ctx, w, j)
+	}
+	return c.submitInBackground(ctx, &Submission{Job: j, Sent: time.Now(), answered: make(chan struct{})})
+}
+
+func (c *Callers) submitInBackground(ctx context.Context, x *Submission) *Submission {
 	c.lock.Lock()
 	c.submissions = append(c.submissions, x)
 	c.lock.Unlock()
-	c.site.Platform.Checker.AddJob(j.Request.Id, j.Request.Payload, j.Steps)
+	c.site.Platform.Checker.AddJob(x.Request.Id, x.Request.Payload, x.Steps)
 	c.pending.Add(1)
 	go func() {
 		defer c.pending.Done()
@@ -138,11 +147,7 @@
 // Resubmit sends the request of an earlier submission once more. Submission is idempotent: it records a violation if an
 // accepted job is now refused.
 func (c *Callers) Resubmit(ctx context.Context, x *Submission) {
-	b, err := protojson.Marshal(x.Request)
-	if err != nil {
-		panic(err)
-	}
-	status, _ := c.attempt(ctx, b)
+	status, _ := c.attempt(ctx, x, c.encode(x))
 	if status != http.StatusTooManyRequests {
 		return
 	}
@@ -157,18 +162,15 @@
 }
 
 func (c *Callers) submit(ctx context.Context, x *Submission) {
-	b, err := protojson.Marshal(x.Request)
-	if err != nil {
-		panic(err)
-	}
+	encode := c.encode(x)
 	a := simulator.Refused
 	for range maxAttempts {
-		status, retry := c.attempt(ctx, b)
+		status, retry := c.attempt(ctx, x, encode)
 		if status == http.StatusOK {
 			a = simulator.Accepted
 			break
 		}
-		if status != http.StatusTooManyRequests {
+		if status != http.StatusTooManyRequests && !(x.Workspace != "" && notRun(status)) {
 			a = simulator.OutcomeUnknown
 			retry = outcomeUnknownBackoff
 		}
@@ -184,16 +186,17 @@
 	c.site.Platform.Checker.RecordAnswer(x.Request.Id, a)
 }
 
-// attempt sends a job request once and returns the status code and the Retry-After delay, one second if there is none.
+// attempt submits a job once and returns the status code and the Retry-After delay, one second if there is none.
 // Status 0 means that there was no complete response.
-func (c *Callers) attempt(ctx context.Context, b []byte) (int, time.Duration) {
+func (c *Callers) attempt(ctx context.Context, x *Submission, encode func(context.Context, *Entry) (*http.Request, string, error)) (int, time.Duration) {
 	e := c.pickEntry(ctx)
 	t, stop := context.WithTimeout(ctx, attemptTimeout)
 	defer stop()
-	r, err := http.NewRequestWithContext(t, http.MethodPost, "http://"+e.Spec.ReadinessAddress.String()+"/v1/jobs", bytes.NewReader(b))
+	r, key, err := encode(t, e)
 	if err != nil {
 		return 0, 0
 	}
+	sent := time.Now()
 	a, err := c.client.Do(r)
 	if err != nil {
 		return 0, 0
@@ -202,6 +205,9 @@
 	if _, err := io.Copy(io.Discard, a.Body); err != nil {
 		return 0, 0
 	}
+	if x.Workspace != "" {
+		c.recordRequest(e, key, x.Request.Id, sent, a.StatusCode)
+	}
 	n, err := strconv.Atoi(a.Header.Get("Retry-After"))
 	if err != nil {
 		n = 1
@@ -209,6 +215,11 @@
 	return a.StatusCode, time.Duration(n) * time.Second
 }
 
+// newOperatorSubmission returns the request that submits a job on the operators' side of an entry, without a key.
+func newOperatorSubmission(ctx context.Context, e *Entry, b []byte) (*http.Request, error) {
+	return http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Spec.ReadinessAddress.String()+"/v1/jobs", bytes.NewReader(b))
+}
+
 // Cancel waits for a submission's answer in the background and, if the job was accepted, retries its cancellation until it
 // is acknowledged or the context ends.
 func (c *Callers) Cancel(ctx context.Context, x *Submission) {
--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,6 +19,7 @@
 	"github.com/tarragonbank/tarragonbank/bench/proxy"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/workspace"
 	"github.com/tarragonbank/tarragonbank/platform/simulator"
 )
 
@@ -36,6 +39,10 @@
 	Untimed bool
 	// UnguardedPools lists the pools whose servers start whatever they are ordered to, even beyond their capacity.
 	UnguardedPools []string
+	// Workspaces is the number of workspaces whose callers share the site. They are not in use if it is 0.
+	Workspaces int
+	// ChecksCaps turns on the check of the workspaces' caps.
+	ChecksCaps bool
 }
 
 // Site is a running site with its simulated platform, proxies and entries.
@@ -45,8 +52,16 @@
 	Entries  []*Entry
 	// ServerProxies holds the proxy in front of each VM's server, by the name of the VM.
 	ServerProxies map[string]*proxy.Proxy
-	Table         *queue.Table
-	block         *loopback.Block
+	// Table is the configuration published last, except for the workspaces. It is guarded by lock.
+	Table *queue.Table
+	block *loopback.Block
+
+	lock sync.Mutex
+	// definitions are the workspaces published last, withdrawn the keys that workspaces had before.
+	definitions []workspace.Definition
+	withdrawn   map[string][]string
+	// keyRandom draws keys.
+	keyRandom *rand.Rand
 }
 
 // Entry is one entry process of the site, with the proxies between it and the platform's store and cloud API.
@@ -123,7 +138,8 @@
 
 // New starts a site and waits until all entries are ready. On an error everything that was started is stopped.
 func New(ctx context.Context, p Options) (*Site, error) {
-	s := &Site{Options: p, ServerProxies: map[string]*proxy.Proxy{}, Table: table(1)}
+	s := &Site{Options: p, ServerProxies: map[string]*proxy.Proxy{}, Table: table(1), withdrawn: map[string][]string{}, keyRandom: rand.New(rand.NewPCG(p.Seed, 21))}
+	s.definitions = definedWorkspaces(p.Workspaces, s.keyRandom)
 	if err := s.start(ctx); err != nil {
 		s.Stop()
 		return nil, err
@@ -160,7 +176,7 @@
 		Table: s.Table, StoreAddress: s.block.Address(groupPlatform, 1, portStore), CloudAddress: s.block.Address(groupPlatform, 1, portCloud),
 		Seed: s.Options.Seed, MaxLease: maxLease, GangTimeout: gangTimeout, HeartbeatInterval: heartbeatInterval, DrainTime: drainTime, MoveTime: moveTime,
 		MaintenanceTime: maintenanceTime, CancelTimeout: cancelTimeout, RegisteredAddress: s.proxyAddress,
-		ContactTime: contactTime, UnguardedPools: s.Options.UnguardedPools,
+		ContactTime: contactTime, UnguardedPools: s.Options.UnguardedPools, Workspaces: s.simulatedWorkspaces(),
 	}
 	if s.Options.Untimed {
 		p.CancelTimeout = untimedCancelTimeout
@@ -271,10 +287,19 @@
 // Reconfigure publishes the next version of the configuration. It returns an error if the configuration cannot be
 // encoded.
 func (s *Site) Reconfigure() error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	s.Table = table(s.Table.Version + 1)
 	return trace.Wrap(s.Platform.PublishConfig(s.Table), "configuring")
 }
 
+// table returns the configuration published last.
+func (s *Site) table() *queue.Table {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.Table
+}
+
 // Stop kills all entry processes and stops the proxies and the simulated platform.
 func (s *Site) Stop() {
 	for _, e := range s.Entries {
