--- a/bench/experiment/soak.go
+++ b/bench/experiment/soak.go
@@ -10,12 +10,15 @@
 // soakDuration is how long faults are injected.
 const soakDuration = 20 * time.Second
 
+// soakChecksCaps turns on the check of the workspaces' caps. It is off until the owner enforces them.
+const soakChecksCaps = false
+
 func init() {
 	register("soak", "jobs under random faults of entries, backend servers, links and the store", runSoak)
 }
 
 func runSoak(ctx context.Context, e Options, r *Report) error {
-	x, err := soak.Run(ctx, soak.Options{Binaries: e.BinDir, Out: e.OutDir, Seed: e.Seed, FaultDuration: e.scale(soakDuration), Untimed: e.SkipTargets})
+	x, err := soak.Run(ctx, soak.Options{Binaries: e.BinDir, Out: e.OutDir, Seed: e.Seed, FaultDuration: e.scale(soakDuration), Untimed: e.SkipTargets, ChecksCaps: soakChecksCaps})
 	if err != nil {
 		return err
 	}
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -64,6 +64,8 @@
 	// shutdownTimeout bounds the graceful shutdown of an entry.
 	shutdownTimeout = 8 * time.Second
 	waveTimeLimit   = 20 * time.Second
+	// silenceNoticed is the time in which an entry replaces silent connections to the store.
+	silenceNoticed = 5 * time.Second
 )
 
 // entry returns a random entry.
@@ -138,7 +140,7 @@
 }
 
 func onStoreLink(f proxy.Fault) func(r *run) func() {
-	return func(r *run) func() { return setLinkFault(r.entry().StoreProxy, f) }
+	return func(r *run) func() { return r.setStoreLinkFault(r.entry(), f) }
 }
 
 func onCloudLink(f proxy.Fault) func(r *run) func() {
@@ -154,12 +156,24 @@
 	return func() { p.SetFault(proxy.Fault{}) }
 }
 
+// setStoreLinkFault is setLinkFault for an entry's link to the store, without which the entry is disturbed.
+func (r *run) setStoreLinkFault(e *jobsite.Entry, f proxy.Fault) func() {
+	steady := r.site.Platform.Checker.Disturb(e.Name)
+	end := setLinkFault(e.StoreProxy, f)
+	return func() {
+		end()
+		steady()
+	}
+}
+
 func storeHeldFromOwner(r *run) func() {
-	return setLinkFault(r.owner().StoreProxy, proxy.Fault{Hold: true})
+	return r.setStoreLinkFault(r.owner(), proxy.Fault{Hold: true})
 }
 
 func storeConnectionsSilent(r *run) func() {
-	r.entry().StoreProxy.Blackhole()
+	e := r.entry()
+	time.AfterFunc(silenceNoticed, r.site.Platform.Checker.Disturb(e.Name))
+	e.StoreProxy.Blackhole()
 	return nil
 }
 
@@ -175,8 +189,12 @@
 
 func onStore(f simulator.StoreFaults) func(r *run) func() {
 	return func(r *run) func() {
+		steady := r.site.Platform.Checker.Disturb("")
 		r.site.Platform.Store.SetFaults(f)
-		return func() { r.site.Platform.Store.SetFaults(simulator.StoreFaults{}) }
+		return func() {
+			r.site.Platform.Store.SetFaults(simulator.StoreFaults{})
+			steady()
+		}
 	}
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -22,6 +22,8 @@
 	FaultDuration time.Duration
 	// Untimed replaces the limits on cancellations and configuration changes by settleLimit, for busy machines.
 	Untimed bool
+	// ChecksCaps turns on the check of the workspaces' caps.
+	ChecksCaps bool
 }
 
 // Result is the outcome of a soak.
@@ -44,21 +46,25 @@
 	callers *jobsite.Callers
 	// Each random stream is used by one goroutine: faultRandom by the one that injects faults, loadRandom by the one that
 	// submits jobs, capacityRandom by the one that changes capacities, crashingRandom by the one that submits crashing
-	// jobs.
-	faultRandom    *rand.Rand
-	loadRandom     *rand.Rand
-	capacityRandom *rand.Rand
-	crashingRandom *rand.Rand
-	activeFaults   sync.WaitGroup
-	waves          int
-	started        time.Time
+	// jobs, workspaceRandom by the one that changes workspaces.
+	faultRandom     *rand.Rand
+	loadRandom      *rand.Rand
+	capacityRandom  *rand.Rand
+	crashingRandom  *rand.Rand
+	workspaceRandom *rand.Rand
+	// withdrawals counts the withdrawn keys of which an entry does not learn yet.
+	withdrawals  sync.WaitGroup
+	activeFaults sync.WaitGroup
+	waves        int
+	started      time.Time
 	// cancelLimit bounds the time until the tasks of a cancelled job have ended, changeLimit the time until a
 	// configuration change is in force.
 	cancelLimit time.Duration
 	changeLimit time.Duration
 
-	lock        sync.Mutex
-	reserved    map[*jobsite.Entry]bool
+	lock sync.Mutex
+	// reserved holds the function that ends the disturbance of each reserved entry.
+	reserved    map[*jobsite.Entry]func()
 	violations  []string
 	injected    []string
 	longRunning []*jobsite.Submission
@@ -93,7 +99,7 @@
 		EntryCores: cores,
 		Binaries:   p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: minEntries + random.IntN(maxEntries-minEntries+1), VMsPerPool: minVMsPerPool + random.IntN(maxVMsPerPool-minVMsPerPool+1),
-		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom),
+		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom), Workspaces: countWorkspaces(p.Seed), ChecksCaps: p.ChecksCaps,
 	})
 	if err != nil {
 		return nil, err
@@ -101,7 +107,8 @@
 	defer s.Stop()
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
-		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), reserved: map[*jobsite.Entry]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), workspaceRandom: rand.New(rand.NewPCG(p.Seed, 15)),
+		reserved: map[*jobsite.Entry]func(){}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
@@ -113,7 +120,7 @@
 	faultCtx, stopFaults := context.WithTimeout(ctx, p.FaultDuration)
 	defer stopFaults()
 	var work sync.WaitGroup
-	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities} {
+	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities, r.changeWorkspaces, r.probeKeys} {
 		work.Add(1)
 		go func() {
 			defer work.Done()
@@ -133,16 +140,17 @@
 func (r *run) reserve(e *jobsite.Entry) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.reserved[e] {
+	if r.reserved[e] != nil {
 		return false
 	}
-	r.reserved[e] = true
+	r.reserved[e] = r.site.Platform.Checker.Disturb(e.Name)
 	return true
 }
 
 func (r *run) release(e *jobsite.Entry) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.reserved[e]()
 	delete(r.reserved, e)
 }
 
@@ -179,6 +187,7 @@
 		r.setCapacity(v, fullCapacity)
 	}
 	r.site.Platform.Store.SetFaults(simulator.StoreFaults{})
+	r.restoreCaps()
 }
 
 func (r *run) result() *Result {
