--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -58,6 +58,7 @@
 	ginkgo.Entry("concurrent configuration changes", "race"),
 	ginkgo.Entry("entries killed and paused at random", "churn"),
 	ginkgo.Entry("jobs that lose their owner", "jobs"),
+	ginkgo.Entry("workspaces whose keys change", "workspaces"),
 )
 
 var _ = ginkgo.Describe("Run", func() {
--- a/bench/experiment/jobs.go
+++ b/bench/experiment/jobs.go
@@ -115,6 +115,19 @@
 		sleep(ctx, jobPollInterval)
 	}
 	x.report.check(x.site.Platform.WaveComplete(1), "the maintenance wave did not complete")
+	x.checkJobs()
+}
+
+// awaitJobs waits until all accepted jobs have ended, and then checks the invariants.
+func (x *jobRun) awaitJobs(ctx context.Context) {
+	for began := time.Now(); time.Since(began) < completionTimeout && ctx.Err() == nil && x.countUnfinished() > 0; {
+		sleep(ctx, jobPollInterval)
+	}
+	x.checkJobs()
+}
+
+// checkJobs checks the invariants after all jobs should have ended.
+func (x *jobRun) checkJobs() {
 	x.report.check(x.countUnfinished() == 0, "%d accepted jobs did not end", x.countUnfinished())
 	for _, v := range x.site.Platform.Checker.Violations() {
 		x.report.addViolation("%s", v)
--- a/bench/experiment/soak.go
+++ b/bench/experiment/soak.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/bench/soak"
@@ -10,15 +13,15 @@
 // soakDuration is how long faults are injected.
 const soakDuration = 20 * time.Second
 
-// soakChecksCaps turns on the check of the workspaces' caps. It is off until the owner enforces them.
-const soakChecksCaps = false
+// checksCaps turns on the check of the workspaces' caps. It is off until the owner enforces them.
+const checksCaps = false
 
 func init() {
 	register("soak", "jobs under random faults of entries, backend servers, links and the store", runSoak)
 }
 
 func runSoak(ctx context.Context, e Options, r *Report) error {
-	x, err := soak.Run(ctx, soak.Options{Binaries: e.BinDir, Out: e.OutDir, Seed: e.Seed, FaultDuration: e.scale(soakDuration), Untimed: e.SkipTargets, ChecksCaps: soakChecksCaps})
+	x, err := soak.Run(ctx, soak.Options{Binaries: e.BinDir, Out: e.OutDir, Seed: e.Seed, FaultDuration: e.scale(soakDuration), Untimed: e.SkipTargets, ChecksCaps: checksCaps})
 	if err != nil {
 		return err
 	}
@@ -27,6 +30,9 @@
 	r.metric("jobsRefused", x.Refused)
 	r.metric("jobsUnsure", x.OutcomeUnknown)
 	r.metric("tasksStarted", x.TaskStarts)
+	for _, status := range slices.Sorted(maps.Keys(x.KeyAnswers)) {
+		r.metric(fmt.Sprintf("keyAnswers%d", status), x.KeyAnswers[status])
+	}
 	for _, v := range x.Violations {
 		r.addViolation("%s", v)
 	}
--- a/bench/jobsite/jobsite_test.go
+++ b/bench/jobsite/jobsite_test.go
@@ -26,11 +26,15 @@
 
 const limit = time.Minute
 
-func start(ctx context.Context, vmsPerPool int) *jobsite.Site {
+func start(ctx context.Context, vmsPerPool int, changes ...func(*jobsite.Options)) *jobsite.Site {
 	binaries := ginkgo.GinkgoT().TempDir()
 	text, err := exec.Command("go", "build", "-o", binaries+"/", "../../platform/cmd/tarragonjobs").CombinedOutput()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(text))
-	s, err := jobsite.New(ctx, jobsite.Options{Binaries: binaries, Out: ginkgo.GinkgoT().TempDir(), Seed: 1, Entries: 2, VMsPerPool: vmsPerPool, Untimed: true})
+	o := jobsite.Options{Binaries: binaries, Out: ginkgo.GinkgoT().TempDir(), Seed: 1, Entries: 2, VMsPerPool: vmsPerPool, Untimed: true}
+	for _, f := range changes {
+		f(&o)
+	}
+	s, err := jobsite.New(ctx, o)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(s.Stop)
 	return s
--- a/bench/jobsite/keycaller.go
+++ b/bench/jobsite/keycaller.go
@@ -135,9 +135,18 @@
 
 // Probe asks an entry for the state of a job with a key, passes the answer to the checker and returns its status.
 func (c *Callers) Probe(ctx context.Context, e *Entry, j *schema.JobRequest, key string) int {
+	return c.probeRequest(ctx, e, c.callerRequest(e, j, key))
+}
+
+// ProbeQueue is Probe for the state of a queue.
+func (c *Callers) ProbeQueue(ctx context.Context, e *Entry, queue, key string) int {
+	return c.probeRequest(ctx, e, c.callerRequest(e, &schema.JobRequest{Queue: queue}, key))
+}
+
+func (c *Callers) probeRequest(ctx context.Context, e *Entry, q simulator.CallerRequest) int {
 	ctx, stop := context.WithTimeout(ctx, probeTimeout)
 	defer stop()
-	r, err := c.callerRequest(e, j, key).Query(ctx, http.MethodGet)
+	r, err := q.Query(ctx, http.MethodGet)
 	if err != nil {
 		return 0
 	}
@@ -150,7 +159,7 @@
 	if _, err := io.Copy(io.Discard, a.Body); err != nil {
 		return 0
 	}
-	c.recordRequest(e, key, j.Id, sent, a.StatusCode)
+	c.recordRequest(e, q.Key, q.Job, sent, a.StatusCode)
 	return a.StatusCode
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -37,6 +37,8 @@
 	Refused        int
 	OutcomeUnknown int
 	TaskStarts     int
+	// KeyAnswers counts the requests of callers of workspaces by the status of their responses.
+	KeyAnswers map[int]int
 }
 
 // run is the state of one soak.
@@ -191,7 +193,7 @@
 }
 
 func (r *run) result() *Result {
-	x := &Result{TaskStarts: r.site.Platform.Checker.StartCount()}
+	x := &Result{TaskStarts: r.site.Platform.Checker.StartCount(), KeyAnswers: r.site.Platform.Checker.Answers()}
 	for _, j := range r.callers.Submissions() {
 		switch j.Answer {
 		case simulator.Accepted:
--- a/bench/soak/settle.go
+++ b/bench/soak/settle.go
@@ -22,6 +22,7 @@
 	}
 	r.eventually(r.changeLimit, "the last configuration change is not in force at all entries", r.changeInForce)
 	r.settleLongRunning()
+	r.checkLeaks()
 	for _, e := range r.site.Entries {
 		if e.ExitedWithError() {
 			r.addViolation("%s exited with an error, see its log", e.Name)
--- a/bench/soak/workspace.go
+++ b/bench/soak/workspace.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -193,3 +196,25 @@
 		}
 	}
 }
+
+// checkLeaks adds a violation for each log of an entry and each stored record, apart from the configuration, that holds a
+// key.
+func (r *run) checkLeaks() {
+	for _, w := range r.site.Workspaces() {
+		current, withdrawn := r.site.Keys(w)
+		for _, key := range append(current, withdrawn...) {
+			for _, e := range r.site.Entries {
+				b, err := os.ReadFile(filepath.Join(r.site.Options.Out, e.Name+".log"))
+				if err != nil {
+					r.addViolation("the log of %s cannot be read: %s", e.Name, err)
+				}
+				if bytes.Contains(b, []byte(key)) {
+					r.addViolation("the log of %s holds a key of %s", e.Name, w)
+				}
+			}
+			if l := r.site.Platform.KeysHolding(key); len(l) > 0 {
+				r.addViolation("the stored records %v hold a key of %s", l, w)
+			}
+		}
+	}
+}
