Keep the soak's withdrawals behind faults that no other fault ends

The fault is now pinned, a paused entry's link is held for longer than the pause, and probes ask about an accepted job and a queue.

--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -144,22 +144,22 @@
 }
 
 func onCloudLink(f proxy.Fault) func(r *run) func() {
-	return func(r *run) func() { return setLinkFault(r.entry().CloudProxy, f) }
+	return func(r *run) func() { return r.setLinkFault(r.entry().CloudProxy, f) }
 }
 
 func onServerLink(f proxy.Fault) func(r *run) func() {
-	return func(r *run) func() { return setLinkFault(r.site.ServerProxies[r.vm()], f) }
+	return func(r *run) func() { return r.setLinkFault(r.site.ServerProxies[r.vm()], f) }
 }
 
-func setLinkFault(p *proxy.Proxy, f proxy.Fault) func() {
-	p.SetFault(f)
-	return func() { p.SetFault(proxy.Fault{}) }
+func (r *run) setLinkFault(p *proxy.Proxy, f proxy.Fault) func() {
+	r.setUnlessPinned(p, func() { p.SetFault(f) })
+	return func() { r.setUnlessPinned(p, func() { p.SetFault(proxy.Fault{}) }) }
 }
 
 // setStoreLinkFault is setLinkFault for an entry's link to the store, without which the entry is disturbed.
 func (r *run) setStoreLinkFault(e *jobsite.Entry, f proxy.Fault) func() {
 	steady := r.site.Platform.Checker.Disturb(e.Name)
-	end := setLinkFault(e.StoreProxy, f)
+	end := r.setLinkFault(e.StoreProxy, f)
 	return func() {
 		end()
 		steady()
@@ -189,10 +189,11 @@
 
 func onStore(f simulator.StoreFaults) func(r *run) func() {
 	return func(r *run) func() {
+		x := r.site.Platform.Store
 		steady := r.site.Platform.Checker.Disturb("")
-		r.site.Platform.Store.SetFaults(f)
+		r.setUnlessPinned(x, func() { x.SetFaults(f) })
 		return func() {
-			r.site.Platform.Store.SetFaults(simulator.StoreFaults{})
+			r.setUnlessPinned(x, func() { x.SetFaults(simulator.StoreFaults{}) })
 			steady()
 		}
 	}
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -66,7 +66,9 @@
 
 	lock sync.Mutex
 	// reserved holds the function that ends the disturbance of each reserved entry.
-	reserved    map[*jobsite.Entry]func()
+	reserved map[*jobsite.Entry]func()
+	// pinned holds the links and the store whose faults must not be replaced.
+	pinned      map[any]bool
 	violations  []string
 	injected    []string
 	longRunning []*jobsite.Submission
@@ -110,7 +112,7 @@
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
 		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), workspaceRandom: rand.New(rand.NewPCG(p.Seed, 15)),
-		reserved: map[*jobsite.Entry]func(){}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		reserved: map[*jobsite.Entry]func(){}, pinned: map[any]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
@@ -156,6 +158,32 @@
 	delete(r.reserved, e)
 }
 
+// pin keeps the faults of a link or the store as they are until unpin. It returns false if they are pinned already.
+func (r *run) pin(x any) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.pinned[x] {
+		return false
+	}
+	r.pinned[x] = true
+	return true
+}
+
+func (r *run) unpin(x any) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.pinned, x)
+}
+
+// setUnlessPinned calls set to replace the faults of a link or the store unless they are pinned.
+func (r *run) setUnlessPinned(x any, set func()) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if !r.pinned[x] {
+		set()
+	}
+}
+
 func (r *run) restart(e *jobsite.Entry) {
 	if err := e.Start(); err != nil {
 		r.addViolation("%s could not be restarted: %s", e.Name, err)
--- a/bench/soak/workspace.go
+++ b/bench/soak/workspace.go
@@ -11,6 +11,7 @@
 	"github.com/tarragonbank/tarragonbank/bench/jobsite"
 	"github.com/tarragonbank/tarragonbank/bench/proxy"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/platform/simulator"
 )
 
@@ -110,6 +111,7 @@
 // withdrawWhile replaces the keys of a workspace while an entry does not learn of it, and asks that entry with a withdrawn
 // key when it must reject it, before and after the function end ends the fault. It returns once the keys are replaced.
 func (r *run) withdrawWhile(w string, e *jobsite.Entry, end func()) error {
+	r.recordFault("withdrawal from "+e.Name, 0)
 	d := isolation + time.Duration(r.workspaceRandom.Int64N(int64(isolationSpread)))
 	err := r.replaceKeys(w)
 	r.withdrawals.Add(1)
@@ -117,55 +119,78 @@
 		defer r.withdrawals.Done()
 		time.Sleep(d)
 		time.AfterFunc(lateProbes/2*lateProbeInterval, end)
-		_, withdrawn := r.site.Keys(w)
-		for _, x := range r.callers.Submissions() {
-			if x.Workspace == w {
-				r.probeRepeatedly(e, x, withdrawn[len(withdrawn)-1])
-				return
-			}
-		}
+		r.probeWithdrawn(w, e)
 	}()
 	return err
 }
 
-// probeRepeatedly sends requests about a job with a key, without waiting for the answers in between.
-func (r *run) probeRepeatedly(e *jobsite.Entry, x jobsite.Submission, key string) {
-	for range lateProbes {
+// probeWithdrawn sends an entry requests about an accepted job and a queue with the key of a workspace that was withdrawn
+// last, without waiting for the answers in between.
+func (r *run) probeWithdrawn(w string, e *jobsite.Entry) {
+	_, withdrawn := r.site.Keys(w)
+	key, requests := withdrawn[len(withdrawn)-1], []*schema.JobRequest{{Queue: jobsite.Pools[0]}}
+	for _, x := range r.callers.Submissions() {
+		if x.Workspace == w && x.Answer == simulator.Accepted {
+			requests = append(requests, x.Request)
+			break
+		}
+	}
+	for i := range lateProbes {
 		r.withdrawals.Add(1)
 		go func() {
 			defer r.withdrawals.Done()
-			r.callers.Probe(r.ctx, e, x.Request, key)
+			r.callers.Probe(r.ctx, e, requests[i%len(requests)], key)
 		}()
 		time.Sleep(lateProbeInterval)
 	}
 }
 
 func withdrawFromCutEntry(_ context.Context, r *run, w string) error {
-	e := r.workspaceEntry()
-	return r.withdrawWhile(w, e, r.setStoreLinkFault(e, proxy.Fault{Hold: true}))
+	return r.withdrawBehind(w, r.workspaceEntry(), proxy.Fault{Hold: true})
 }
 
 // withdrawFromDeafEntry cuts one direction: the entry's calls reach the store, the responses do not reach the entry.
 func withdrawFromDeafEntry(_ context.Context, r *run, w string) error {
-	e := r.workspaceEntry()
-	return r.withdrawWhile(w, e, r.setStoreLinkFault(e, proxy.Fault{HoldResponses: true}))
+	return r.withdrawBehind(w, r.workspaceEntry(), proxy.Fault{HoldResponses: true})
 }
 
+// withdrawFromPausedEntry pauses an entry that does not reach the store either, so that it cannot learn of the withdrawal
+// first when it is resumed.
 func withdrawFromPausedEntry(_ context.Context, r *run, w string) error {
 	e := r.workspaceEntry()
 	if !r.reserve(e) {
 		return nil
 	}
 	e.Signal(syscall.SIGSTOP)
-	return r.withdrawWhile(w, e, func() {
+	// The link is still held for a while after that.
+	time.AfterFunc(isolation, func() {
 		e.Signal(syscall.SIGCONT)
 		r.release(e)
 	})
+	return r.withdrawBehind(w, e, proxy.Fault{Hold: true})
+}
+
+// withdrawBehind is withdrawWhile with a fault of the entry's link to the store.
+func (r *run) withdrawBehind(w string, e *jobsite.Entry, f proxy.Fault) error {
+	end := r.setStoreLinkFault(e, f)
+	return r.withdrawPinned(w, e, e.StoreProxy, end)
 }
 
 func withdrawInStoreOutage(_ context.Context, r *run, w string) error {
 	f := simulator.StoreFaults{Outage: true, Silent: r.workspaceRandom.IntN(2) == 0}
-	return r.withdrawWhile(w, r.workspaceEntry(), onStore(f)(r))
+	return r.withdrawPinned(w, r.workspaceEntry(), r.site.Platform.Store, onStore(f)(r))
+}
+
+// withdrawPinned is withdrawWhile with a fault of a link or the store that no other fault may replace.
+func (r *run) withdrawPinned(w string, e *jobsite.Entry, faulty any, end func()) error {
+	if !r.pin(faulty) {
+		end()
+		return nil
+	}
+	return r.withdrawWhile(w, e, func() {
+		r.unpin(faulty)
+		end()
+	})
 }
 
 func (r *run) workspaceEntry() *jobsite.Entry {
