--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 demo: build
 	bin/tarragonbench run demo --seed 1
 	bin/tarragonbench run jobs --seed 1
+	bin/tarragonbench run workspaces --seed 1
 
 test:
 	.ci/test
