--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -22,6 +22,8 @@
 	FaultDuration time.Duration
 	// Untimed replaces the limits on cancellations and configuration changes by settleLimit, for busy machines.
 	Untimed bool
+	// ChecksCaps turns on the check of the workspaces' caps.
+	ChecksCaps bool
 }
 
 // Result is the outcome of a soak.
@@ -35,6 +37,8 @@
 	Refused        int
 	OutcomeUnknown int
 	TaskStarts     int
+	// KeyAnswers counts the requests of callers of workspaces by the status of their responses.
+	KeyAnswers map[int]int
 }
 
 // run is the state of one soak.
@@ -44,21 +48,27 @@
 	callers *jobsite.Callers
 	// Each random stream is used by one goroutine: faultRandom by the one that injects faults, loadRandom by the one that
 	// submits jobs, capacityRandom by the one that changes capacities, crashingRandom by the one that submits crashing
-	// jobs.
-	faultRandom    *rand.Rand
-	loadRandom     *rand.Rand
-	capacityRandom *rand.Rand
-	crashingRandom *rand.Rand
-	activeFaults   sync.WaitGroup
-	waves          int
-	started        time.Time
+	// jobs, workspaceRandom by the one that changes workspaces.
+	faultRandom     *rand.Rand
+	loadRandom      *rand.Rand
+	capacityRandom  *rand.Rand
+	crashingRandom  *rand.Rand
+	workspaceRandom *rand.Rand
+	// withdrawals counts the withdrawn keys of which an entry does not learn yet.
+	withdrawals  sync.WaitGroup
+	activeFaults sync.WaitGroup
+	waves        int
+	started      time.Time
 	// cancelLimit bounds the time until the tasks of a cancelled job have ended, changeLimit the time until a
 	// configuration change is in force.
 	cancelLimit time.Duration
 	changeLimit time.Duration
 
-	lock        sync.Mutex
-	reserved    map[*jobsite.Entry]bool
+	lock sync.Mutex
+	// reserved holds the function that ends the disturbance of each reserved entry.
+	reserved map[*jobsite.Entry]func()
+	// pinned holds the links and the store whose faults must not be replaced.
+	pinned      map[any]bool
 	violations  []string
 	injected    []string
 	longRunning []*jobsite.Submission
@@ -93,7 +103,7 @@
 		EntryCores: cores,
 		Binaries:   p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: minEntries + random.IntN(maxEntries-minEntries+1), VMsPerPool: minVMsPerPool + random.IntN(maxVMsPerPool-minVMsPerPool+1),
-		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom),
+		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom), Workspaces: countWorkspaces(p.Seed), ChecksCaps: p.ChecksCaps,
 	})
 	if err != nil {
 		return nil, err
@@ -101,7 +111,8 @@
 	defer s.Stop()
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
-		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), reserved: map[*jobsite.Entry]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), workspaceRandom: rand.New(rand.NewPCG(p.Seed, 15)),
+		reserved: map[*jobsite.Entry]func(){}, pinned: map[any]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
@@ -113,7 +124,7 @@
 	faultCtx, stopFaults := context.WithTimeout(ctx, p.FaultDuration)
 	defer stopFaults()
 	var work sync.WaitGroup
-	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities} {
+	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities, r.changeWorkspaces, r.probeKeys} {
 		work.Add(1)
 		go func() {
 			defer work.Done()
@@ -133,19 +144,46 @@
 func (r *run) reserve(e *jobsite.Entry) bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if r.reserved[e] {
+	if r.reserved[e] != nil {
 		return false
 	}
-	r.reserved[e] = true
+	r.reserved[e] = r.site.Platform.Checker.Disturb(e.Name)
 	return true
 }
 
 func (r *run) release(e *jobsite.Entry) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.reserved[e]()
 	delete(r.reserved, e)
 }
 
+// pin keeps the faults of a link or the store as they are until unpin. It returns false if they are pinned already.
+func (r *run) pin(x any) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.pinned[x] {
+		return false
+	}
+	r.pinned[x] = true
+	return true
+}
+
+func (r *run) unpin(x any) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.pinned, x)
+}
+
+// setUnlessPinned calls set to replace the faults of a link or the store unless they are pinned.
+func (r *run) setUnlessPinned(x any, set func()) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if !r.pinned[x] {
+		set()
+	}
+}
+
 func (r *run) restart(e *jobsite.Entry) {
 	if err := e.Start(); err != nil {
 		r.addViolation("%s could not be restarted: %s", e.Name, err)
@@ -179,10 +217,11 @@
 		r.setCapacity(v, fullCapacity)
 	}
 	r.site.Platform.Store.SetFaults(simulator.StoreFaults{})
+	r.restoreCaps()
 }
 
 func (r *run) result() *Result {
-	x := &Result{TaskStarts: r.site.Platform.Checker.StartCount()}
+	x := &Result{TaskStarts: r.site.Platform.Checker.StartCount(), KeyAnswers: r.site.Platform.Checker.Answers()}
 	for _, j := range r.callers.Submissions() {
 		switch j.Answer {
 		case simulator.Accepted:
