Hold workspaces to their caps

Change: fleet/usage keeps what each workspace may have running: the runs of all servers in every phase, and strays (listed runs that are not assigned, abandoned speculative runs, runs of ended jobs) until a listing or the lease shows that they have ended. A task, or a whole gang, is assigned only within the cap, and the cap is checked again before the start is sent. No task of a workspace starts while the proof of the configuration is older than config-apply-ms. A task that can never fit its cap is refused. The lease record holds the strays, which no job's progress shows, so that a successor counts them (LeaseRecord.strays).

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -76,6 +76,8 @@
 	Log        Logger
 	Metrics    Metrics
 	Controller Controller
+	// ConfigAge returns the time since the configuration was last proved to be the newest. It is nil if that is not known.
+	ConfigAge func() time.Duration
 }
 
 // Metrics counts events, observes durations and sets gauges.
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -234,10 +234,19 @@
 	if r.ctx != nil && r.ctx.Err() != nil {
 		return scheduler.Orders{}
 	}
-	f(r.scheduler, time.Now())
+	now := time.Now()
+	r.observeConfigAge(now)
+	f(r.scheduler, now)
 	return r.scheduler.TakeOrders()
 }
 
+// observeConfigAge tells the scheduler the present age of the configuration, so that no decision uses an older one.
+func (r *term) observeConfigAge(now time.Time) {
+	if f := r.owner.deps.ConfigAge; f != nil {
+		r.scheduler.SetConfigAge(f(), now)
+	}
+}
+
 func (r *term) requestCommit() {
 	select {
 	case r.commitRequests <- struct{}{}:
--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -87,6 +87,11 @@
 	return Size{s.CPU - o.CPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Times returns the size of n equal tasks.
+func (s Size) Times(n int) Size {
+	return Size{s.CPU * int64(n), s.MemoryMB * int64(n), s.Accelerators * int64(n)}
+}
+
 // Max returns the larger amount of each resource.
 func (s Size) Max(o Size) Size {
 	return Size{max(s.CPU, o.CPU), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
--- a/fleet/job/record.go
+++ b/fleet/job/record.go
@@ -19,6 +19,16 @@
 	return m
 }
 
+// Record converts the size to the schema.
+func (s Size) Record() *schema.ResourceAmount {
+	return &schema.ResourceAmount{CpuMilli: s.CPU, MemoryMb: s.MemoryMB, Accelerators: s.Accelerators}
+}
+
+// NewSize converts a size of the schema.
+func NewSize(m *schema.ResourceAmount) Size {
+	return Size{CPU: m.GetCpuMilli(), MemoryMB: m.GetMemoryMb(), Accelerators: m.GetAccelerators()}
+}
+
 func (s *Step) record() *schema.StepRecord {
 	m := &schema.StepRecord{
 		Count: int32(s.Count), CpuMilli: s.Size.CPU, MemoryMb: s.Size.MemoryMB, Accelerators: s.Size.Accelerators,
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -34,6 +34,9 @@
 	if i := s.unplaceableStep(n); i >= 0 {
 		return &Reply{Result: Refused, Reason: fmt.Sprintf("steps[%d]: no server is large enough", i), RetryAfter: unplaceableRetryAfter}
 	}
+	if r := s.refuseAboveCap(n); r != nil {
+		return r
+	}
 	n.AcceptedAt = s.recordArrival(n, now)
 	if n.Scheduled() || n.LongRunning() {
 		return nil
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -152,8 +152,13 @@
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
 			for _, t := range p.tasks {
-				if t.awaitsStart() && !t.run.server.acceptsStart() {
-					s.withdraw(t.run, now)
+				if !t.awaitsStart() {
+					continue
+				}
+				if !t.run.server.acceptsStart() {
+					s.withdraw(t.run, now, "server is draining, unregistered, unreachable or has too little capacity left")
+				} else if reason := s.capViolation(t.run, now); reason != "" {
+					s.withdraw(t.run, now, reason)
 				}
 			}
 			for _, t := range p.tasks {
@@ -176,8 +181,8 @@
 }
 
 // withdraw drops a run whose start order has not been sent, and the rest of its gang, which cannot work without it.
-func (s *Scheduler) withdraw(r *run, now time.Time) {
-	s.drop(r, now, "server is draining, unregistered, unreachable or has too little capacity left")
+func (s *Scheduler) withdraw(r *run, now time.Time, reason string) {
+	s.drop(r, now, reason)
 	if !r.task.step.step.Gang {
 		return
 	}
@@ -219,7 +224,7 @@
 	p := &schema.JobProgress{Phase: int32(j.phase)}
 	if j.phase.Ended() {
 		p.EndedMs = j.endedAt.UnixMilli()
-		p.Queue, p.Pool, p.AcceptedMs = j.job.Queue, j.job.Pool, j.job.AcceptedAt.UnixMilli()
+		p.Queue, p.Pool, p.AcceptedMs, p.Workspace = j.job.Queue, j.job.Pool, j.job.AcceptedAt.UnixMilli(), j.job.Workspace
 		return p
 	}
 	for _, o := range j.occurrences {
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -100,6 +100,9 @@
 		return fmt.Sprintf("steps %v", l)
 	}
 	pool := s.poolOf(t.state)
+	if r := s.explainCap(t, now); r != "" {
+		return r
+	}
 	usable := s.usableServers(now)[pool]
 	if len(usable) == 0 {
 		return "a server of pool " + pool + " that takes new work: " + s.unusableReasons(pool, now)
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -20,8 +20,12 @@
 				s.lose(r, now, "lease expired on an unreachable server")
 			}
 		}
+		if v.leaseSurelyExpired(s.previousExpiry(v), now) {
+			s.clearStrays(v)
+		}
 		if !v.exists() && len(v.runs) == 0 && now.Sub(v.listedAt) > serverRetention && now.After(s.previousLeasesExpireAt) {
 			v.explainLost()
+			s.clearStrays(v)
 			delete(s.servers, id)
 			s.sortedServers = nil
 		}
@@ -69,6 +73,7 @@
 			r.task.abandoned = map[int]*run{}
 		}
 		r.task.abandoned[r.number] = r
+		s.addStray(v, r)
 		return
 	}
 	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now)) {
--- a/fleet/scheduler/lease.go
+++ b/fleet/scheduler/lease.go
@@ -66,6 +66,8 @@
 	// writtenAt is when the last record was built, servers the number of servers in it.
 	writtenAt time.Time
 	servers   int
+	// strays is the number of strays in it.
+	strays int
 }
 
 // updateLeaseRecord requests a new lease record if the servers in it have changed or it is too old.
@@ -80,7 +82,7 @@
 			s.leaseRecord.due = true
 		}
 	}
-	if n != s.leaseRecord.servers || n > 0 && now.Sub(s.leaseRecord.writtenAt) >= leaseRecordInterval {
+	if n != s.leaseRecord.servers || s.countRecordedStrays() != s.leaseRecord.strays || n > 0 && now.Sub(s.leaseRecord.writtenAt) >= leaseRecordInterval {
 		s.leaseRecord.due = true
 	}
 }
@@ -94,6 +96,7 @@
 func (s *Scheduler) buildLeaseRecord(batch uint64, now time.Time) *schema.LeaseRecord {
 	m := &schema.LeaseRecord{}
 	for _, v := range s.serversByID() {
+		m.Strays = append(m.Strays, v.strayRecords()...)
 		if !v.belongsInLeaseRecord(now) {
 			v.unrecordedBy = batch
 			continue
@@ -103,7 +106,7 @@
 			Server: v.info.ID, BornMs: v.info.StartedAt.UnixMilli(), RemainingMs: s.remainingLease(v, now).Milliseconds() + 1,
 		})
 	}
-	s.leaseRecord = leaseRecordState{writtenAt: now, servers: len(m.Servers)}
+	s.leaseRecord = leaseRecordState{writtenAt: now, servers: len(m.Servers), strays: len(m.Strays)}
 	return m
 }
 
@@ -144,6 +147,7 @@
 		v.leaseRecorded = true
 		v.previousExpiry = s.previousLostAt.Add(time.Duration(l.RemainingMs) * time.Millisecond)
 	}
+	s.restoreStrays(m.GetStrays())
 }
 
 // Release returns what an owner that gives up the ownership leaves to the next one: the lease record, and the time until
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -5,6 +5,7 @@
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // ListingReceived applies a server's listing of its runs and their ends. It ignores a listing that is older than the
@@ -94,16 +95,18 @@
 	present := map[*run]bool{}
 	previous := v.unassigned
 	v.unassigned = unassignedRuns{}
+	listed := map[usage.Run]bool{}
 	for _, x := range l.Runs {
 		r := v.runs[x.Task]
 		if r == nil || r.number != x.Number {
+			listed[usage.Run{Task: x.Task, Number: x.Number}] = true
 			s.stopUnassigned(v, x)
 			continue
 		}
 		present[r] = true
 		s.applyRun(r, x, now)
 	}
-	if len(v.unassigned.tasks) < len(previous.tasks) {
+	if v.strays.Retain(listed, l.Clock) || len(v.unassigned.tasks) < len(previous.tasks) {
 		s.needsPlan = true
 	}
 	return present
@@ -141,6 +144,7 @@
 	} else {
 		v.unassigned.unsized = true
 	}
+	s.countStray(v, x)
 	s.addDecision(Decision{
 		Job: x.Task.Job, Task: x.Task.String(), Server: v.info.ID, Run: x.Number,
 		Reason: "run is not assigned to this server: stopping it",
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -234,6 +234,9 @@
 		s.noteUnplaced(w, now)
 		return
 	}
+	if !s.allowedByCap(w.step, now) {
+		return
+	}
 	all := len(l)
 	l, ok := s.advisedServers(w, l, now)
 	if !ok {
@@ -247,6 +250,9 @@
 		if t.done || t.run != nil {
 			continue
 		}
+		if !s.allowedByCap(w.step, now) {
+			return
+		}
 		v := bestServer(t, l, now)
 		if v == nil && t.mayCrashServers() {
 			s.awaitTrial(w, now)
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -6,6 +6,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // Restore adds a job from the store after a takeover. p is its progress, or nil if the progress within the job record
@@ -41,7 +42,7 @@
 	if !job.Phase(p.Phase).Ended() {
 		return false
 	}
-	s.Restore(&schema.JobRecord{Id: id, Queue: p.Queue, Pool: p.Pool, AcceptedMs: p.AcceptedMs}, p, now)
+	s.Restore(&schema.JobRecord{Id: id, Queue: p.Queue, Pool: p.Pool, AcceptedMs: p.AcceptedMs, Workspace: p.Workspace}, p, now)
 	return true
 }
 
@@ -74,6 +75,7 @@
 	}
 	r := &run{task: t, number: t.lastRun, server: v, phase: unconfirmed, inherited: true, pace: fullPace, startedAt: now}
 	t.run = r
+	v.strays.Remove(r.id())
 	v.addRun(r)
 }
 
@@ -92,7 +94,7 @@
 	}
 	v = &serverState{
 		info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{},
-		unreachableSince: s.startedAt, knownSince: s.startedAt,
+		unreachableSince: s.startedAt, knownSince: s.startedAt, usage: s.usage, strays: usage.NewStrays(s.usage),
 	}
 	s.servers[id] = v
 	s.sortedServers = nil
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // Limits are the durations that the scheduler must respect towards servers and callers.
@@ -20,6 +21,8 @@
 	JobRetention time.Duration
 	// GangTimeout is how long a started gang member waits for the other members.
 	GangTimeout time.Duration
+	// ConfigApply is the age of the proof of the configuration from which no task of a workspace is started, 0 for no bound.
+	ConfigApply time.Duration
 }
 
 // Scheduler holds the jobs, servers and runs that the owner of the fleet knows. It is not safe for concurrent use.
@@ -61,6 +64,9 @@
 	incomingCores map[string]float64
 	reserveCores  float64
 	vmCapacities  map[string]job.Size
+	// usage counts the runs of the workspaces against their caps.
+	usage       *usage.Ledger
+	configProof configProof
 }
 
 // New returns an empty scheduler for an owner that took over at the time now.
@@ -69,7 +75,7 @@
 		limits: x, startedAt: now,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
-		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{},
+		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{}, usage: usage.New(),
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
@@ -81,6 +87,7 @@
 		return
 	}
 	s.table = t
+	s.usage.SetWorkspaces(t.Workspaces)
 	s.needsPlan = true
 }
 
@@ -232,6 +239,7 @@
 	for _, o := range j.occurrences {
 		for _, t := range o.tasks() {
 			if t.run != nil {
+				s.recordStray(t.run)
 				s.stop(t.run, now)
 			}
 		}
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // serverState is one incarnation of a backend server, from its start to its end, with its runs.
@@ -60,6 +61,9 @@
 	// isolatedRuns counts the isolated runs, trials those of the pool's usable servers.
 	isolatedRuns int
 	trials       *trials
+	// usage counts the runs against the caps of their workspaces, strays those that are not in runs.
+	usage  *usage.Ledger
+	strays *usage.Strays
 	// lost holds the runs that were given up while it was not known whether the server had crashed.
 	lost []*run
 }
@@ -134,6 +138,7 @@
 func (v *serverState) addRun(r *run) {
 	v.runs[r.task.key] = r
 	v.used = v.used.Add(r.task.step.step.Demand())
+	v.usage.Add(r.task.job.Workspace, r.task.step.step.Size)
 }
 
 func (v *serverState) removeRun(r *run) {
@@ -142,6 +147,7 @@
 	}
 	delete(v.runs, r.task.key)
 	v.used = v.used.Sub(r.task.step.step.Demand())
+	v.usage.Remove(r.task.job.Workspace, r.task.step.step.Size)
 }
 
 // free returns the capacity that no run holds. It is negative where the server has shrunk below what its runs hold.
@@ -185,7 +191,9 @@
 		return
 	}
 	if v == nil {
-		v = &serverState{runs: map[job.Task]*run{}, idleSince: now, unreachableSince: now, knownSince: now}
+		v = &serverState{
+			runs: map[job.Task]*run{}, idleSince: now, unreachableSince: now, knownSince: now, usage: s.usage, strays: usage.NewStrays(s.usage),
+		}
 		s.servers[i.ID] = v
 		s.sortedServers = nil
 		s.addDecision(Decision{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
@@ -238,6 +246,7 @@
 	for _, r := range v.runs {
 		s.drop(r, now, reason)
 	}
+	s.clearStrays(v)
 }
 
 // ServerUnreachable records that a server did not answer; startedAt identifies the incarnation that was called.
