Place on-time work of workspaces above their share after that of the others

Cause: with admission by share alone the others still paid for a flood, since its accepted tasks ran before theirs and fill the pool. Change: between equal ranks and priorities, on-time steps of workspaces above their fair share come later. Work beyond the allowance has an account of its own, so that small workspaces do not pay for the excess of a large one. What is refused for a cap does not count as offered. Tasks that a cap keeps from running ask for no VMs.

--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -37,15 +37,11 @@
 		return r
 	}
 	n.Excess = s.exceedsAllowance(n, now)
-	first := s.isFirstSubmission(n)
 	n.AcceptedAt = s.recordArrival(n, now)
 	if n.Scheduled() || n.LongRunning() {
 		return nil
 	}
 	work := n.Amount().Times(s.durationRatio(n.Queue))
-	if first {
-		s.offer(n, q.Pool, work, now)
-	}
 	due := n.AcceptedAt.Add(s.targetDuration(n))
 	chain := time.Duration(float64(n.CriticalPath()) * s.durationRatio(n.Queue))
 	overdue := now.Add(chain).After(due)
@@ -65,6 +61,7 @@
 	if r := s.refuseForCap(n, due, overdue, work, now); r != nil {
 		return r
 	}
+	s.offer(n, q.Pool, work, now)
 	d := demand{Demand: backlog.Demand{Due: due, Work: n.Work() * s.durationRatio(n.Queue)}, amount: work, job: n}
 	accepted := s.acceptedDemands(q.Pool, now)
 	shortfall := backlog.Shortfall(now, accepted.competing(n), d.Demand, supply)
--- a/fleet/scheduler/allot.go
+++ b/fleet/scheduler/allot.go
@@ -50,42 +50,61 @@
 	return w != nil && !n.Scheduled() && !n.LongRunning() && s.allowances.Exceeded(w, n.ID, now)
 }
 
-// hasShare reports whether the job counts towards the share of its workspace.
-func (s *Scheduler) hasShare(n *job.Job) bool {
-	return s.usage.Enforced(n.Workspace) && !n.Excess
+// poolShares are the accounts of a pool: of the work within the allowances, and of all work.
+type poolShares struct {
+	guaranteed, all *fairshare.Pool
 }
 
-// share returns the account of a pool.
-func (s *Scheduler) share(pool string) *fairshare.Pool {
-	p := s.shares[pool]
-	if p == nil {
-		p = fairshare.New()
+// share returns the accounts of a pool.
+func (s *Scheduler) share(pool string) poolShares {
+	p, ok := s.shares[pool]
+	if !ok {
+		p = poolShares{fairshare.New(), fairshare.New()}
 		s.shares[pool] = p
 	}
 	return p
 }
 
-// offer counts the work of a newly submitted job.
+// offer counts the work of a submitted job once, however often it is submitted. A job beyond the allowance counts once more
+// when it is submitted again within it.
 func (s *Scheduler) offer(n *job.Job, pool string, work job.Amount, now time.Time) {
-	if s.hasShare(n) {
-		s.share(pool).Offer(n.Workspace, s.weight(n.Workspace), work, now)
+	if !s.usage.Enforced(n.Workspace) {
+		return
+	}
+	w, p := s.weight(n.Workspace), s.share(pool)
+	guaranteed, known := s.offered[n.ID]
+	if !known {
+		p.all.Offer(n.Workspace, w, work, now)
+	}
+	if !guaranteed && !n.Excess {
+		p.guaranteed.Offer(n.Workspace, w, work, now)
 	}
+	s.offered[n.ID] = guaranteed || !n.Excess
 }
 
 // accept counts the work of an accepted job.
 func (s *Scheduler) accept(n *job.Job, pool string, work job.Amount, now time.Time) {
-	if s.hasShare(n) {
-		s.share(pool).Accept(n.Workspace, work, now)
+	if !s.usage.Enforced(n.Workspace) {
+		return
+	}
+	s.share(pool).all.Accept(n.Workspace, work, now)
+	if !n.Excess {
+		s.share(pool).guaranteed.Accept(n.Workspace, work, now)
 	}
 }
 
 // seedShare counts the remaining work of a restored job as offered and accepted.
 func (s *Scheduler) seedShare(j *jobState, now time.Time) {
-	if s.hasShare(j.job) && !j.phase.Ended() && !j.job.Scheduled() && !j.job.LongRunning() {
-		a := s.remainingAmount(j, now)
-		s.offer(j.job, s.poolOf(j), a, now)
-		s.accept(j.job, s.poolOf(j), a, now)
+	n := j.job
+	if !s.usage.Enforced(n.Workspace) || j.phase.Ended() || n.Scheduled() || n.LongRunning() {
+		return
 	}
+	a, p := s.remainingAmount(j, now), s.share(s.poolOf(j))
+	p.all.Offer(n.Workspace, s.weight(n.Workspace), a, now)
+	if !n.Excess {
+		p.guaranteed.Offer(n.Workspace, s.weight(n.Workspace), a, now)
+	}
+	s.accept(n, s.poolOf(j), a, now)
 }
 
 // weight returns the last known weight of a workspace, 0 if there is none.
@@ -98,17 +117,26 @@
 
 // cachedAllocation is a division of a pool and the time at which it was computed.
 type cachedAllocation struct {
-	at         time.Time
-	allocation fairshare.Allocation
-	capacity   job.Amount
+	at              time.Time
+	guaranteed, all fairshare.Allocation
+	capacity        job.Amount
+}
+
+// of returns the division that applies to a job.
+func (x cachedAllocation) of(n *job.Job) fairshare.Allocation {
+	if n.Excess {
+		return x.all
+	}
+	return x.guaranteed
 }
 
 // allocation returns how the workspaces divide a pool, at most cacheLifetime old.
 func (s *Scheduler) allocation(pool string, now time.Time) cachedAllocation {
 	x := s.allocations[pool]
-	if x.allocation == nil || now.Sub(x.at) > cacheLifetime {
+	if x.all == nil || now.Sub(x.at) > cacheLifetime {
 		x = cachedAllocation{at: now, capacity: s.shareableCapacity(pool, now)}
-		x.allocation = s.share(pool).Allocate(x.capacity, now)
+		p := s.share(pool)
+		x.guaranteed, x.all = p.guaranteed.Allocate(x.capacity, now), p.all.Allocate(x.capacity, now)
 		s.allocations[pool] = x
 	}
 	return x
@@ -139,15 +167,15 @@
 		return nil
 	}
 	x := s.allocation(pool, now)
-	if !n.Excess && !x.allocation.Above(n.Workspace) {
+	if !x.of(n).Above(n.Workspace) {
 		return nil
 	}
 	accepted := s.acceptedDemands(pool, now)
-	expected := x.allocation.Expected(n.Workspace, d.Due.Sub(now), accepted.amounts(d.Due))
+	expected := x.of(n).Expected(n.Workspace, d.Due.Sub(now), accepted.amounts(d.Due, n.Excess))
 	if s.hasRoomBeside(d, accepted, expected, supply, x.capacity, now) {
 		return nil
 	}
-	share, cause := x.allocation[n.Workspace], CauseShare
+	share, cause := x.of(n)[n.Workspace], CauseShare
 	if n.Excess {
 		cause = CauseExcess
 	}
@@ -171,7 +199,7 @@
 		}
 		perCore := total[i] / supply.Later
 		r := backlog.Supply{Now: supply.Now * perCore, Later: supply.Later * perCore, From: supply.From}
-		if !backlog.Fits(now, accepted.ofResource(i), backlog.Demand{Due: d.Due, Work: work[i] + add[i]}, r) {
+		if !backlog.Fits(now, accepted.ofResource(i, d.job.Excess), backlog.Demand{Due: d.Due, Work: work[i] + add[i]}, r) {
 			return false
 		}
 	}
@@ -188,3 +216,9 @@
 	x := float64(xxhash.Sum64String(n.ID)%steps)/steps*2 - 1
 	return time.Duration(float64(wait) * (1 + retrySpread*x))
 }
+
+// isAboveShare reports whether the job's workspace uses more than its fair share of a busy pool, so that its on-time work comes
+// after that of the others.
+func (s *Scheduler) isAboveShare(n *job.Job, pool string, now time.Time) bool {
+	return s.usage.Enforced(n.Workspace) && s.allocation(pool, now).guaranteed.Above(n.Workspace)
+}
--- a/fleet/scheduler/cap.go
+++ b/fleet/scheduler/cap.go
@@ -104,7 +104,7 @@
 			free *= overdueWorkShare
 		}
 		supply := backlog.Supply{Now: free, Later: free, From: now}
-		if x := backlog.Shortfall(now, accepted.ofResource(i), backlog.Demand{Due: due, Work: needed[i]}, supply); x > 0 {
+		if x := backlog.Shortfall(now, accepted.ofResource(i, n.Excess), backlog.Demand{Due: due, Work: needed[i]}, supply); x > 0 {
 			return &Reply{
 				Result: Refused, Cause: CauseCap, RetryAfter: s.retryAfter(n, time.Duration(x/max(free, 1)*float64(time.Second))),
 				Reason: fmt.Sprintf("would be late: the accepted work of workspace %s needs its cap of %s", w.Name, usage.Describe(w.Cap)),
@@ -125,9 +125,45 @@
 					held = held.Add(p.Size.Amount().Times(float64(p.Count)))
 				}
 			}
-		case !j.job.Scheduled() && (n.Excess || !j.job.Excess):
+		case !j.job.Scheduled():
 			x.shared = append(x.shared, s.demandOf(j, now))
 		}
 	}
 	return held, x
 }
+
+// cappedParts returns, for the workspaces whose open tasks need more than their cap, the part of them that may run at once.
+// VMs for the others would be of no use.
+func (s *Scheduler) cappedParts(now time.Time) map[string]float64 {
+	m := map[string]float64{}
+	for n, jobs := range s.activeOf {
+		w := s.usage.Workspace(n)
+		if w == nil || w.Cap.CPU == 0 && w.Cap.MemoryMB == 0 {
+			continue
+		}
+		total, limit := resources{}, w.Cap.Amount()
+		for _, j := range jobs {
+			total = total.add(s.openResources(j, true, now)).add(s.openResources(j, false, now))
+		}
+		part := 1.0
+		if limit.Cores > 0 {
+			part = min(part, limit.Cores/max(total.cores, limit.Cores))
+		}
+		if limit.MemoryMB > 0 {
+			part = min(part, limit.MemoryMB/max(total.memory, limit.MemoryMB))
+		}
+		if part < 1 {
+			m[n] = part
+		}
+	}
+	return m
+}
+
+// times returns the part of the resources that the map holds for the workspace, all of them if it holds none.
+func (c resources) times(parts map[string]float64, workspace string) resources {
+	f, ok := parts[workspace]
+	if !ok {
+		return c
+	}
+	return resources{c.cores * f, c.memory * f}
+}
--- a/fleet/scheduler/cap_test.go
+++ b/fleet/scheduler/cap_test.go
@@ -126,6 +126,11 @@
 		gomega.Expect(started()).To(gomega.Equal(2), "one of a, one of b")
 	})
 
+	ginkgo.It("asks for no VMs for tasks that it keeps from running", func() {
+		w.submit(of("a", newRecord(1, 20, sized(5), longRunning)))
+		gomega.Expect(w.PoolNeeds(w.now)["carving"].Cores).To(gomega.BeNumerically("~", 10, 1e-6))
+	})
+
 	ginkgo.It("goes on for the jobs of a workspace that is gone", func() {
 		w.submit(of("a", newRecord(1, 4, sized(5))))
 		l := w.acceptStarts()
--- a/fleet/scheduler/demand.go
+++ b/fleet/scheduler/demand.go
@@ -17,7 +17,7 @@
 
 // cachedDemands are the demands of accepted finite jobs as computed at the time at, apart from later additions. guaranteed
 // holds those of the jobs within their allowance, excess the others, both sorted by due time. shared holds the demands of
-// workspaces' jobs within their allowance, in no particular order.
+// all workspaces' jobs, in no particular order.
 type cachedDemands struct {
 	at                 time.Time
 	guaranteed, excess []backlog.Demand
@@ -52,14 +52,14 @@
 }
 
 func (x *cachedDemands) append(d demand) {
+	if d.job.Workspace != "" {
+		x.shared = append(x.shared, d)
+	}
 	if d.job.Excess {
 		x.excess = append(x.excess, d.Demand)
 		return
 	}
 	x.guaranteed = append(x.guaranteed, d.Demand)
-	if d.job.Workspace != "" {
-		x.shared = append(x.shared, d)
-	}
 }
 
 // add adds an accepted job to the demands.
@@ -67,7 +67,8 @@
 	l := &x.guaranteed
 	if d.job.Excess {
 		l = &x.excess
-	} else if d.job.Workspace != "" {
+	}
+	if d.job.Workspace != "" {
 		x.shared = append(x.shared, d)
 	}
 	i, _ := slices.BinarySearchFunc(*l, d.Demand, backlog.CompareDue)
@@ -97,22 +98,26 @@
 	return j.cachedWork
 }
 
-// amounts returns the demands that are due by the given time, summed by workspace.
-func (x *cachedDemands) amounts(due time.Time) map[string]job.Amount {
+// amounts returns the demands that are due by the given time, summed by workspace, with those beyond the allowances if excess
+// is true.
+func (x *cachedDemands) amounts(due time.Time, excess bool) map[string]job.Amount {
 	m := map[string]job.Amount{}
 	for _, d := range x.shared {
-		if !d.Due.After(due) {
+		if !d.Due.After(due) && (excess || !d.job.Excess) {
 			m[d.job.Workspace] = m[d.job.Workspace].Add(d.amount)
 		}
 	}
 	return m
 }
 
-// ofResource returns the shared demands for one resource, sorted by due time.
-func (x *cachedDemands) ofResource(i int) []backlog.Demand {
+// ofResource returns the shared demands for one resource, sorted by due time, with those beyond the allowances if excess is
+// true.
+func (x *cachedDemands) ofResource(i int, excess bool) []backlog.Demand {
 	l := make([]backlog.Demand, 0, len(x.shared))
 	for _, d := range x.shared {
-		l = append(l, backlog.Demand{Due: d.Due, Work: d.amount.Resources()[i]})
+		if excess || !d.job.Excess {
+			l = append(l, backlog.Demand{Due: d.Due, Work: d.amount.Resources()[i]})
+		}
 	}
 	slices.SortFunc(l, backlog.CompareDue)
 	return l
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -225,15 +225,16 @@
 // is there.
 func (s *Scheduler) poolDemands(now time.Time) map[string]resources {
 	incoming, open, longRunning := map[string]resources{}, map[string]resources{}, map[string]resources{}
+	parts := s.cappedParts(now)
 	for _, q := range s.table.Queues {
 		incoming[q.Pool] = incoming[q.Pool].add(s.forecastDemand(q.Name, now))
 	}
 	for _, j := range s.active {
 		p := s.poolOf(j)
 		if !j.job.Excess {
-			open[p] = open[p].add(s.openResources(j, false, now))
+			open[p] = open[p].add(s.openResources(j, false, now).times(parts, j.job.Workspace))
 		}
-		longRunning[p] = longRunning[p].add(s.openResources(j, true, now))
+		longRunning[p] = longRunning[p].add(s.openResources(j, true, now).times(parts, j.job.Workspace))
 	}
 	m := map[string]resources{}
 	for p, c := range incoming {
--- a/fleet/scheduler/load_bench_test.go
+++ b/fleet/scheduler/load_bench_test.go
@@ -5,19 +5,28 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega"
+
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/workspace"
 )
 
 // BenchmarkPeakLoad simulates one second of peak load on a number of servers. The jobs have two steps of eight tasks, and
 // each task takes one second; a hundred servers receive 25 jobs. With overload they receive eight times as many, so that
-// hundreds of jobs wait for capacity.
+// hundreds of jobs wait for capacity. With workspaces the jobs are theirs in turn.
 func BenchmarkPeakLoad(b *testing.B) {
 	for _, n := range []int{50, 300, 1000} {
 		for _, factor := range []int{1, 8} {
-			b.Run(fmt.Sprintf("servers=%d/load=%d", n, factor), func(b *testing.B) { benchmarkPeakLoad(b, n, factor) })
+			for _, workspaces := range []int{0, 38} {
+				name := fmt.Sprintf("servers=%d/load=%d", n, factor)
+				if workspaces > 0 {
+					name += fmt.Sprintf("/workspaces=%d", workspaces)
+				}
+				b.Run(name, func(b *testing.B) { benchmarkPeakLoad(b, n, factor, workspaces) })
+			}
 		}
 	}
 }
@@ -28,8 +37,16 @@
 	end   time.Time
 }
 
-func benchmarkPeakLoad(b *testing.B, servers, factor int) {
+func benchmarkPeakLoad(b *testing.B, servers, factor, workspaces int) {
+	gomega.RegisterTestingT(b)
 	w := newHarness()
+	if workspaces > 0 {
+		l := []workspace.Workspace{}
+		for i := range workspaces {
+			l = append(l, workspace.Workspace{Name: workspaceName(i), Weight: float64(servers), Cap: job.Size{CPU: int64(servers) * 32000}})
+		}
+		w.SetTable(withWorkspaces(2, l...))
+	}
 	names := []string{}
 	for i := range servers {
 		names = append(names, fmt.Sprintf("s%03d", i))
@@ -46,6 +63,9 @@
 				id++
 				m := newRecord(id, 8)
 				m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: 4000, EstimateMs: 1000, After: []int32{0}})
+				if workspaces > 0 {
+					m.Workspace = workspaceName(id % workspaces)
+				}
 				w.submit(m)
 			}
 			if step%5 == 0 {
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -25,10 +25,12 @@
 
 // pendingStep is a step with tasks that wait for a server, and its sort keys.
 type pendingStep struct {
-	step        *stepState
-	state       *jobState
-	rank        rank
-	priority    int
+	step     *stepState
+	state    *jobState
+	rank     rank
+	priority int
+	// aboveShare is 1 for on-time work of a workspace that uses more than its fair share of a busy pool, 0 otherwise.
+	aboveShare  int
 	latestStart time.Time
 }
 
@@ -156,6 +158,7 @@
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.aboveShare, b.aboveShare),
 		a.latestStart.Compare(b.latestStart),
 		cmp.Compare(a.state.job.ID, b.state.job.ID),
 		cmp.Compare(a.step.tasks[0].key.Step, b.step.tasks[0].key.Step),
@@ -188,6 +191,9 @@
 	case w.latestStart.Before(now):
 		w.rank = rankOverdue
 	}
+	if w.rank == rankOnTime && s.isAboveShare(j.job, s.poolOf(j), now) {
+		w.aboveShare = 1
+	}
 	return w
 }
 
--- a/fleet/scheduler/rate.go
+++ b/fleet/scheduler/rate.go
@@ -75,16 +75,6 @@
 	return first
 }
 
-// isFirstSubmission reports whether the job has not been counted as an arrival.
-func (s *Scheduler) isFirstSubmission(n *job.Job) bool {
-	a := s.rates[n.Queue]
-	if a == nil {
-		return true
-	}
-	_, seen := a.firstSeen[n.ID]
-	return !seen || a.uncounted[n.ID]
-}
-
 func (a *arrivals) decay(now time.Time) {
 	d := now.Sub(a.updated).Seconds()
 	a.updated = now
@@ -103,6 +93,7 @@
 		if now.Sub(t) > resubmitWindow {
 			delete(a.firstSeen, id)
 			delete(a.uncounted, id)
+			delete(s.offered, id)
 		}
 	}
 	slope := (a.fast - a.slow) / (slowTimeConstant - fastTimeConstant).Seconds()
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/allowance"
-	"github.com/tarragonbank/tarragonbank/fleet/fairshare"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -73,9 +72,11 @@
 	// the workspaces have of each pool and allocations how those are divided. refusals counts refused submissions.
 	activeOf    map[string]map[string]*jobState
 	allowances  *allowance.Allowances
-	shares      map[string]*fairshare.Pool
+	shares      map[string]poolShares
 	allocations map[string]cachedAllocation
 	refusals    map[string]map[Cause]int64
+	// offered holds the recently submitted jobs that count as offered, true for those within the allowance.
+	offered map[string]bool
 }
 
 // New returns an empty scheduler for an owner that took over at the time now.
@@ -85,8 +86,8 @@
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{}, usage: usage.New(),
-		activeOf: map[string]map[string]*jobState{}, allowances: allowance.New(resubmitWindow), shares: map[string]*fairshare.Pool{},
-		allocations: map[string]cachedAllocation{}, refusals: map[string]map[Cause]int64{},
+		activeOf: map[string]map[string]*jobState{}, allowances: allowance.New(resubmitWindow), shares: map[string]poolShares{},
+		allocations: map[string]cachedAllocation{}, refusals: map[string]map[Cause]int64{}, offered: map[string]bool{},
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
--- a/fleet/scheduler/workspacestatus.go
+++ b/fleet/scheduler/workspacestatus.go
@@ -56,7 +56,7 @@
 		m.Refused[c.String()] = n
 	}
 	for p := range s.shares {
-		if x, ok := s.allocation(p, now).allocation[name]; ok {
+		if x, ok := s.allocation(p, now).all[name]; ok {
 			m.Shares = append(m.Shares, &schema.WorkspaceShare{Pool: p, Used: x.Used, Fair: x.Fair})
 		}
 	}
