--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -226,16 +226,20 @@
 }
 
 // poolDemands returns the demand of each pool: for finite work the larger of the expected arrivals and the open tasks,
-// since open tasks are recent arrivals, plus all long-running work.
+// since open tasks are recent arrivals, plus all long-running work. Work beyond the allowance of a workspace only uses what
+// is there.
 func (s *Scheduler) poolDemands(now time.Time) map[string]resources {
 	incoming, open, longRunning := map[string]resources{}, map[string]resources{}, map[string]resources{}
+	parts := s.cappedParts(now)
 	for _, q := range s.table.Queues {
 		incoming[q.Pool] = incoming[q.Pool].add(s.forecastDemand(q.Name, now))
 	}
 	for _, j := range s.active {
 		p := s.poolOf(j)
-		open[p] = open[p].add(s.openResources(j, false, now))
-		longRunning[p] = longRunning[p].add(s.openResources(j, true, now))
+		if !j.job.Excess {
+			open[p] = open[p].add(s.openResources(j, false, now).times(parts, j.job.Workspace))
+		}
+		longRunning[p] = longRunning[p].add(s.openResources(j, true, now).times(parts, j.job.Workspace))
 	}
 	m := map[string]resources{}
 	for p, c := range incoming {
--- a/fleet/scheduler/late.go
+++ b/fleet/scheduler/late.go
@@ -25,7 +25,7 @@
 // runs after all work that can be on time, so it is accepted if it and all accepted jobs can finish while their results are
 // of use. A burst of a few seconds is then worked off after its end instead of being refused.
 func (s *Scheduler) admitsLate(n *job.Job, pool string, supply backlog.Supply, now time.Time) bool {
-	if !s.limits.ServeLate {
+	if !s.limits.ServeLate || n.Excess {
 		return false
 	}
 	supply.Now, supply.Later = supply.Now*lateWorkShare, supply.Later*lateWorkShare
@@ -39,16 +39,35 @@
 	return true
 }
 
-// lateDemands returns the remaining work of all finite jobs of a pool, at most cacheLifetime old, each with the time by which
-// it has to be done: its target while it can be met, otherwise the time after which its result is of no use.
-func (s *Scheduler) lateDemands(pool string, now time.Time) *cachedDemands {
-	x := s.poolLateDemandCache[pool]
+// lateDemands are the demands of the finite jobs of a pool, sorted by due time, as computed at the time at. Each counts with
+// the time by which it has to be done: its target while it can be met, otherwise the time after which its result is of no use.
+type lateDemands struct {
+	at      time.Time
+	demands []backlog.Demand
+}
+
+func (x *lateDemands) add(d backlog.Demand) {
+	i, _ := slices.BinarySearchFunc(x.demands, d, backlog.CompareDue)
+	x.demands = slices.Insert(x.demands, i, d)
+}
+
+// addLateDemand adds a job that was accepted to be on time.
+func (s *Scheduler) addLateDemand(pool string, d backlog.Demand) {
+	if x := s.lateDemandCache[pool]; x != nil {
+		x.add(d)
+	}
+}
+
+// lateDemands returns the demands of the finite jobs that a pool has accepted, at most cacheLifetime old. Work beyond the
+// allowance of its workspace comes after late work and is left out.
+func (s *Scheduler) lateDemands(pool string, now time.Time) *lateDemands {
+	x := s.lateDemandCache[pool]
 	if x != nil && now.Sub(x.at) <= cacheLifetime {
 		return x
 	}
-	x = &cachedDemands{at: now}
+	x = &lateDemands{at: now}
 	for _, j := range s.active {
-		if j.job.Scheduled() || j.job.LongRunning() || s.poolOf(j) != pool {
+		if j.job.Scheduled() || j.job.LongRunning() || j.job.Excess || s.poolOf(j) != pool {
 			continue
 		}
 		due := j.job.AcceptedAt.Add(s.targetDuration(j.job))
@@ -58,6 +77,6 @@
 		x.demands = append(x.demands, backlog.Demand{Due: due, Work: s.cachedRemainingWork(j, now)})
 	}
 	slices.SortFunc(x.demands, backlog.CompareDue)
-	s.poolLateDemandCache[pool] = x
+	s.lateDemandCache[pool] = x
 	return x
 }
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -19,16 +19,20 @@
 	rankOverdue
 	// rankExpired comes after work whose result is still of use late.
 	rankExpired
+	// rankExcess is work beyond the allowance of its workspace. It comes after all other finite work.
+	rankExcess
 	// rankBestEffort takes the remaining capacity.
 	rankBestEffort
 )
 
 // pendingStep is a step with tasks that wait for a server, and its sort keys.
 type pendingStep struct {
-	step        *stepState
-	state       *jobState
-	rank        rank
-	priority    int
+	step     *stepState
+	state    *jobState
+	rank     rank
+	priority int
+	// aboveShare is 1 for on-time work of a workspace that uses more than its fair share of a busy pool, 0 otherwise.
+	aboveShare  int
 	latestStart time.Time
 }
 
@@ -156,6 +160,7 @@
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.aboveShare, b.aboveShare),
 		a.latestStart.Compare(b.latestStart),
 		cmp.Compare(a.state.job.ID, b.state.job.ID),
 		cmp.Compare(a.step.tasks[0].key.Step, b.step.tasks[0].key.Step),
@@ -183,11 +188,16 @@
 		w.rank = rankBestEffort
 	case p.step.LongRunning:
 		w.rank = rankLongRunning
+	case j.job.Excess:
+		w.rank = rankExcess
 	case s.limits.ServeLate && s.lateDue(j.job).Before(now) && !j.job.Scheduled():
 		w.rank = rankExpired
 	case w.latestStart.Before(now) || j.job.Late:
 		w.rank = rankOverdue
 	}
+	if w.rank == rankOnTime && s.isAboveShare(j.job, s.poolOf(j), now) {
+		w.aboveShare = 1
+	}
 	return w
 }
 
@@ -238,6 +248,9 @@
 		s.noteUnplaced(w, now)
 		return
 	}
+	if !s.allowedByCap(w.step, now) {
+		return
+	}
 	all := len(l)
 	l, ok := s.advisedServers(w, l, now)
 	if !ok {
@@ -251,6 +264,9 @@
 		if t.done || t.run != nil {
 			continue
 		}
+		if !s.allowedByCap(w.step, now) {
+			return
+		}
 		v := bestServer(t, l, now)
 		if v == nil && t.mayCrashServers() {
 			s.awaitTrial(w, now)
--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -28,7 +28,7 @@
 	if q := s.table.ByName(m.Queue); q != nil {
 		pool = q.Pool
 	}
-	p := &preview{scheduler: s.scratch(m.Queue, pool), pool: pool, now: now, result: &schema.JobPreview{Accepted: true}}
+	p := &preview{scheduler: s.scratch(m.Queue, pool, now), pool: pool, now: now, result: &schema.JobPreview{Accepted: true}}
 	var answer *Reply
 	p.scheduler.Submit(m, now, func(x Reply) { answer = &x })
 	if answer != nil && answer.Result == Invalid {
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -6,6 +6,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
+	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // Restore adds a job from the store after a takeover. p is its progress, or nil if the progress within the job record
@@ -24,7 +25,7 @@
 	if j.phase.Ended() {
 		j.endedAt = time.UnixMilli(p.EndedMs)
 		j.reportedPhase = j.phase
-		delete(s.active, j.job.ID)
+		s.deactivate(j)
 		return
 	}
 	s.openOccurrences(j, now)
@@ -33,6 +34,7 @@
 	}
 	s.recountUnfinished(j, now)
 	j.updateReportedPhase()
+	s.seedShare(j, now)
 	s.needsPlan = true
 }
 
@@ -74,6 +76,7 @@
 	}
 	r := &run{task: t, number: t.lastRun, server: v, phase: unconfirmed, inherited: true, pace: fullPace, startedAt: now}
 	t.run = r
+	v.strays.Remove(r.id())
 	v.addRun(r)
 }
 
@@ -92,7 +95,7 @@
 	}
 	v = &serverState{
 		info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{},
-		unreachableSince: s.startedAt, knownSince: s.startedAt,
+		unreachableSince: s.startedAt, knownSince: s.startedAt, usage: s.usage, strays: usage.NewStrays(s.usage),
 	}
 	s.servers[id] = v
 	s.sortedServers = nil
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/fleet/allowance"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // Limits are the durations that the scheduler must respect towards servers and callers.
@@ -22,6 +24,8 @@
 	GangTimeout time.Duration
 	// ServeLate accepts finite jobs that cannot finish within their target duration if they can within lateFactor times it.
 	ServeLate bool
+	// ConfigApply is the age of the proof of the configuration from which no task of a workspace is started, 0 for no bound.
+	ConfigApply time.Duration
 }
 
 // Scheduler holds the jobs, servers and runs that the owner of the fleet knows. It is not safe for concurrent use.
@@ -51,7 +55,7 @@
 	rates                  map[string]*arrivals
 	poolCores              map[string]cachedValue
 	poolDemandCache        map[string]*cachedDemands
-	poolLateDemandCache    map[string]*cachedDemands
+	lateDemandCache        map[string]*lateDemands
 	// unplacedAt is, by pool, when a long-running task last found no server with enough capacity.
 	unplacedAt map[string]time.Time
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
@@ -64,6 +68,18 @@
 	incomingCores map[string]float64
 	reserveCores  float64
 	vmCapacities  map[string]job.Size
+	// usage counts the runs of the workspaces against their caps.
+	usage       *usage.Ledger
+	configProof configProof
+	// activeOf holds the active jobs by workspace and ID, allowances which jobs exceed the rate of their workspace, shares what
+	// the workspaces have of each pool and allocations how those are divided. refusals counts refused submissions.
+	activeOf    map[string]map[string]*jobState
+	allowances  *allowance.Allowances
+	shares      map[string]poolShares
+	allocations map[string]cachedAllocation
+	refusals    map[string]map[Cause]int64
+	// offered holds the recently submitted jobs that count as offered, true for those within the allowance.
+	offered map[string]bool
 }
 
 // New returns an empty scheduler for an owner that took over at the time now.
@@ -72,7 +88,9 @@
 		limits: x, startedAt: now,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
 		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
-		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, poolLateDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{},
+		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{}, usage: usage.New(),
+		activeOf: map[string]map[string]*jobState{}, allowances: allowance.New(resubmitWindow), shares: map[string]poolShares{},
+		allocations: map[string]cachedAllocation{}, lateDemandCache: map[string]*lateDemands{}, refusals: map[string]map[Cause]int64{}, offered: map[string]bool{},
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
@@ -84,6 +102,7 @@
 		return
 	}
 	s.table = t
+	s.usage.SetWorkspaces(t.Workspaces)
 	s.needsPlan = true
 }
 
@@ -148,6 +167,8 @@
 	Pending    int
 	RetryAfter time.Duration
 	Reason     string
+	// Cause is the kind of reason of a refusal.
+	Cause Cause
 	// Jobs holds the jobs of a list, or the one job of an explanation.
 	Jobs []*schema.JobStatus
 	// Pools holds the state of the pools.
@@ -179,7 +200,7 @@
 	}
 	q := s.table.ByName(m.Queue)
 	if q == nil {
-		reply(Reply{Result: Refused, Reason: "the owner does not know the queue yet", RetryAfter: unknownQueueRetry})
+		reply(Reply{Result: Refused, Reason: "the owner does not know the queue yet", RetryAfter: unknownQueueRetry, Cause: CauseQueue})
 		return
 	}
 	m.Pool = q.Pool
@@ -187,6 +208,7 @@
 	m.AcceptedMs = now.UnixMilli()
 	n := job.New(m)
 	if r := s.admit(n, q, now); r != nil {
+		s.countRefusal(n.Workspace, r.Cause)
 		s.addDecision(Decision{Job: n.ID, Pool: n.Pool, Reason: "refused: " + r.Reason})
 		reply(*r)
 		return
@@ -248,10 +270,11 @@
 func (s *Scheduler) endJob(j *jobState, p job.Phase, now time.Time) {
 	j.phase = p
 	j.endedAt = now
-	delete(s.active, j.job.ID)
+	s.deactivate(j)
 	for _, o := range j.occurrences {
 		for _, t := range o.tasks() {
 			if t.run != nil {
+				s.recordStray(t.run)
 				s.stop(t.run, now)
 			}
 		}
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -3,22 +3,25 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // scratch returns a copy of the scheduler on which a job of a queue can be submitted and placed in a pool without any effect
 // on s. Jobs and servers are copied one level deep, so the copy must not change the tasks and runs of s.
-func (s *Scheduler) scratch(queue, pool string) *Scheduler {
+func (s *Scheduler) scratch(queue, pool string, now time.Time) *Scheduler {
 	c := *s
 	c.dirtyJobs, c.removedJobs, c.orders, c.sortedServers = nil, nil, Orders{}, nil
-	c.jobs, c.active = maps.Clone(s.jobs), make(map[string]*jobState, len(s.active)+1)
+	c.jobs, c.active, c.activeOf = maps.Clone(s.jobs), make(map[string]*jobState, len(s.active)+1), map[string]map[string]*jobState{}
 	for id, j := range s.active {
 		x := *j
-		c.active[id] = &x
+		c.activate(&x)
 		c.jobs[id] = &x
 	}
+	c.usage = s.usage.Clone()
 	c.servers = make(map[string]*serverState, len(s.servers))
 	for id, v := range s.servers {
 		x := *v
+		x.usage = c.usage
 		if v.info.Pool == pool {
 			x.runs = maps.Clone(v.runs)
 		}
@@ -27,12 +30,13 @@
 	c.advice, c.unplacedAt, c.poolCores = maps.Clone(s.advice), maps.Clone(s.unplacedAt), maps.Clone(s.poolCores)
 	c.poolDemandCache = maps.Clone(s.poolDemandCache)
 	if x := s.poolDemandCache[pool]; x != nil {
-		c.poolDemandCache[pool] = &cachedDemands{at: x.at, demands: slices.Clone(x.demands)}
+		c.poolDemandCache[pool] = x.clone()
 	}
-	c.poolLateDemandCache = maps.Clone(s.poolLateDemandCache)
-	if x := s.poolLateDemandCache[pool]; x != nil {
-		c.poolLateDemandCache[pool] = &cachedDemands{at: x.at, demands: slices.Clone(x.demands)}
+	c.lateDemandCache = maps.Clone(s.lateDemandCache)
+	if x := s.lateDemandCache[pool]; x != nil {
+		c.lateDemandCache[pool] = &lateDemands{at: x.at, demands: slices.Clone(x.demands)}
 	}
+	s.copyShares(&c, pool, now)
 	c.rates = maps.Clone(s.rates)
 	if x := s.rates[queue]; x != nil {
 		a := *x
@@ -41,3 +45,15 @@
 	}
 	return &c
 }
+
+// copyShares copies the accounts of the workspaces that a submission to the pool changes.
+func (s *Scheduler) copyShares(c *Scheduler, pool string, now time.Time) {
+	c.allowances, c.offered, c.allocations, c.shares = s.allowances.Clone(now), maps.Clone(s.offered), maps.Clone(s.allocations), maps.Clone(s.shares)
+	if p, ok := s.shares[pool]; ok {
+		c.shares[pool] = poolShares{p.guaranteed.Clone(), p.all.Clone()}
+	}
+	c.refusals = make(map[string]map[Cause]int64, len(s.refusals))
+	for n, m := range s.refusals {
+		c.refusals[n] = maps.Clone(m)
+	}
+}
