--- a/fleet/job/amount.go
+++ b/fleet/job/amount.go
@@ -30,6 +30,17 @@
 	return [3]float64{a.Cores, a.MemoryMB, a.Accelerators}
 }
 
+// LongRunningAmount returns the resources that the job's long-running tasks hold.
+func (j *Job) LongRunningAmount() Amount {
+	a := Amount{}
+	for i := range j.Steps {
+		if s := &j.Steps[i]; s.LongRunning {
+			a = a.Add(s.Size.Amount().Times(float64(s.Count)))
+		}
+	}
+	return a
+}
+
 // Amount returns the estimated resource-seconds of one occurrence.
 func (j *Job) Amount() Amount {
 	a := Amount{}
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -70,16 +70,25 @@
 			return r
 		}
 		accepted.add(d)
+		s.addCapDemand(d)
 		s.accept(n, q.Pool, work, now)
 		return nil
 	}
 	wait := time.Duration(shortfall / max(supply.Later, 1) * float64(time.Second))
 	return &Reply{
 		Result: Refused, RetryAfter: s.retryAfter(n, wait), Cause: capacityCause(n),
-		Reason: fmt.Sprintf("would be late: %.0f core-seconds more than %.0f cores, later %.0f, do in time", shortfall, supply.Now, supply.Later),
+		Reason: excessReason(n) + fmt.Sprintf("would be late: %.0f core-seconds more than %.0f cores, later %.0f, do in time", shortfall, supply.Now, supply.Later),
 	}
 }
 
+// excessReason returns what precedes the reason of a refusal of a job beyond the allowance of its workspace.
+func excessReason(n *job.Job) string {
+	if !n.Excess {
+		return ""
+	}
+	return "beyond the jobs per second of workspace " + n.Workspace + ", which run where there is room to spare: "
+}
+
 // capacityCause returns the cause of a refusal for lack of room in the pool.
 func capacityCause(n *job.Job) Cause {
 	if n.Excess {
--- a/fleet/scheduler/allot.go
+++ b/fleet/scheduler/allot.go
@@ -145,18 +145,34 @@
 // shareableCapacity returns the resources of a pool that finite work may use: the cores of its supply, with the memory and
 // the accelerators of its servers in proportion.
 func (s *Scheduler) shareableCapacity(pool string, now time.Time) job.Amount {
-	total := job.Amount{}
-	for _, v := range s.servers {
-		if v.info.Pool == pool && v.usable(now) && !s.cordonedVMs[v.info.VM] {
-			total = total.Add(v.info.Capacity.Amount())
-		}
-	}
+	total := s.poolTotal(pool, now)
 	supply, _ := s.supply(pool, now)
 	if total.Cores == 0 {
 		return job.Amount{Cores: supply.Later}
 	}
-	c := total.Times(supply.Later / total.Cores)
-	return c
+	return total.Times(supply.Later / total.Cores)
+}
+
+// poolTotals holds the resources of each pool's usable servers as computed at the time at.
+type poolTotals struct {
+	at     time.Time
+	byPool map[string]job.Amount
+}
+
+// totalsLifetime is how long the resources of the pools are reused. Only the ratio of the resources to one another matters.
+const totalsLifetime = time.Second
+
+// poolTotal returns the resources of a pool's usable servers. One pass serves all pools.
+func (s *Scheduler) poolTotal(pool string, now time.Time) job.Amount {
+	if s.totals.byPool == nil || now.Sub(s.totals.at) > totalsLifetime {
+		s.totals = poolTotals{at: now, byPool: map[string]job.Amount{}}
+		for _, v := range s.servers {
+			if v.usable(now) && !s.cordonedVMs[v.info.VM] {
+				s.totals.byPool[v.info.Pool] = s.totals.byPool[v.info.Pool].Add(v.info.Capacity.Amount())
+			}
+		}
+	}
+	return s.totals.byPool[pool]
 }
 
 // refuseForShare returns a refusal if the job's workspace uses more than its fair share of the pool and the job fits only
@@ -181,7 +197,7 @@
 	}
 	return &Reply{
 		Result: Refused, RetryAfter: s.retryAfter(n, share.RetryAfter()), Cause: cause,
-		Reason: fmt.Sprintf("workspace %s uses %.3f of pool %s, its fair share is %.3f, and the others need the rest", n.Workspace, share.Used, pool, share.Fair),
+		Reason: excessReason(n) + fmt.Sprintf("workspace %s uses %.3f of pool %s, its fair share is %.3f, and the others need the rest", n.Workspace, share.Used, pool, share.Fair),
 	}
 }
 
--- a/fleet/scheduler/allot_test.go
+++ b/fleet/scheduler/allot_test.go
@@ -80,7 +80,7 @@
 	})
 
 	// Load: one workspace submits three times as much as the other, together more than the pool holds.
-	ginkgo.It("keep room for a workspace that stays within its share beside one that floods", func() {
+	ginkgo.DescribeTable("keep room for a workspace that stays within its share beside one that floods", func(size func(*schema.StepRecord)) {
 		runs := map[string][]activeRun{}
 		refused := map[string]int{}
 		var last scheduler.Reply
@@ -91,7 +91,7 @@
 				name = "b"
 			}
 			if i%2 == 0 {
-				if r := w.submit(of(name, newRecord(i+1, 4, func(s *schema.StepRecord) { s.CpuMilli = 2000 }))); r.Result == scheduler.Refused {
+				if r := w.submit(of(name, newRecord(i+1, 4, size))); r.Result == scheduler.Refused {
 					refused[name]++
 					last = r
 				}
@@ -110,7 +110,9 @@
 		gomega.Expect(refused["a"]).To(gomega.BeNumerically(">", 20))
 		gomega.Expect(refused["b"]).To(gomega.BeNumerically("<", 10), "of 50")
 		gomega.Expect(last.RetryAfter).To(gomega.And(gomega.BeNumerically(">=", 375*time.Millisecond), gomega.BeNumerically("<=", 6250*time.Millisecond)))
-	})
+	},
+		ginkgo.Entry("of processors", func(s *schema.StepRecord) { s.CpuMilli = 2000 }),
+		ginkgo.Entry("of memory", func(s *schema.StepRecord) { s.CpuMilli, s.MemoryMb = 100, 4000 }))
 
 	ginkgo.It("refuse nobody while there is room for all", func() {
 		for i := range 3 {
@@ -149,6 +151,21 @@
 		gomega.Expect(w.submit(heavy(4, "b")).Result).To(gomega.Equal(scheduler.Done))
 	})
 
+	ginkgo.It("leave the excess of a previous owner after other work at the successor", func() {
+		w = newHarness()
+		w.SetTable(capped(2, 1000))
+		for i := range 2 {
+			m := of("b", newRecord(i+1, 16))
+			m.Excess = i == 0
+			w.Restore(m, nil, w.now)
+		}
+		w.addServers("s-1")
+		w.commit()
+		l := w.acceptStarts()
+		gomega.Expect(l).To(gomega.HaveLen(16))
+		gomega.Expect(l[0].Task.Job).To(gomega.Equal(newRecord(2, 1).Id))
+	})
+
 	ginkgo.It("are known to the successor from the restored jobs", func() {
 		m := heavy(1, "a")
 		m.Pool = "carving"
--- a/fleet/scheduler/cap.go
+++ b/fleet/scheduler/cap.go
@@ -94,12 +94,12 @@
 		return nil
 	}
 	limit, needed := w.Cap.Amount().Resources(), work.Resources()
-	held, accepted := s.workspaceDemands(n, now)
+	accepted := s.workspaceDemands(n.Workspace, now)
 	for i, c := range limit {
 		if c == 0 || needed[i] == 0 {
 			continue
 		}
-		free := max(c-held.Resources()[i], 0)
+		free := max(c-accepted.held.Resources()[i], 0)
 		if overdue {
 			free *= overdueWorkShare
 		}
@@ -114,22 +114,37 @@
 	return nil
 }
 
-// workspaceDemands returns what the long-running tasks of the job's workspace hold, and the demands of its accepted finite jobs.
-func (s *Scheduler) workspaceDemands(n *job.Job, now time.Time) (job.Amount, *cachedDemands) {
-	held, x := job.Amount{}, &cachedDemands{}
-	for _, j := range s.activeOf[n.Workspace] {
+// capDemands are the demands of a workspace's accepted finite jobs in all pools, and what its long-running tasks hold.
+type capDemands struct {
+	*cachedDemands
+	held job.Amount
+}
+
+// workspaceDemands returns the demands of a workspace on its cap, at most cacheLifetime old.
+func (s *Scheduler) workspaceDemands(name string, now time.Time) capDemands {
+	x, ok := s.capDemandCache[name]
+	if ok && now.Sub(x.at) <= cacheLifetime {
+		return x
+	}
+	x = capDemands{cachedDemands: &cachedDemands{at: now}}
+	for _, j := range s.activeOf[name] {
 		switch {
 		case j.job.LongRunning():
-			for i := range j.job.Steps {
-				if p := &j.job.Steps[i]; p.LongRunning {
-					held = held.Add(p.Size.Amount().Times(float64(p.Count)))
-				}
-			}
+			x.held = x.held.Add(j.job.LongRunningAmount())
 		case !j.job.Scheduled():
-			x.shared = append(x.shared, s.demandOf(j, now))
+			x.append(s.demandOf(j, now))
 		}
 	}
-	return held, x
+	x.sort()
+	s.capDemandCache[name] = x
+	return x
+}
+
+// addCapDemand adds an accepted job to the demands of its workspace on its cap.
+func (s *Scheduler) addCapDemand(d demand) {
+	if x, ok := s.capDemandCache[d.job.Workspace]; ok {
+		x.add(d)
+	}
 }
 
 // cappedParts returns, for the workspaces whose open tasks need more than their cap, the part of them that may run at once.
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -256,6 +256,7 @@
 		s.deactivate(j)
 		delete(s.jobs, id)
 		s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, func(x *jobState) bool { return x == j })
+		s.countRefusal(j.job.Workspace, CauseOther)
 		for _, w := range j.waiters {
 			w.reply(Reply{Result: Refused, Reason: reason, RetryAfter: after})
 		}
--- a/fleet/scheduler/demand.go
+++ b/fleet/scheduler/demand.go
@@ -17,7 +17,7 @@
 
 // cachedDemands are the demands of accepted finite jobs as computed at the time at, apart from later additions. guaranteed
 // holds those of the jobs within their allowance, excess the others, both sorted by due time. shared holds the demands of
-// all workspaces' jobs, in no particular order.
+// all workspaces' jobs, sorted by due time as well.
 type cachedDemands struct {
 	at                 time.Time
 	guaranteed, excess []backlog.Demand
@@ -35,8 +35,7 @@
 				x.append(s.demandOf(j, now))
 			}
 		}
-		slices.SortFunc(x.guaranteed, backlog.CompareDue)
-		slices.SortFunc(x.excess, backlog.CompareDue)
+		x.sort()
 		s.poolDemandCache[pool] = x
 	}
 	return x
@@ -62,6 +61,16 @@
 	x.guaranteed = append(x.guaranteed, d.Demand)
 }
 
+func (x *cachedDemands) sort() {
+	slices.SortFunc(x.guaranteed, backlog.CompareDue)
+	slices.SortFunc(x.excess, backlog.CompareDue)
+	slices.SortFunc(x.shared, compareDemands)
+}
+
+func compareDemands(a, b demand) int {
+	return backlog.CompareDue(a.Demand, b.Demand)
+}
+
 // add adds an accepted job to the demands.
 func (x *cachedDemands) add(d demand) {
 	l := &x.guaranteed
@@ -69,7 +78,8 @@
 		l = &x.excess
 	}
 	if d.job.Workspace != "" {
-		x.shared = append(x.shared, d)
+		k, _ := slices.BinarySearchFunc(x.shared, d, compareDemands)
+		x.shared = slices.Insert(x.shared, k, d)
 	}
 	i, _ := slices.BinarySearchFunc(*l, d.Demand, backlog.CompareDue)
 	*l = slices.Insert(*l, i, d.Demand)
@@ -119,6 +129,5 @@
 			l = append(l, backlog.Demand{Due: d.Due, Work: d.amount.Resources()[i]})
 		}
 	}
-	slices.SortFunc(l, backlog.CompareDue)
 	return l
 }
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -77,6 +77,9 @@
 	refusals    map[string]map[Cause]int64
 	// offered holds the recently submitted jobs that count as offered, true for those within the allowance.
 	offered map[string]bool
+	// capDemandCache holds the demands of the workspaces on their caps, totals the resources of the pools.
+	capDemandCache map[string]capDemands
+	totals         poolTotals
 }
 
 // New returns an empty scheduler for an owner that took over at the time now.
@@ -87,7 +90,7 @@
 		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{}, usage: usage.New(),
 		activeOf: map[string]map[string]*jobState{}, allowances: allowance.New(resubmitWindow), shares: map[string]poolShares{},
-		allocations: map[string]cachedAllocation{}, refusals: map[string]map[Cause]int64{}, offered: map[string]bool{},
+		allocations: map[string]cachedAllocation{}, refusals: map[string]map[Cause]int64{}, offered: map[string]bool{}, capDemandCache: map[string]capDemands{},
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
@@ -189,6 +192,7 @@
 	}
 	q := s.table.ByName(m.Queue)
 	if q == nil {
+		s.countRefusal(m.Workspace, CauseQueue)
 		reply(Reply{Result: Refused, Reason: "the owner does not know the queue yet", RetryAfter: unknownQueueRetry, Cause: CauseQueue})
 		return
 	}
