--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -47,6 +47,7 @@
 func (j *jobState) status() *schema.JobStatus {
 	m := &schema.JobStatus{
 		Id: j.job.ID, Queue: j.job.Queue, Pool: j.job.Pool, Phase: j.reportedPhase.String(), AcceptedMs: j.job.AcceptedAt.UnixMilli(),
+		Workspace: j.job.Workspace,
 	}
 	if j.reportedPhase.Ended() {
 		m.EndedMs = j.endedAt.UnixMilli()
