--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -52,6 +52,7 @@
 	if p, ok := s.shares[pool]; ok {
 		c.shares[pool] = poolShares{p.guaranteed.Clone(), p.all.Clone()}
 	}
+	c.capDemandCache, c.totals = map[string]capDemands{}, poolTotals{}
 	c.refusals = make(map[string]map[Cause]int64, len(s.refusals))
 	for n, m := range s.refusals {
 		c.refusals[n] = maps.Clone(m)
