Learn task durations as distributions

Cause: placement that looks ahead needs to know when a run will end; a mean ratio tells neither quantiles nor what remains of a task that has outlasted the others. Change: fleet/duration keeps two rotating histograms of the ratio of actual to declared duration by queue and size class, and by queue. With Limits.LookAhead the scheduler records completed runs, and the owner stores the distributions with a commit that happens anyway, at most every 5 s, under tarragonbank/durations; its successor restores them and logs what is malformed. A record takes one of the 25 keys of a batch. Without LookAhead nothing is learned, stored or read.

--- a/entry/owner/elect.go
+++ b/entry/owner/elect.go
@@ -25,6 +25,8 @@
 	logPrefix      = keyPrefix + "log/"
 	// leasesKey holds the lease record, releaseKey the release of an owner that gave up the ownership by itself.
 	leasesKey = keyPrefix + "leases"
+	// durationsKey holds the learned distributions of task durations.
+	durationsKey = keyPrefix + "durations"
 	// termKey names the last owner like ownerKey, but outlives its lease. Its revision is that owner's fencing token.
 	termKey    = keyPrefix + "term"
 	releaseKey = keyPrefix + "released"
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -222,6 +222,8 @@
 	cores   float64
 	// killed is true if stopping an entry leaves its owner lease to expire.
 	killed bool
+	// lookAhead makes the entries learn the durations of tasks.
+	lookAhead bool
 }
 
 // killedStore is the store as an entry uses it that is stopped without a chance to end its lease.
@@ -247,7 +249,7 @@
 		m = killedStore{s.store}
 	}
 	o := owner.New(owner.Identity{Name: name, Address: netip.MustParseAddrPort("127.0.0.1:2"), Cores: s.cores},
-		scheduler.Limits{MaxLease: 6 * time.Second, JobRetention: time.Minute}, owner.Dependencies{
+		scheduler.Limits{MaxLease: 6 * time.Second, JobRetention: time.Minute, LookAhead: s.lookAhead}, owner.Dependencies{
 			Store: m, Servers: s.servers, Registry: singleServerRegistry{}, Log: discard{}, Metrics: s.metrics,
 			Controller: s.controller,
 		})
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -25,6 +25,8 @@
 	CleanedEntries []uint64
 	// Learning holds the estimates that were learned for each queue.
 	Learning []*schema.QueueLearning
+	// Durations holds the learned distributions of durations, or nil if the stored ones stand.
+	Durations *schema.DurationRecord
 	// Leases is the new lease record, or nil if the stored one stands.
 	Leases      *schema.LeaseRecord
 	versions    []jobVersion
@@ -43,14 +45,14 @@
 	version uint64
 }
 
-// NextBatch returns the next batch to store, or nil if nothing has changed. It has at most limit keys of jobs; jobs that
-// do not fit wait for the following batch.
+// NextBatch returns the next batch to store, or nil if nothing has changed. It has at most limit keys of jobs and
+// learned durations; jobs that do not fit wait for the following batch.
 func (s *Scheduler) NextBatch(limit int, now time.Time) *Batch {
 	if len(s.dirtyJobs) == 0 && len(s.removedJobs) == 0 && !s.leaseRecord.due {
 		return nil
 	}
 	s.lastBatch++
-	b := &Batch{Number: s.lastBatch, Learning: s.exportLearning(now)}
+	b := &Batch{Number: s.lastBatch, Learning: s.exportLearning(now), Durations: s.exportDurations(now)}
 	if s.leaseRecord.due {
 		b.Leases = s.buildLeaseRecord(b.Number, now)
 	}
@@ -75,8 +77,13 @@
 // its progress.
 const keysPerEndedJob = 2
 
+// keyCount returns the number of store keys of the batch's jobs and learned durations.
 func (b *Batch) keyCount() int {
-	return len(b.Jobs) + keysPerEndedJob*len(b.Ended)
+	n := len(b.Jobs) + keysPerEndedJob*len(b.Ended)
+	if b.Durations != nil {
+		n++
+	}
+	return n
 }
 
 // keyCount returns the number of store keys that the job takes in a batch, besides the log entry.
--- a/fleet/scheduler/health.go
+++ b/fleet/scheduler/health.go
@@ -83,6 +83,7 @@
 	if r.startPercent == 0 && !r.inherited {
 		r.task.step.durations = append(r.task.step.durations, now.Sub(r.startedAt))
 	}
+	s.learnDuration(r, now)
 	if e <= 0 || r.startPercent > 0 || r.inherited || now.Sub(r.startedAt) > maxDurationFactor*e {
 		return
 	}
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/fleet/duration"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -20,6 +21,8 @@
 	JobRetention time.Duration
 	// GangTimeout is how long a started gang member waits for the other members.
 	GangTimeout time.Duration
+	// LookAhead learns how long tasks take and reserves servers for large tasks that find no room.
+	LookAhead bool
 }
 
 // Scheduler holds the jobs, servers and runs that the owner of the fleet knows. It is not safe for concurrent use.
@@ -45,6 +48,8 @@
 	needsPlan              bool
 	advice                 map[string]*placementAdvice
 	learned                map[string]*durationRatio
+	durations              *duration.Distributions
+	durationsExportedAt    time.Time
 	cordonedVMs            map[string]bool
 	rates                  map[string]*arrivals
 	poolCores              map[string]cachedValue
@@ -68,7 +73,7 @@
 	s := &Scheduler{
 		limits: x, startedAt: now,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
-		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
+		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, durations: duration.New(), cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{},
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
