Reserve servers for large tasks that find no room

Cause: small tasks fill each gap, so that the largest tasks wait several times as long as the others while a turn fills a pool. Change: fleet/reservation makes EASY reservations; the scheduler asks it for tasks of a quarter of a server and more that find no room, and later tasks use a reserved server only if they are foreseen to end before (learned quantile 0.8, or the listed progress of what runs) or fit beside. At most an eighth of a pool is reserved, 0.5 s ahead at most, and given up 1 s after the promised time. Made anew in each pass, not stored. Changes are counted and 20 a second logged; explain names the server and the time.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -44,6 +44,11 @@
 	for _, n := range o.Decisions {
 		r.logSchedulerDecision(n)
 	}
+	for k, n := range o.ReservationCounts {
+		for range n {
+			r.owner.deps.Metrics.Event("reservations", k.String())
+		}
+	}
 	for k, n := range o.EndCounts {
 		for range n {
 			r.owner.deps.Metrics.Event("ends", k.String())
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -109,9 +109,15 @@
 			return "the advice service"
 		}
 	}
+	if x := s.waitsForReservation(t, pool, now); x != "" {
+		return x
+	}
 	if bestServer(t, usable, now) == nil && t.mayCrashServers() {
 		return fmt.Sprintf("a server of pool %s without other tasks, since %d servers crashed under it", pool, t.crashes)
 	}
+	if b := s.books[pool]; b != nil && bestServer(t, usable, now) != nil {
+		return fmt.Sprintf("room beside the %d reservations for large tasks of pool %s", b.Len(), pool)
+	}
 	if bestServer(t, usable, now) == nil {
 		return fmt.Sprintf("room on one of %d servers of pool %s", len(usable), pool)
 	}
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -60,6 +60,8 @@
 	checkpoint string
 	// durations are the run times of the step's completed tasks.
 	durations []time.Duration
+	// foreseenEnd is when the step's tasks are foreseen to end if they are placed in the present pass.
+	foreseenEnd time.Time
 }
 
 // task is one task of a step in an occurrence.
--- a/fleet/scheduler/load_bench_test.go
+++ b/fleet/scheduler/load_bench_test.go
@@ -13,11 +13,18 @@
 
 // BenchmarkPeakLoad simulates one second of peak load on a number of servers. The jobs have two steps of eight tasks, and
 // each task takes one second; a hundred servers receive 25 jobs. With overload they receive eight times as many, so that
-// hundreds of jobs wait for capacity.
+// hundreds of jobs wait for capacity. The tasks of the second steps take 4 or 24 of 64 cores; the latter are large enough for
+// reservations.
 func BenchmarkPeakLoad(b *testing.B) {
 	for _, n := range []int{50, 300, 1000} {
 		for _, factor := range []int{1, 8} {
-			b.Run(fmt.Sprintf("servers=%d/load=%d", n, factor), func(b *testing.B) { benchmarkPeakLoad(b, n, factor) })
+			for _, cores := range []int64{4, 24} {
+				for _, lookAhead := range []bool{false, true} {
+					b.Run(fmt.Sprintf("servers=%d/load=%d/cores=%d/lookAhead=%t", n, factor, cores, lookAhead), func(b *testing.B) {
+						benchmarkPeakLoad(b, n, factor, cores*1000, lookAhead)
+					})
+				}
+			}
 		}
 	}
 }
@@ -28,8 +35,10 @@
 	end   time.Time
 }
 
-func benchmarkPeakLoad(b *testing.B, servers, factor int) {
-	w := newHarness()
+func benchmarkPeakLoad(b *testing.B, servers, factor int, cpu int64, lookAhead bool) {
+	limits := bounds
+	limits.LookAhead = lookAhead
+	w := newHarnessWith(limits)
 	names := []string{}
 	for i := range servers {
 		names = append(names, fmt.Sprintf("s%03d", i))
@@ -45,7 +54,7 @@
 			for due += servers * factor / 2; due >= 100; due -= 100 {
 				id++
 				m := newRecord(id, 8)
-				m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: 4000, EstimateMs: 1000, After: []int32{0}})
+				m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: cpu, EstimateMs: 1000, After: []int32{0}})
 				w.submit(m)
 			}
 			if step%5 == 0 {
--- a/fleet/scheduler/order.go
+++ b/fleet/scheduler/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/reservation"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
@@ -63,6 +64,8 @@
 	Decisions     []Decision
 	// EndCounts counts the runs that ended, by reason.
 	EndCounts map[job.EndReason]int
+	// ReservationCounts counts the changes of reservations, of which only some are among the decisions.
+	ReservationCounts map[reservation.Change]int
 }
 
 // TakeOrders returns the orders since the last call and clears them.
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -26,6 +26,12 @@
 
 // eligible reports whether the server satisfies the task's constraints and has capacity for it.
 func eligible(t *task, v *serverState, now time.Time) bool {
+	d := t.step.step.Demand()
+	return suits(t, v, now) && d.Fits(v.free()) && v.admits(t, d)
+}
+
+// suits reports whether the server satisfies the task's constraints.
+func suits(t *task, v *serverState, now time.Time) bool {
 	p := t.step.step
 	if v.isolates() || t.mayCrashServers() && !v.canTry(t, now) {
 		return false
@@ -33,10 +39,7 @@
 	if p.Requires != "" && !v.info.HasLabel(p.Requires) {
 		return false
 	}
-	if p.AntiAffinity > 0 && v.replicas(t) >= p.AntiAffinity {
-		return false
-	}
-	return p.Demand().Fits(v.free())
+	return p.AntiAffinity <= 0 || v.replicas(t) < p.AntiAffinity
 }
 
 // replicas counts the runs of the task's step and occurrence on the server, whether they are assigned to it or not.
@@ -171,7 +174,7 @@
 		if p.AntiAffinity > 0 && v.replicas(t)+count[v] >= p.AntiAffinity {
 			continue
 		}
-		if p.Demand().Fits(v.free().Sub(used[v])) {
+		if p.Demand().Fits(v.free().Sub(used[v])) && v.admits(t, p.Demand().Add(used[v])) {
 			return v
 		}
 	}
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -36,6 +36,8 @@
 		return
 	}
 	s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
+	s.beginReservations(now)
+	defer s.endReservations(now)
 	l := s.pendingSteps(now)
 	if len(l) == 0 {
 		return
@@ -230,11 +232,15 @@
 	if len(l) == 0 {
 		return
 	}
+	all := l
 	if full.rulesOut(w.step.step.Demand()) {
-		s.noteUnplaced(w, now)
-		return
+		if l = s.heldServersFor(w); len(l) == 0 {
+			s.noteUnplaced(w, now)
+			s.reserve(w, all, now)
+			return
+		}
 	}
-	all := len(l)
+	s.foreseeEnd(w.step, now)
 	l, ok := s.advisedServers(w, l, now)
 	if !ok {
 		return
@@ -253,13 +259,15 @@
 			continue
 		}
 		if v == nil {
-			if len(l) == all {
+			if len(l) == len(all) {
 				full.add(w.step.step)
 			}
 			s.noteUnplaced(w, now)
+			s.reserve(w, all, now)
 			return
 		}
 		s.assign(t, v, t.lastRun+1)
+		s.placed(t, v)
 	}
 }
 
@@ -285,5 +293,6 @@
 	}
 	for i, t := range w.step.tasks {
 		s.assign(t, chosen[i], number)
+		s.placed(t, chosen[i])
 	}
 }
--- a/fleet/scheduler/replay_test.go
+++ b/fleet/scheduler/replay_test.go
@@ -307,10 +307,12 @@
 // BenchmarkReplay replays loads in turns and reports waits in milliseconds, jobs on time and late in percent, the free room
 // that no waiting task fits in percent, and the processor time, with that of the simulated servers, per simulated second.
 func BenchmarkReplay(b *testing.B) {
-	for _, name := range []string{"medium", "large", "wide"} {
-		b.Run(name, func(b *testing.B) {
+	for i, name := range []string{"medium", "large", "wide", "medium", "large", "wide"} {
+		limits := bounds
+		limits.LookAhead = i >= len(replayLoads)
+		b.Run(fmt.Sprintf("%s/lookAhead=%t", name, limits.LookAhead), func(b *testing.B) {
 			for range b.N {
-				m := replayAll(replayLoads[name], 3, bounds)
+				m := replayAll(replayLoads[name], 3, limits)
 				b.ReportMetric(quantile(m.small, 0.5), "small-p50")
 				b.ReportMetric(quantile(m.small, 0.99), "small-p99")
 				b.ReportMetric(mean(m.small), "small-mean")
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/duration"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/reservation"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
@@ -50,10 +51,16 @@
 	learned                map[string]*durationRatio
 	durations              *duration.Distributions
 	durationsExportedAt    time.Time
-	cordonedVMs            map[string]bool
-	rates                  map[string]*arrivals
-	poolCores              map[string]cachedValue
-	poolDemandCache        map[string]*cachedDemands
+	// books holds the reservations of the pools that have some, heldServers the servers that are reserved in this pass.
+	books       map[string]*reservation.Book
+	heldServers []*serverState
+	// reservationLines counts the changes of reservations since reservationLinesSince.
+	reservationLines      int
+	reservationLinesSince time.Time
+	cordonedVMs           map[string]bool
+	rates                 map[string]*arrivals
+	poolCores             map[string]cachedValue
+	poolDemandCache       map[string]*cachedDemands
 	// unplacedAt is, by pool, when a long-running task last found no server with enough capacity.
 	unplacedAt map[string]time.Time
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
@@ -73,7 +80,7 @@
 	s := &Scheduler{
 		limits: x, startedAt: now,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
-		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, durations: duration.New(), cordonedVMs: map[string]bool{},
+		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, durations: duration.New(), books: map[string]*reservation.Book{}, cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{},
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
@@ -98,7 +105,7 @@
 	s.checkRuns(now)
 	s.purgeEndedJobs(now)
 	s.pace(now)
-	s.needsPlan = s.needsPlan || s.awaitingTrial || !s.resumesAt.IsZero() && !now.Before(s.resumesAt)
+	s.needsPlan = s.needsPlan || s.awaitingTrial || len(s.books) > 0 || !s.resumesAt.IsZero() && !now.Before(s.resumesAt)
 	s.plan(now)
 }
 
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/reservation"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
@@ -38,11 +39,13 @@
 	previousExpiry time.Time
 	// fencedAt is when the first listing arrived. The server has seen this owner's fencing token since then and refuses
 	// previous owners.
-	fencedAt    time.Time
-	runs        map[job.Task]*run
-	used        job.Size
-	unassigned  unassignedRuns
-	endLog      endLog
+	fencedAt   time.Time
+	runs       map[job.Task]*run
+	used       job.Size
+	unassigned unassignedRuns
+	endLog     endLog
+	// held is the reservation of the server in the present pass, nil if there is none.
+	held        *reservation.Reservation
 	fullUntil   time.Time
 	pausedUntil time.Time
 	health      health
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -43,7 +43,11 @@
 }
 
 func newHarness() *harness {
-	w := &harness{Scheduler: scheduler.New(bounds, start), now: start, endSequences: map[string]uint64{}}
+	return newHarnessWith(bounds)
+}
+
+func newHarnessWith(l scheduler.Limits) *harness {
+	w := &harness{Scheduler: scheduler.New(l, start), now: start, endSequences: map[string]uint64{}}
 	w.SetTable(table)
 	return w
 }
