Restart slow runs where their server is slow, if placement looks ahead

Cause: a run counts as a straggler by its step's other tasks, and its server as slow if fewer than two of its runs have a known speed or if the run itself is half of them. Without slow servers, each restart on the replayed loads is of a task that is long by nature, and takes as long elsewhere. Change: with Limits.LookAhead, the server's other runs and those that it completed in the last 2 s decide; where nothing else is known of it, the step's tasks on other servers do, as before.

--- a/fleet/scheduler/health.go
+++ b/fleet/scheduler/health.go
@@ -14,6 +14,8 @@
 	backoffs int
 	// slowUntil is the time until which a slow server is used only where no other has capacity.
 	slowUntil time.Time
+	// ends are the last runs that the server completed and whose speed can be judged.
+	ends []judgedEnd
 }
 
 const (
@@ -84,6 +86,7 @@
 		r.task.step.durations = append(r.task.step.durations, now.Sub(r.startedAt))
 	}
 	s.learnDuration(r, now)
+	s.recordSpeed(r, now)
 	if e <= 0 || r.startPercent > 0 || r.inherited || now.Sub(r.startedAt) > maxDurationFactor*e {
 		return
 	}
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -152,7 +152,7 @@
 	if p.Checkpointing {
 		restart = restart * time.Duration(100-r.percent) / 100
 	}
-	return rest > time.Duration(stragglerFactor*float64(restart))+stragglerSlack && r.server.isSlow()
+	return rest > time.Duration(stragglerFactor*float64(restart))+stragglerSlack && s.blamesServer(r)
 }
 
 // isSlow reports whether most runs on the server are slow, or too few have a known speed to tell. Where others have a
--- /dev/null
+++ b/fleet/scheduler/speed.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import "time"
+
+// judgedEnd is the end of a run whose duration could be compared with that of its step's other tasks on other servers.
+type judgedEnd struct {
+	at   time.Time
+	slow bool
+}
+
+const (
+	// judgedEndAge is how long a completed run speaks for or against its server. Servers become slow and well again within
+	// seconds. With 1 s, twice as many tasks that were long by nature were restarted on the replayed loads.
+	judgedEndAge = 2 * time.Second
+	// maxJudgedEnds is the number of completed runs that are kept for a server.
+	maxJudgedEnds = 8
+)
+
+// recordSpeed records whether a completed run was slow, where that is used and can be told.
+func (s *Scheduler) recordSpeed(r *run, now time.Time) {
+	if !s.limits.LookAhead || r.startPercent > 0 || r.inherited {
+		return
+	}
+	if t := r.task.step.medianDuration(r.server); t > 0 {
+		l := append(r.server.health.ends, judgedEnd{now, isSlower(now.Sub(r.startedAt), t)})
+		r.server.health.ends = l[max(len(l)-maxJudgedEnds, 0):]
+	}
+}
+
+// isSlower reports whether a run of the duration d is slow where others of its step take the time t.
+func isSlower(d, t time.Duration) bool {
+	return float64(d) > stragglerFactor*float64(t)
+}
+
+// blamesServer reports whether the server, rather than the task, is the cause of a slow run. Placement that looks ahead also
+// counts the runs that the server has completed lately and leaves out the slow run itself, since a task that is long by nature
+// is as long on every other server. Where nothing else is known of the server, the step's tasks on other servers decide.
+func (s *Scheduler) blamesServer(r *run) bool {
+	v := r.server
+	if !s.limits.LookAhead {
+		return v.isSlow()
+	}
+	slow, known := 0, 0
+	count := func(isSlow bool) {
+		known++
+		if isSlow {
+			slow++
+		}
+	}
+	for _, o := range v.runs {
+		if o == r || o.phase != working || o.percent < o.startPercent+projectionMinPercent {
+			continue
+		}
+		if t := o.task.step.medianDuration(v); t > 0 {
+			count(isSlower(o.projectedDuration(), t))
+		}
+	}
+	for _, e := range v.health.ends {
+		if v.listedAt.Sub(e.at) < judgedEndAge {
+			count(e.slow)
+		}
+	}
+	return 2*slow > known || known == 0
+}
