--- a/fleet/scheduler/load_bench_test.go
+++ b/fleet/scheduler/load_bench_test.go
@@ -16,16 +16,15 @@
 
 // BenchmarkPeakLoad simulates one second of peak load on a number of servers. The jobs have two steps of eight tasks, and
 // each task takes one second; a hundred servers receive 25 jobs. With overload they receive eight times as many, so that
-// hundreds of jobs wait for capacity. With workspaces the jobs are theirs in turn.
+// hundreds of jobs wait for capacity. The tasks of the second steps take 4 or 24 of 64 cores; the latter are large enough for
+// reservations. With workspaces the jobs are theirs in turn.
 func BenchmarkPeakLoad(b *testing.B) {
 	for _, n := range []int{50, 300, 1000} {
 		for _, factor := range []int{1, 8} {
-			for _, workspaces := range []int{0, 38} {
-				name := fmt.Sprintf("servers=%d/load=%d", n, factor)
-				if workspaces > 0 {
-					name += fmt.Sprintf("/workspaces=%d", workspaces)
-				}
-				b.Run(name, func(b *testing.B) { benchmarkPeakLoad(b, n, factor, workspaces) })
+			for _, o := range []peakLoad{{cores: 4}, {cores: 4, lookAhead: true}, {cores: 24}, {cores: 24, lookAhead: true}, {cores: 4, workspaces: 38}} {
+				o.servers, o.factor = n, factor
+				name := fmt.Sprintf("servers=%d/load=%d/cores=%d/lookAhead=%t/workspaces=%d", n, factor, o.cores, o.lookAhead, o.workspaces)
+				b.Run(name, func(b *testing.B) { benchmarkPeakLoad(b, o) })
 			}
 		}
 	}
@@ -37,18 +36,27 @@
 	end   time.Time
 }
 
-func benchmarkPeakLoad(b *testing.B, servers, factor, workspaces int) {
+// peakLoad is a variant of the benchmark. cores are those of the tasks of the second steps, workspaces is 0 if there are none.
+type peakLoad struct {
+	servers, factor, workspaces int
+	cores                       int64
+	lookAhead                   bool
+}
+
+func benchmarkPeakLoad(b *testing.B, o peakLoad) {
 	gomega.RegisterTestingT(b)
-	w := newHarness()
-	if workspaces > 0 {
+	limits := bounds
+	limits.LookAhead = o.lookAhead
+	w := newHarnessWith(limits)
+	if o.workspaces > 0 {
 		l := []workspace.Workspace{}
-		for i := range workspaces {
-			l = append(l, workspace.Workspace{Name: workspaceName(i), Weight: float64(servers), Cap: job.Size{CPU: int64(servers) * 32000}})
+		for i := range o.workspaces {
+			l = append(l, workspace.Workspace{Name: workspaceName(i), Weight: float64(o.servers), Cap: job.Size{CPU: int64(o.servers) * 32000}})
 		}
 		w.SetTable(withWorkspaces(2, l...))
 	}
 	names := []string{}
-	for i := range servers {
+	for i := range o.servers {
 		names = append(names, fmt.Sprintf("s%03d", i))
 	}
 	w.addServers(names...)
@@ -59,12 +67,12 @@
 		for step := range 50 {
 			w.now = w.now.Add(20 * time.Millisecond)
 			// Of 400 parts, a second has 50 times servers/2 parts: a quarter of the servers in jobs.
-			for due += servers * factor / 2; due >= 100; due -= 100 {
+			for due += o.servers * o.factor / 2; due >= 100; due -= 100 {
 				id++
 				m := newRecord(id, 8)
-				m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: 4000, EstimateMs: 1000, After: []int32{0}})
-				if workspaces > 0 {
-					m.Workspace = workspaceName(id % workspaces)
+				m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: o.cores * 1000, EstimateMs: 1000, After: []int32{0}})
+				if o.workspaces > 0 {
+					m.Workspace = workspaceName(id % o.workspaces)
 				}
 				w.submit(m)
 			}
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/allowance"
+	"github.com/tarragonbank/tarragonbank/fleet/duration"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/reservation"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
@@ -26,6 +28,8 @@
 	ServeLate bool
 	// ConfigApply is the age of the proof of the configuration from which no task of a workspace is started, 0 for no bound.
 	ConfigApply time.Duration
+	// LookAhead learns how long tasks take and reserves servers for large tasks that find no room.
+	LookAhead bool
 }
 
 // Scheduler holds the jobs, servers and runs that the owner of the fleet knows. It is not safe for concurrent use.
@@ -51,11 +55,19 @@
 	needsPlan              bool
 	advice                 map[string]*placementAdvice
 	learned                map[string]*durationRatio
-	cordonedVMs            map[string]bool
-	rates                  map[string]*arrivals
-	poolCores              map[string]cachedValue
-	poolDemandCache        map[string]*cachedDemands
 	lateDemandCache        map[string]*lateDemands
+	durations              *duration.Distributions
+	durationsExportedAt    time.Time
+	// books holds the reservations of the pools that have some, heldServers the servers that are reserved in this pass.
+	books       map[string]*reservation.Book
+	heldServers []*serverState
+	// reservationLines counts the changes of reservations since reservationLinesSince.
+	reservationLines      int
+	reservationLinesSince time.Time
+	cordonedVMs           map[string]bool
+	rates                 map[string]*arrivals
+	poolCores             map[string]cachedValue
+	poolDemandCache       map[string]*cachedDemands
 	// unplacedAt is, by pool, when a long-running task last found no server with enough capacity.
 	unplacedAt map[string]time.Time
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
@@ -90,7 +102,7 @@
 	s := &Scheduler{
 		limits: x, startedAt: now,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
-		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, cordonedVMs: map[string]bool{},
+		advice: map[string]*placementAdvice{}, learned: map[string]*durationRatio{}, durations: duration.New(), books: map[string]*reservation.Book{}, cordonedVMs: map[string]bool{},
 		rates: map[string]*arrivals{}, poolCores: map[string]cachedValue{}, poolDemandCache: map[string]*cachedDemands{}, unplacedAt: map[string]time.Time{}, usage: usage.New(),
 		activeOf: map[string]map[string]*jobState{}, allowances: allowance.New(resubmitWindow), shares: map[string]poolShares{},
 		allocations: map[string]cachedAllocation{}, lateDemandCache: map[string]*lateDemands{}, refusals: map[string]map[Cause]int64{}, offered: map[string]bool{}, capDemandCache: map[string]capDemands{},
@@ -118,7 +130,7 @@
 	s.checkRuns(now)
 	s.purgeEndedJobs(now)
 	s.pace(now)
-	s.needsPlan = s.needsPlan || s.awaitingTrial || !s.resumesAt.IsZero() && !now.Before(s.resumesAt)
+	s.needsPlan = s.needsPlan || s.awaitingTrial || len(s.books) > 0 || !s.resumesAt.IsZero() && !now.Before(s.resumesAt)
 	s.plan(now)
 }
 
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/reservation"
 )
 
 // scratch returns a copy of the scheduler on which a job of a queue can be submitted and placed in a pool without any effect
@@ -18,6 +20,8 @@
 		c.jobs[id] = &x
 	}
 	c.usage = s.usage.Clone()
+	// Each pass makes its reservations anew.
+	c.books, c.heldServers = map[string]*reservation.Book{}, nil
 	c.servers = make(map[string]*serverState, len(s.servers))
 	for id, v := range s.servers {
 		x := *v
