Leave a task that outlasts all others of its server alone

Cause: once a server's other runs had ended 2 s ago, nothing spoke for it, and a task that is long by nature was restarted with most of its work done. Seen when the scheduler's tests were run with LookAhead set (trial): the spec of the straggler that is stopped once no longer completed its job in time. Change: where nothing recent is known of a server, the runs that it completed since the slow run began count.

--- a/fleet/scheduler/speed.go
+++ b/fleet/scheduler/speed.go
@@ -33,8 +33,8 @@
 }
 
 // blamesServer reports whether the server, rather than the task, is the cause of a slow run. Placement that looks ahead also
-// counts the runs that the server has completed lately and leaves out the slow run itself, since a task that is long by nature
-// is as long on every other server. Where nothing else is known of the server, the step's tasks on other servers decide.
+// counts the runs that the server has completed lately, or else during the slow run, and leaves out that run itself, since a task
+// that is long by nature is as long on every other server. Where nothing else is known of the server, the step's tasks on other servers decide.
 func (s *Scheduler) blamesServer(r *run) bool {
 	v := r.server
 	if !s.limits.LookAhead {
@@ -60,5 +60,13 @@
 			count(e.slow)
 		}
 	}
+	if known == 0 {
+		// A task that is long by nature outlasts all others, and nothing recent is left to speak for its server.
+		for _, e := range v.health.ends {
+			if e.at.After(r.startedAt) {
+				count(e.slow)
+			}
+		}
+	}
 	return 2*slow > known || known == 0
 }
--- a/fleet/scheduler/speed_test.go
+++ b/fleet/scheduler/speed_test.go
@@ -27,7 +27,7 @@
 		}
 	}
 	ended := map[job.Task]bool{}
-	for ms := 100; ms <= 1500; ms += 100 {
+	for ms := 100; ms <= 5000; ms += 100 {
 		w.advance(100 * time.Millisecond)
 		for _, name := range []string{"a", "b"} {
 			runs, ends := []server.Run{}, []server.EndedRun{}
@@ -57,5 +57,5 @@
 	}
 	gomega.Expect(tasks).To(gomega.HaveLen(stopped))
 },
-	ginkgo.Entry("is left alone on a server that has completed others at their speed", false, 0),
+	ginkgo.Entry("is left alone on a server that has completed others at their speed, also when it runs nothing else", false, 0),
 	ginkgo.Entry("is restarted, like the others, on a server on which all are slow", true, 4))
