--- a/fleet/reservation/book.go
+++ b/fleet/reservation/book.go
@@ -14,7 +14,7 @@
 	serversPerReservation = 8
 	maxReservations       = 32
 	// maxSearches is the number of searches for a server in each searchInterval, maxCandidates the number of servers that one
-	// compares. Tasks that get no search have one in a later pass. Comparing 64 servers took a third more processor time on
+	// compares. Tasks that get no search have one in a later pass. Comparing 64 servers took up to a third more processor time on
 	// the replayed loads, for waits that differed by less than the repetitions.
 	maxSearches    = 4
 	searchInterval = 40 * time.Millisecond
