--- a/bench/experiment/soak.go
+++ b/bench/experiment/soak.go
@@ -13,8 +13,8 @@
 // soakDuration is how long faults are injected.
 const soakDuration = 20 * time.Second
 
-// checksCaps turns on the check of the workspaces' caps. It is off until the owner enforces them.
-const checksCaps = false
+// checksCaps turns on the check of the workspaces' caps.
+const checksCaps = true
 
 func init() {
 	register("soak", "jobs under random faults of entries, backend servers, links and the store", runSoak)
