--- a/fleet/scheduler/late.go
+++ b/fleet/scheduler/late.go
@@ -11,9 +11,12 @@
 const (
 	// lateFactor is the multiple of its target duration within which the result of a job is still of use.
 	lateFactor = 3
-	// lateWorkShare is the share of a pool's capacity that late jobs may fill together with all others. The rest covers
-	// estimates that are too low.
-	lateWorkShare = 0.8
+	// lateWorkShare is the share of a pool's present capacity that late jobs may fill together with all others. The rest covers
+	// estimates that are too low. VMs that may still come do not count, since a flood of several pools needs them all.
+	lateWorkShare = 0.6
+	// lateReserve is the share of a pool's processors that late tasks leave free. Tasks are not interrupted, so that arrivals
+	// that can be on time would otherwise wait for a late task to end.
+	lateReserve = 0.25
 )
 
 // lateDue returns the time after which the result of a job is of no use.
@@ -28,7 +31,7 @@
 	if !s.limits.ServeLate || n.Excess {
 		return false
 	}
-	supply.Now, supply.Later = supply.Now*lateWorkShare, supply.Later*lateWorkShare
+	supply.Now, supply.Later = supply.Now*lateWorkShare, supply.Now*lateWorkShare
 	d := backlog.Demand{Due: s.lateDue(n), Work: n.Work() * s.durationRatio(n.Queue)}
 	x := s.lateDemands(pool, now)
 	if !backlog.Fits(now, x.demands, d, supply) {
@@ -80,3 +83,28 @@
 	s.lateDemandCache[pool] = x
 	return x
 }
+
+// lateRoom is what late tasks have left of a pool in a pass, in thousandths of a core.
+type lateRoom struct {
+	free, total int64
+}
+
+// takeLateRoom reports whether a late task may be placed in a pool with the servers l, and counts it then. In a pool that is at
+// most half full any may, so that a large task does not wait for ever in a small pool. Steps of late jobs
+// come after all others that can be on time, which are placed by then.
+func (s *Scheduler) takeLateRoom(pool string, l []*serverState, d job.Size) bool {
+	r := s.lateRooms[pool]
+	if r == nil {
+		r = &lateRoom{}
+		for _, v := range l {
+			r.free += max(v.free().CPU, 0)
+			r.total += v.info.Capacity.CPU
+		}
+		s.lateRooms[pool] = r
+	}
+	if r.free-d.CPU < int64(lateReserve*float64(r.total)) && r.free < r.total/2 {
+		return false
+	}
+	r.free -= d.CPU
+	return true
+}
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -41,7 +41,7 @@
 	if !s.needsPlan || s.table == nil {
 		return
 	}
-	s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
+	s.needsPlan, s.awaitingTrial, s.resumesAt, s.lateRooms = false, false, time.Time{}, map[string]*lateRoom{}
 	s.beginReservations(now)
 	defer s.endReservations(now)
 	l := s.pendingSteps(now)
@@ -273,6 +273,9 @@
 		if !s.allowedByCap(w.step, now) {
 			return
 		}
+		if w.state.job.Late && !s.takeLateRoom(s.poolOf(w.state), all, w.step.step.Demand()) {
+			return
+		}
 		v := bestServer(t, l, now)
 		if v == nil && t.mayCrashServers() {
 			s.awaitTrial(w, now)
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -56,8 +56,10 @@
 	advice                 map[string]*placementAdvice
 	learned                map[string]*durationRatio
 	lateDemandCache        map[string]*lateDemands
-	durations              *duration.Distributions
-	durationsExportedAt    time.Time
+	// lateRooms holds what late tasks have left of the pools in the present pass.
+	lateRooms           map[string]*lateRoom
+	durations           *duration.Distributions
+	durationsExportedAt time.Time
 	// books holds the reservations of the pools that have some, heldServers the servers that are reserved in this pass.
 	books       map[string]*reservation.Book
 	heldServers []*serverState
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -21,7 +21,7 @@
 	}
 	c.usage = s.usage.Clone()
 	// Each pass makes its reservations anew.
-	c.books, c.heldServers = map[string]*reservation.Book{}, nil
+	c.books, c.heldServers, c.lateRooms = map[string]*reservation.Book{}, nil, map[string]*lateRoom{}
 	c.servers = make(map[string]*serverState, len(s.servers))
 	for id, v := range s.servers {
 		x := *v
