Keep orders for VMs within the rate that the platform takes

Cause: the owner ordered up to 2,600 idle VMs at once to be switched off, through 6 connections and against a limit of 64 orders a second. Most orders timed out while they waited for a connection, counted as possibly carried out, kept their VM from being used and were repeated every 400 ms. Class: unbounded fan-out to a dependency with a limit, with retries that are not part of the limit. Change: a budget of half of the platform's limit (settings: duty-per-s) as a burst and half of it a second; no more orders without an answer than that; switching off leaves half of it to VMs that are needed and to maintenance; retries count. The tests failed before: 1,996 orders in a second at a limit of 50.

--- a/entry/vmcontroller/controller.go
+++ b/entry/vmcontroller/controller.go
@@ -78,13 +78,15 @@
 	return func(c *Controller) { c.metrics = m }
 }
 
-// Timing holds the durations of orders to VMs.
+// Timing holds the durations of orders to VMs and their limit.
 type Timing struct {
 	// MoveDowntime and MaintenanceDowntime are how long a VM is down for an order.
 	MoveDowntime        time.Duration
 	MaintenanceDowntime time.Duration
 	// OrderLease is how long a VM accepts further orders only from the entry that gave the last one.
 	OrderLease time.Duration
+	// OrdersPerSecond is the number of orders that the platform takes in a second, 0 if that is not known.
+	OrdersPerSecond float64
 }
 
 // Controller carries out maintenance waves and moves while its entry owns the fleet.
--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -429,3 +429,32 @@
 		})
 	})
 }
+
+// Thousands of idle VMs were ordered to move at once and again every 400 ms, so that the owner could do nothing else.
+func TestOrdersOfALargeFleetStayWithinThePlatformsLimit(t *testing.T) {
+	const limit = 50
+	sent := []time.Time{}
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		for i := range 1000 {
+			n := fmt.Sprintf("v%04d", i)
+			x.vms = append(x.vms, newVM(n))
+			reportIdle(o, n)
+		}
+		x.result = vmcontroller.OutcomeUnknown
+		x.onOrder = func(string) { sent = append(sent, time.Now()) }
+	}, func(g *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
+		time.Sleep(20 * time.Second)
+		x.lock.Lock()
+		defer x.lock.Unlock()
+		g.Expect(len(sent)).To(gomega.BeNumerically(">", 20*limit/4), "orders go on")
+		for i, at := range sent {
+			n := 0
+			for _, later := range sent[i:] {
+				if later.Sub(at) < time.Second {
+					n++
+				}
+			}
+			g.Expect(n).To(gomega.BeNumerically("<=", limit))
+		}
+	})
+}
--- a/entry/vmcontroller/move.go
+++ b/entry/vmcontroller/move.go
@@ -8,6 +8,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
+	"github.com/tarragonbank/tarragonbank/fleet/vmorder"
 )
 
 // stepRebalance plans the moves between pools that package rebalance decides, and reports the moving cores to the
@@ -28,7 +29,7 @@
 			t.drainForMove(m, now)
 			continue
 		}
-		t.orderMove(m)
+		t.orderMove(m, now)
 	}
 	t.reportProvisioning(vms)
 }
@@ -136,9 +137,16 @@
 	}
 }
 
-// orderMove plans the order for a VM's move to another pool if the VM is still idle.
-func (t *term) orderMove(m rebalance.Move) {
-	if !t.isStandby(m.From) && !t.cordonIfIdle(m.VM) {
+// orderMove plans the order for a VM's move to another pool if the budget allows it and the VM is still idle.
+func (t *term) orderMove(m rebalance.Move, now time.Time) {
+	u := vmorder.Needed
+	if t.isStandby(m.To) {
+		u = vmorder.Saving
+	}
+	t.lock.Lock()
+	ok := t.mayOrder(u, now)
+	t.lock.Unlock()
+	if !ok || !t.isStandby(m.From) && !t.cordonIfIdle(m.VM) {
 		return
 	}
 	t.logDecision(decision.Record{VM: m.VM, Pool: m.To, Service: m.From, Reason: "move: " + m.Reason})
@@ -178,7 +186,7 @@
 		switch {
 		case !known || v.State != vm.Up || v.ServerID != o.serverID:
 			t.closeOrder(o, "VM changed while it was drained for a move")
-		case idle:
+		case idle && t.mayOrder(vmorder.Needed, now):
 			o.draining = false
 			t.pending = append(t.pending, o)
 		case now.Sub(o.drainingSince) > maxMoveDrain:
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -11,6 +11,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/rebalance"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
+	"github.com/tarragonbank/tarragonbank/fleet/vmorder"
 	"github.com/tarragonbank/tarragonbank/fleet/vmusage"
 )
 
@@ -47,6 +48,9 @@
 	leasedUntil map[string]time.Time
 	// pending holds the orders of this step, which are stored before they are sent.
 	pending []*order
+	// budget is the number of orders that may be sent now, deferred the number of those that wait for it since the last step.
+	budget   *vmorder.Budget
+	deferred int
 }
 
 // order is a planned or sent order for a VM; it is open until the VM is back.
@@ -75,9 +79,33 @@
 		surplusSince: map[string]time.Time{}, poolSizes: map[string]float64{}, poolLoads: map[string]*rebalance.Load{},
 		invalidMoves: map[[2]string]bool{},
 		lastOrdered:  map[string]time.Time{}, leasedUntil: map[string]time.Time{},
+		budget: vmorder.New(c.timing.OrdersPerSecond),
 	}
 }
 
+// mayOrder takes an order from the budget and reports whether it may be sent; the caller holds the lock.
+func (t *term) mayOrder(u vmorder.Urgency, now time.Time) bool {
+	open := 0
+	for _, o := range t.openOrders {
+		if !o.draining && !o.accepted {
+			open++
+		}
+	}
+	if !t.budget.Take(u, open, now) {
+		t.deferred++
+		return false
+	}
+	return true
+}
+
+// reportDeferred reports the number of orders that waited for the budget in this step.
+func (t *term) reportDeferred() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.controller.metrics.Gauge("vm_orders_deferred", float64(t.deferred))
+	t.deferred = 0
+}
+
 // step reads the list of VMs if it is old, and does what the waves and the pools need now. It does nothing while the store
 // has not lately confirmed that this entry owns the fleet.
 func (t *term) step(ctx context.Context) {
@@ -103,6 +131,7 @@
 	t.stepRebalance(loads, needs, now)
 	t.recordUsage(loads, needs, now)
 	t.sendPending(ctx)
+	t.reportDeferred()
 }
 
 // readVMs reads the list of VMs and reports whether it succeeded.
@@ -207,7 +236,9 @@
 	l := []*order{}
 	for _, o := range t.openOrders {
 		if !o.draining && !o.accepted && !o.inFlight && now.Sub(o.sentAt) > retryInterval {
-			l = append(l, o)
+			if t.budget.Take(vmorder.Needed, len(l), now) {
+				l = append(l, o)
+			}
 		}
 	}
 	t.lock.Unlock()
--- a/entry/vmcontroller/wave.go
+++ b/entry/vmcontroller/wave.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 	"github.com/tarragonbank/tarragonbank/fleet/vm"
+	"github.com/tarragonbank/tarragonbank/fleet/vmorder"
 	"github.com/tarragonbank/tarragonbank/fleet/wave"
 )
 
@@ -110,7 +111,7 @@
 		t.drain(n, w.Number)
 	}
 	for _, n := range plan.TakeDown {
-		t.orderMaintenance(n, w.Number)
+		t.orderMaintenance(n, w.Number, now)
 	}
 	t.evacuateDraining()
 }
@@ -209,9 +210,12 @@
 	}
 }
 
-// orderMaintenance plans the order for a VM's maintenance if the VM is idle.
-func (t *term) orderMaintenance(name string, number int) {
-	if !t.cordonIfIdle(name) {
+// orderMaintenance plans the order for a VM's maintenance if the budget allows it and the VM is idle.
+func (t *term) orderMaintenance(name string, number int, now time.Time) {
+	t.lock.Lock()
+	ok := t.mayOrder(vmorder.Needed, now)
+	t.lock.Unlock()
+	if !ok || !t.cordonIfIdle(name) {
 		return
 	}
 	t.lock.Lock()
