Spread the polls of servers that have not answered lately

Cause: a new owner polls all servers at once, each with a time limit of 0.3 s, and reads most answers after it; it then polls them again every 0.7 s at most, as it does all servers that it takes for silent. Its own delay counts as silence, their leases are not renewed, and their tasks are started again though they have ended. Class: a metastable overload, kept up by its own retries. Evidence: up to 1,188 repeated polls a second without an answer in the trace, which holds a quarter of the servers, from 6 s on. Change: polls of servers that have not answered lately take turns, 1,500 a second for each core of the owner; servers with runs go first.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -35,6 +35,10 @@
 	// endsStoredInterval is the time between the checks.
 	endsStoredTimeout  = 300 * time.Millisecond
 	endsStoredInterval = 10 * time.Millisecond
+	// unansweredPollsPerCore is the number of polls a second, for each of the owner's cores, of servers that have not answered
+	// lately, unansweredPollBurst the time over which unused ones are kept.
+	unansweredPollsPerCore = 1500
+	unansweredPollBurst    = 100 * time.Millisecond
 	// adviceTimeout bounds a request to the advice service, which handles one request at a time.
 	adviceTimeout = 2 * time.Second
 )
@@ -181,6 +185,9 @@
 	// The first poll does not wait for ends, and the server is unreachable if it fails.
 	missed := 1
 	for r.ctx.Err() == nil {
+		if missed > 0 {
+			r.awaitPollTurn(id)
+		}
 		h, ok := r.nextPoll(id)
 		if !ok {
 			r.owner.forgetServer(id)
@@ -196,6 +203,20 @@
 	}
 }
 
+// awaitPollTurn spreads the polls of servers that have not answered lately: all servers when the term begins, and those that
+// are unreachable. Without that, more of them fall due at a time than this process can carry out, and it takes its own delay
+// for silence of the servers. Servers with runs go first, since their leases are running.
+func (r *term) awaitPollTurn(id string) {
+	now := time.Now()
+	d := r.unansweredPolls.ReserveN(now, 1).DelayFrom(now)
+	r.lock.Lock()
+	runs := r.scheduler.ServerLoad(id, now).Runs
+	r.lock.Unlock()
+	if runs == 0 {
+		wait.For(r.ctx, d)
+	}
+}
+
 // nextPoll returns the next poll of the server. The result is false if the scheduler needs no further polls. No lease is
 // renewed once the ownership has been unconfirmed for scheduler.MaxUnconfirmedRenewal.
 func (r *term) nextPoll(id string) (scheduler.PollRequest, bool) {
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
 	"github.com/tarragonbank/tarragonbank/fleet/loss"
@@ -61,6 +63,8 @@
 	storeUnavailable bool
 	// orderTimeout is the timeout of orders to servers.
 	orderTimeout adaptiveTimeout
+	// unansweredPolls limits the polls of servers that have not answered lately.
+	unansweredPolls *rate.Limiter
 	// reportedAt and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
 	// process has too little processor.
 	reportedAt time.Time
@@ -73,6 +77,8 @@
 	tickInterval = 100 * time.Millisecond
 	// maxConfirmationAge is how old the store's confirmation may be for orders that cannot be fenced.
 	maxConfirmationAge = time.Second
+	// minPollingCores is assumed for an entry that does not know its cores.
+	minPollingCores = 0.1
 	// minPreviousTerm is twice as long as owners, also those of earlier versions, renew leases without a confirmation.
 	minPreviousTerm = 4 * time.Second
 )
@@ -96,6 +102,8 @@
 		commitTimeout:  adaptiveTimeout{minimum: minCommitTimeout, maximum: storeTimeout},
 		orderTimeout:   adaptiveTimeout{minimum: minOrderTimeout, maximum: maxOrderTimeout},
 	}
+	n := unansweredPollsPerCore * max(o.self.Cores, minPollingCores)
+	r.unansweredPolls = rate.NewLimiter(rate.Limit(n), max(int(n*unansweredPollBurst.Seconds()), 1))
 	r.confirmOwnership(a.askedAt)
 	return r
 }
