Repeat calls that had no result through another executor

Cause: after one call without a result the owner called the server itself for 3 s. An owner that is behind hears from few executors in time, so it opened up to 3,597 connections of its own and fell further behind. Class: a fallback that costs more than what it replaces, used when there is least to spare. Change: a call is repeated through another executor; directly only if there is none. The test failed before: both repeated calls went directly.

--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -47,6 +47,13 @@
 	return err
 }
 
+// setMute sets whether calls go without an answer.
+func (s *fakeServers) setMute(on bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.mute = on
+}
+
 func (s *fakeServers) taken() []string {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -204,8 +211,30 @@
 		gomega.Expect(errors.As(err, &fenced)).To(gomega.BeTrue())
 	})
 
+	// An owner that is behind hears from few executors in time; calling their servers itself put it further behind.
+	ginkgo.It("calls a server through another executor after a call had no result", func() {
+		fill()
+		s, _ := connect(ctx, p, "e1", "dc-0")
+		t, _ := connect(ctx, p, "e2", "dc-0")
+		s.setMute(true)
+		t.setMute(true)
+		for i := range 2 {
+			_, _ = poll(i, 20*time.Millisecond)
+		}
+		gomega.Expect(direct.taken()).To(gomega.BeEmpty())
+		s.setMute(false)
+		t.setMute(false)
+		through := len(s.taken())
+		for i := range 2 {
+			_, err := poll(i, time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		gomega.Expect(direct.taken()).To(gomega.BeEmpty())
+		gomega.Expect(s.taken()).To(gomega.HaveLen(2-through), "each server through the executor that was not tried")
+	})
+
 	// An executor that is frozen, or cut off from a server, must not make the server look silent.
-	ginkgo.It("calls a server directly after a call through an executor had no result", func() {
+	ginkgo.It("calls a server directly after a call through the only executor had no result", func() {
 		fill()
 		s, _ := connect(ctx, p, "e1", "dc-0")
 		s.mute = true
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// directPeriod is how long the owner calls a server itself after a call through an executor had no result.
-	directPeriod = 3 * time.Second
+	// avoidancePeriod is how long an executor is not used for a server after a call to it had no result.
+	avoidancePeriod = 3 * time.Second
 	// maxFailures is the number of calls in a row without a result after which an executor is not used for suspension.
 	maxFailures = 8
 	suspension  = 2 * time.Second
@@ -27,7 +27,8 @@
 )
 
 // Pool sends the owner's orders to backend servers, through other entries if there are many servers. It implements
-// owner.Servers. A call that had no result through an executor goes directly when it is repeated; orders are idempotent.
+// owner.Servers. A call that had no result through an executor goes through another one when it is repeated, or directly if
+// there is none; orders are idempotent.
 type Pool struct {
 	direct owner.Servers
 	cores  float64
@@ -51,10 +52,12 @@
 
 // route is how a server is called.
 type route struct {
-	member      *member
-	version     int
-	directUntil time.Time
-	usedAt      time.Time
+	member  *member
+	version int
+	// failed is the member through which a call had no result, which is not used for the server until avoidUntil.
+	failed     *member
+	avoidUntil time.Time
+	usedAt     time.Time
 }
 
 // New returns a pool without members, for an owner with the cores. Calls go through direct until members join.
@@ -105,20 +108,24 @@
 		p.routes[v.ID] = r
 	}
 	r.usedAt = now
-	if !Needed(len(p.routes), p.cores) || now.Before(r.directUntil) {
+	if !Needed(len(p.routes), p.cores) {
 		return nil
 	}
+	if r.failed != nil && !now.Before(r.avoidUntil) {
+		r.failed, r.version = nil, -1
+	}
 	if r.version != p.version || r.member != nil && now.Before(r.member.suspendedUntil) {
-		r.member, r.version = p.choose(v, now), p.version
+		r.member, r.version = p.choose(v, r.failed, now), p.version
 	}
 	return r.member
 }
 
-// choose returns the best member for a server among those that are not suspended, or nil.
-func (p *Pool) choose(v server.Server, now time.Time) *member {
+// choose returns the best member for a server among those that are not suspended, except the one that failed, or
+// nil.
+func (p *Pool) choose(v server.Server, failed *member, now time.Time) *member {
 	l, c := []*member{}, []Candidate{}
 	for _, m := range p.members {
-		if !now.Before(m.suspendedUntil) {
+		if m != failed && !now.Before(m.suspendedUntil) {
 			l, c = append(l, m), append(c, m.Candidate)
 		}
 	}
@@ -150,7 +157,7 @@
 		return
 	}
 	if r := p.routes[v.ID]; r != nil {
-		r.directUntil = now.Add(directPeriod)
+		r.failed, r.avoidUntil, r.version = m, now.Add(avoidancePeriod), -1
 	}
 	if m.failures++; m.failures >= maxFailures {
 		m.failures = 0
