Choose executors for groups of servers

Cause: an owner with 300 equal entries had 300 executors with some ten servers each, so that hardly a frame held two polls; and each entry that joined or was suspended made it choose among 300 anew for each of 3,004 servers. Change: servers of a data centre are grouped, 64 to a group if there is one data centre, and a group shares an executor. The test failed before: 60 of 60 executors for 300 servers, now 16 at most.

--- a/entry/executor/choose.go
+++ b/entry/executor/choose.go
@@ -28,7 +28,7 @@
 	return float64(servers) > directServersPerCore*cores
 }
 
-// Choose returns the index of the candidate for a server, or -1 if there is none. It prefers the server's data centre,
+// Choose returns the index of the candidate for a server, or a group of them, or -1 if there is none. It prefers the server's data centre,
 // which a partition between data centres does not separate from the server. Among equals, rendezvous hashing spreads
 // the servers by the candidates' cores and moves few of them when the candidates change.
 func Choose(server, dataCentre string, l []Candidate) int {
--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -233,6 +233,29 @@
 		gomega.Expect(s.taken()).To(gomega.HaveLen(2-through), "each server through the executor that was not tried")
 	})
 
+	ginkgo.It("sends the calls of a large fleet through few of many executors", func() {
+		for i := range 300 {
+			_, err := poll(i, time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		l := []*fakeServers{}
+		for i := range 60 {
+			s, _ := connect(ctx, p, fmt.Sprint("e", i), fmt.Sprintf("dc-%d", i%2))
+			l = append(l, s)
+		}
+		for i := range 300 {
+			_, err := poll(i, time.Second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		used := 0
+		for _, s := range l {
+			if len(s.taken()) > 0 {
+				used++
+			}
+		}
+		gomega.Expect(used).To(gomega.And(gomega.BeNumerically("<=", 16), gomega.BeNumerically(">", 6)))
+	})
+
 	// An executor that is frozen, or cut off from a server, must not make the server look silent.
 	ginkgo.It("calls a server directly after a call through the only executor had no result", func() {
 		fill()
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -4,10 +4,14 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/bits"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
@@ -39,9 +43,33 @@
 	members []*member
 	version int
 	routes  map[string]*route
+	groups  map[groupKey]group
 	sweptAt time.Time
 }
 
+// groupKey names a group of servers that share an executor, so that their calls share frames and an executor is chosen once
+// for all of them.
+type groupKey struct {
+	dataCentre string
+	bucket     uint64
+}
+
+// group is the executor of a group as chosen for a version of the members.
+type group struct {
+	member  *member
+	version int
+}
+
+// serversPerGroup is the mean number of servers in a group if all are in one data centre.
+const serversPerGroup = 64
+
+// groupOf returns the group of a server among the given number of servers. The number of groups doubles with that of the
+// servers, so that few changes of it move servers.
+func groupOf(v server.Server, servers int) groupKey {
+	n := uint64(1) << bits.Len(uint(servers/serversPerGroup))
+	return groupKey{v.DataCentre, xxhash.Sum64String(v.ID) % n}
+}
+
 // member is an entry with a channel.
 type member struct {
 	Candidate
@@ -52,9 +80,7 @@
 
 // route is how a server is called.
 type route struct {
-	member  *member
-	version int
-	// failed is the member through which a call had no result, which is not used for the server until avoidUntil.
+	// failed is the member through which a call had no result. It is not used for the server until avoidUntil.
 	failed     *member
 	avoidUntil time.Time
 	usedAt     time.Time
@@ -62,7 +88,7 @@
 
 // New returns a pool without members, for an owner with the cores. Calls go through direct until members join.
 func New(direct owner.Servers, cores float64) *Pool {
-	return &Pool{direct: direct, cores: cores, routes: map[string]*route{}}
+	return &Pool{direct: direct, cores: cores, routes: map[string]*route{}, groups: map[groupKey]group{}}
 }
 
 // Join adds an entry that has a channel to this one, until the channel closes.
@@ -104,32 +130,40 @@
 	p.sweep(now)
 	r := p.routes[v.ID]
 	if r == nil {
-		r = &route{version: -1}
+		r = &route{}
 		p.routes[v.ID] = r
 	}
 	r.usedAt = now
-	if !Needed(len(p.routes), p.cores) {
+	switch {
+	case !Needed(len(p.routes), p.cores):
 		return nil
+	case now.Before(r.avoidUntil):
+		return p.choose(v.ID, v.DataCentre, r.failed, now)
+	default:
+		return p.groupMember(groupOf(v, len(p.routes)), now)
 	}
-	if r.failed != nil && !now.Before(r.avoidUntil) {
-		r.failed, r.version = nil, -1
-	}
-	if r.version != p.version || r.member != nil && now.Before(r.member.suspendedUntil) {
-		r.member, r.version = p.choose(v, r.failed, now), p.version
+}
+
+// groupMember returns the member that calls the servers of a group, or nil if there is none.
+func (p *Pool) groupMember(k groupKey, now time.Time) *member {
+	g, ok := p.groups[k]
+	if !ok || g.version != p.version || g.member != nil && now.Before(g.member.suspendedUntil) {
+		g = group{p.choose(strconv.FormatUint(k.bucket, 10), k.dataCentre, nil, now), p.version}
+		p.groups[k] = g
 	}
-	return r.member
+	return g.member
 }
 
-// choose returns the best member for a server among those that are not suspended, except the one that failed, or
-// nil.
-func (p *Pool) choose(v server.Server, failed *member, now time.Time) *member {
+// choose returns the best member for a server or a group of them among those that are not suspended, except the one that
+// failed, or nil.
+func (p *Pool) choose(key, dataCentre string, failed *member, now time.Time) *member {
 	l, c := []*member{}, []Candidate{}
 	for _, m := range p.members {
 		if m != failed && !now.Before(m.suspendedUntil) {
 			l, c = append(l, m), append(c, m.Candidate)
 		}
 	}
-	if i := Choose(v.ID, v.DataCentre, c); i >= 0 {
+	if i := Choose(key, dataCentre, c); i >= 0 {
 		return l[i]
 	}
 	return nil
@@ -157,7 +191,7 @@
 		return
 	}
 	if r := p.routes[v.ID]; r != nil {
-		r.failed, r.avoidUntil, r.version = m, now.Add(avoidancePeriod), -1
+		r.failed, r.avoidUntil = m, now.Add(avoidancePeriod)
 	}
 	if m.failures++; m.failures >= maxFailures {
 		m.failures = 0
