Pause before an order that failed is repeated

Cause, looked for after the incident: an order that failed at once, by a reset connection, a closed channel or a channel with too many messages waiting, was repeated without a pause for 0.9 s. The last of these errors comes when the owner is behind already. Class: a retry that feeds an overload. Change: 10 ms before the first repetition, twice as long before each further one. The test failed before: 1,001 attempts, where its server stops failing; now 20 at most.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -16,6 +16,9 @@
 	// orderRetryPeriod bounds an order to a server and its retries. The server's listing shows the outcome of orders
 	// without an answer.
 	orderRetryPeriod = 900 * time.Millisecond
+	// orderRetryPause is the time between the first attempt of an order that failed and the next one. It doubles with each
+	// attempt.
+	orderRetryPause = 10 * time.Millisecond
 	// idlePollWait is how long a poll waits for a run end on a server without runs, busyPollWait on other servers. A lost
 	// answer delays the report of ends for as long, and a silent server is noticed after this time.
 	idlePollWait = time.Second
@@ -129,11 +132,11 @@
 	}
 }
 
-// retryOrder repeats an idempotent order, with a doubled timeout each time, until it is answered or orderRetryPeriod is
-// over. It reports whether there was an answer.
+// retryOrder repeats an idempotent order, with a doubled pause and timeout each time, until it is answered or
+// orderRetryPeriod is over. It reports whether there was an answer.
 func (r *term) retryOrder(f func(context.Context) error) bool {
 	deadline := time.Now().Add(orderRetryPeriod)
-	timeout := r.orderTimeout.duration()
+	timeout, pause := r.orderTimeout.duration(), orderRetryPause
 	for r.ctx.Err() == nil && time.Now().Before(deadline) {
 		c, stop := context.WithTimeout(r.ctx, timeout)
 		began := time.Now()
@@ -148,7 +151,8 @@
 			return false
 		}
 		r.owner.deps.Metrics.Event("orders", "repeated")
-		timeout *= 2
+		wait.For(r.ctx, pause)
+		timeout, pause = 2*timeout, 2*pause
 	}
 	return false
 }
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -47,6 +48,9 @@
 	// loseAnswers starts runs without an answer, and answers repeated orders with retryAnswer.
 	loseAnswers bool
 	retryAnswer scheduler.StartAnswer
+	// failsAtOnce makes start orders fail without a delay. attempts counts the start orders.
+	failsAtOnce bool
+	attempts    int
 	// waits makes polls wait for as long as they ask. lost makes all calls go without an answer.
 	waits, lost bool
 	// lasts makes the tasks run without an end.
@@ -99,6 +103,9 @@
 		<-ctx.Done()
 		return scheduler.NoAnswer, 0, ctx.Err()
 	}
+	if s.failsStart() {
+		return scheduler.NoAnswer, 0, errors.New("connection reset")
+	}
 	a, clock, err := s.startRun(o, token)
 	if s.loseAnswers && a == scheduler.Started {
 		<-ctx.Done()
@@ -107,6 +114,15 @@
 	return a, clock, err
 }
 
+// failsStart counts an attempt to start a run and reports whether it fails.
+func (s *fakeServer) failsStart() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.attempts++
+	// Attempts without pauses would keep the fake clock from advancing.
+	return s.failsAtOnce && s.attempts < 1000
+}
+
 func (s *fakeServer) startRun(o scheduler.StartOrder, token uint64) (scheduler.StartAnswer, time.Duration, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -319,6 +335,20 @@
 	}
 }
 
+// Orders that failed at once were repeated without a pause for 0.9 s.
+func TestFailingOrdersAreRepeatedWithPauses(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		s.server.failsAtOnce = true
+		o, _ := s.startEntry("e1")
+		time.Sleep(time.Second)
+		submit(o, firstID)
+		time.Sleep(time.Second)
+		s.server.lock.Lock()
+		defer s.server.lock.Unlock()
+		g.Expect(s.server.attempts).To(gomega.And(gomega.BeNumerically(">=", 4), gomega.BeNumerically("<=", 20)), "for two tasks")
+	})
+}
+
 func TestSingleOwner(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
 		entries := []*owner.Owner{}
