Choose executors anew when a suspension ends

Callers would see: after one moment in which all executors were suspended, an owner of 3,000 servers goes on calling them itself, with thousands of connections of its own, until an entry joins, leaves or is suspended; a single suspended executor gets no groups back either. Cause: a group of servers keeps its choice until the members change. The end of a suspension is no such change, and 'none' was kept too. Change: a choice holds until the first suspension in force ends. Evidence: review; the test failed before: no call through an executor in the 5 s after both executors answered again (suspended for 2 s).

--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -289,4 +289,25 @@
 		}
 		gomega.Expect(direct.taken()).To(gomega.HaveLen(10))
 	})
+
+	// While all executors were suspended, groups of servers were assigned to none, and stayed so for good.
+	ginkgo.It("uses executors again once they are no longer suspended", func() {
+		fill()
+		s, _ := connect(ctx, p, "e1", "dc-0")
+		t, _ := connect(ctx, p, "e2", "dc-0")
+		s.setMute(true)
+		t.setMute(true)
+		for i := range 40 {
+			_, _ = poll(100+i, 5*time.Millisecond)
+		}
+		gomega.Expect(direct.taken()).NotTo(gomega.BeEmpty(), "all executors are suspended")
+		s.setMute(false)
+		t.setMute(false)
+		s.taken()
+		t.taken()
+		gomega.Eventually(func() int {
+			_, _ = poll(200, time.Second)
+			return len(s.taken()) + len(t.taken())
+		}, 5*time.Second, 100*time.Millisecond).Should(gomega.BeNumerically(">", 0))
+	})
 })
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -58,6 +58,13 @@
 type group struct {
 	member  *member
 	version int
+	// until is when the first suspension ends of those in force at the choice, zero if there was none.
+	until time.Time
+}
+
+// current reports whether the choice still holds.
+func (g group) current(version int, now time.Time) bool {
+	return g.version == version && (g.until.IsZero() || now.Before(g.until))
 }
 
 // serversPerGroup is the mean number of servers in a group if all are in one data centre.
@@ -147,13 +154,24 @@
 // groupMember returns the member that calls the servers of a group, or nil if there is none.
 func (p *Pool) groupMember(k groupKey, now time.Time) *member {
 	g, ok := p.groups[k]
-	if !ok || g.version != p.version || g.member != nil && now.Before(g.member.suspendedUntil) {
-		g = group{p.choose(strconv.FormatUint(k.bucket, 10), k.dataCentre, nil, now), p.version}
+	if !ok || !g.current(p.version, now) {
+		g = group{p.choose(strconv.FormatUint(k.bucket, 10), k.dataCentre, nil, now), p.version, p.nextResumption(now)}
 		p.groups[k] = g
 	}
 	return g.member
 }
 
+// nextResumption returns when the next suspension of a member ends, zero if none is suspended.
+func (p *Pool) nextResumption(now time.Time) time.Time {
+	var next time.Time
+	for _, m := range p.members {
+		if t := m.suspendedUntil; now.Before(t) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	return next
+}
+
 // choose returns the best member for a server or a group of them among those that are not suspended, except the one that
 // failed, or nil.
 func (p *Pool) choose(key, dataCentre string, failed *member, now time.Time) *member {
