Bound by how much silent servers with runs put off the polls of others

Callers would see: for tens of seconds after many servers with tasks fall silent, new servers and those that answer again stay unused. Cause: servers with runs take a turn for each poll but don't wait for it, so the limiter's debt grows for as long as they ask for more than it gives (1.4 polls a second each, five if their connections are refused). All others wait until it is paid. Evidence: 600 silent servers with runs, 0.1 core: a new server's first poll came 20.1 s after its registration. Change: they take no more turns once others would wait for over 0.5 s because of them.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -39,6 +39,8 @@
 	// lately, unansweredPollBurst the time over which unused ones are kept.
 	unansweredPollsPerCore = 1500
 	unansweredPollBurst    = 100 * time.Millisecond
+	// maxTurnDelay is how long the polls of silent servers with runs put off those of the others, which include new servers.
+	maxTurnDelay = 500 * time.Millisecond
 	// adviceTimeout bounds a request to the advice service, which handles one request at a time.
 	adviceTimeout = 2 * time.Second
 )
@@ -210,12 +212,16 @@
 // not wait: it may get runs meanwhile, whose leases nothing would renew.
 func (r *term) awaitPollTurn(id string) {
 	now := time.Now()
-	d := r.unansweredPolls.ReserveN(now, 1).DelayFrom(now)
 	r.lock.Lock()
 	runs := r.scheduler.ServerLoad(id, now).Runs
 	r.lock.Unlock()
+	n := r.unansweredPolls
 	if runs == 0 {
-		wait.For(r.ctx, d)
+		wait.For(r.ctx, n.ReserveN(now, 1).DelayFrom(now))
+		return
+	}
+	if n.TokensAt(now) > -maxTurnDelay.Seconds()*float64(n.Limit()) {
+		n.ReserveN(now, 1)
 	}
 }
 
--- a/entry/owner/silent_test.go
+++ b/entry/owner/silent_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
@@ -108,3 +109,28 @@
 		g.Expect(l[0].Sub(at)).To(gomega.BeNumerically("<", 1500*time.Millisecond), "once the lost answer is overdue")
 	})
 }
+
+// The polls of silent servers with runs are not delayed, and put off those of all others for as long as they went on.
+func TestSilentServersWithRunsDoNotPutOffNewOnes(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		register(g, s, "x", 600)
+		c := newFleetServers(s)
+		s.servers, s.cores = c, 0.1
+		o, _ := s.startEntry("e1")
+		time.Sleep(10 * time.Second)
+		for i := range 6 {
+			m := jobRecord(fmt.Sprintf("00000000000000c%d", i))
+			m.Steps = []*schema.StepRecord{{Count: 100, CpuMilli: 64000, EstimateMs: 1000, Lasting: true}}
+			g.Expect(o.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+		}
+		time.Sleep(3 * time.Second)
+		c.setSilent(func(id string) bool { return id[0] == 'x' })
+		time.Sleep(4500 * time.Millisecond)
+		began := time.Now()
+		register(g, s, "new", 1)
+		time.Sleep(30 * time.Second)
+		l := c.pollsSince("new0000", began)
+		g.Expect(l).NotTo(gomega.BeEmpty())
+		g.Expect(l[0]).To(gomega.BeTemporally("<", began.Add(2*time.Second)))
+	})
+}
