Switch VMs off also where the platform takes few orders

Callers would see: where the settings name a duty-per-s below 4, VMs in surplus are never switched off; below 1, more orders than the limit. Cause: an order that only saves waits for one more than half of a full budget; a budget of one order never has that. The rate was one a second at least, whatever the limit. Evidence: review; the test failed before: 0 orders in 30 s at limits of 0.5, 1, 2 and 3 (settings seen so far name 64).

--- a/fleet/vmorder/budget.go
+++ b/fleet/vmorder/budget.go
@@ -15,7 +15,7 @@
 const (
 	// Needed orders add capacity, are due for maintenance or have had no answer.
 	Needed Urgency = iota
-	// Saving orders only switch VMs off. They leave half of the budget to the others.
+	// Saving orders only switch VMs off. They leave half of the budget to the others, unless that holds only one order.
 	Saving
 )
 
@@ -37,8 +37,8 @@
 	if perSecond <= 0 {
 		perSecond = defaultPerSecond
 	}
-	n := max(perSecond*share, 1)
-	return &Budget{limiter: rate.NewLimiter(rate.Limit(n), int(n))}
+	n := perSecond * share
+	return &Budget{limiter: rate.NewLimiter(rate.Limit(n), max(int(n), 1))}
 }
 
 // Take takes one order from the budget and reports whether it may be sent. open is the number of orders that the platform has
@@ -47,7 +47,8 @@
 	if open >= b.limiter.Burst() {
 		return false
 	}
-	if u == Saving && b.limiter.TokensAt(now) < 1+float64(b.limiter.Burst())/2 {
+	full := float64(b.limiter.Burst())
+	if u == Saving && b.limiter.TokensAt(now) < min(1+full/2, full) {
 		return false
 	}
 	return b.limiter.AllowN(now, 1)
--- a/fleet/vmorder/budget_test.go
+++ b/fleet/vmorder/budget_test.go
@@ -67,4 +67,16 @@
 		gomega.Expect(vmorder.New(0.5).Take(vmorder.Needed, 0, start)).To(gomega.BeTrue())
 		gomega.Expect(len(takeAll(vmorder.New(0), vmorder.Needed, 1000, time.Second))).To(gomega.BeNumerically("<=", 50))
 	})
+
+	// A small budget was never half full beyond one order, so that VMs were never switched off.
+	ginkgo.DescribeTable("switches VMs off at any limit, within it", func(limit float64) {
+		l := takeAll(vmorder.New(limit), vmorder.Saving, 100, 30*time.Second)
+		gomega.Expect(len(l)).To(gomega.And(gomega.BeNumerically(">=", int(30*limit/4)), gomega.BeNumerically("<=", int(30*limit)+1)))
+	},
+		ginkgo.Entry("0.5", 0.5),
+		ginkgo.Entry("1", 1.0),
+		ginkgo.Entry("2", 2.0),
+		ginkgo.Entry("3", 3.0),
+		ginkgo.Entry("4", 4.0),
+		ginkgo.Entry("7", 7.0))
 })
