--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -42,6 +42,8 @@
 	// lately, unansweredPollBurst the time over which unused ones are kept.
 	unansweredPollsPerCore = 1500
 	unansweredPollBurst    = 100 * time.Millisecond
+	// maxTurnDelay is how long the polls of silent servers with runs put off those of the others, which include new servers.
+	maxTurnDelay = 500 * time.Millisecond
 	// adviceTimeout bounds a request to the advice service, which handles one request at a time.
 	adviceTimeout = 2 * time.Second
 )
@@ -187,9 +189,9 @@
 // pollServer renews a server's lease and applies its listings until the scheduler needs no further polls.
 func (r *term) pollServer(id string) {
 	// The first poll does not wait for ends, and the server is unreachable if it fails.
-	missed := 1
+	missed, reachable := 1, false
 	for r.ctx.Err() == nil {
-		if missed > 0 {
+		if !reachable {
 			r.awaitPollTurn(id)
 		}
 		h, ok := r.nextPoll(id)
@@ -199,25 +201,31 @@
 		}
 		if err := r.poll(h, missed); err != nil {
 			missed++
+			reachable = reachable && missed < unreachableAfter
 			r.pollMissed(h, missed, err)
 			continue
 		}
-		missed = 0
+		missed, reachable = 0, true
 		r.awaitEndsStored(id)
 	}
 }
 
 // awaitPollTurn spreads the polls of servers that have not answered lately: all servers when the term begins, and those that
 // are unreachable. Without that, more of them fall due at a time than this process can carry out, and it takes its own delay
-// for silence of the servers. Servers with runs go first, since their leases are running.
+// for silence of the servers. Servers with runs go first, since their leases are running. One that has missed a single poll does
+// not wait: it may get runs meanwhile, whose leases nothing would renew.
 func (r *term) awaitPollTurn(id string) {
 	now := time.Now()
-	d := r.unansweredPolls.ReserveN(now, 1).DelayFrom(now)
 	r.lock.Lock()
 	runs := r.scheduler.ServerLoad(id, now).Runs
 	r.lock.Unlock()
+	n := r.unansweredPolls
 	if runs == 0 {
-		wait.For(r.ctx, d)
+		wait.For(r.ctx, n.ReserveN(now, 1).DelayFrom(now))
+		return
+	}
+	if n.TokensAt(now) > -maxTurnDelay.Seconds()*float64(n.Limit()) {
+		n.ReserveN(now, 1)
 	}
 }
 
