Keep the runs of a restarted server until it has listed its own

Callers see: a task that runs once is no longer started a second time when its server crashes and starts again under the same ID while the start order is on its way.

Cause: calls name a server by its ID only. The repetition of a start order (up to 0.9 s later) was accepted by the next incarnation, whose clock starts at 0, so that the order was not late either. The owner then learned of the incarnation, dropped all runs of the one before as ended with it, and placed their tasks again although the run was at work or had ended done. After a takeover the same: Restore dropped the run if a later incarnation was known, Register if it became known. A poll prepared for the earlier incarnation could acknowledge ends of the next one, whose numbers start at 1.

Why it works: the fencing token of a call is now the owner's term times 2^16 plus the number of restarts under the ID that the owner has seen. As soon as a call to the new incarnation has arrived, that rejects whatever was addressed to the one before. Its first listing in answer to such a call therefore tells for good which of the runs it has, as for the runs of a previous owner: they are handed over as inherited. A listing in answer to a call to the earlier incarnation only tells of the restart. An order that is rejected after its server restarted does not end the term. Polls of an unreachable server acknowledge nothing.

"is given up by the next owner after a second crash" gets that listing.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -59,12 +59,12 @@
 	}
 	for _, x := range o.Stops {
 		r.spawn(func() {
-			r.sendOrder(func(c context.Context) error { return r.owner.deps.Servers.Stop(c, x, uint64(r.token)) })
+			r.sendOrder(x.Server, func(c context.Context) error { return r.owner.deps.Servers.Stop(c, x, r.fencingToken(x.Server)) })
 		})
 	}
 	for _, x := range o.Paces {
 		r.spawn(func() {
-			r.sendOrder(func(c context.Context) error { return r.owner.deps.Servers.Pace(c, x, uint64(r.token)) })
+			r.sendOrder(x.Server, func(c context.Context) error { return r.owner.deps.Servers.Pace(c, x, r.fencingToken(x.Server)) })
 		})
 	}
 	for _, v := range o.ResumePolling {
@@ -101,10 +101,10 @@
 // repeated until it is answered.
 func (r *term) startRun(x scheduler.StartOrder) {
 	a, clock, attempts := scheduler.NoAnswer, time.Duration(0), 0
-	ok := r.retryOrder(func(c context.Context) error {
+	ok := r.retryOrder(x.Server, func(c context.Context) error {
 		var err error
 		attempts++
-		a, clock, err = r.owner.deps.Servers.Start(c, x, uint64(r.token))
+		a, clock, err = r.owner.deps.Servers.Start(c, x, r.fencingToken(x.Server))
 		return err
 	})
 	if r.ctx.Err() != nil {
@@ -119,18 +119,18 @@
 }
 
 // sendOrder sends an order whose effect the server's listing shows.
-func (r *term) sendOrder(f func(context.Context) error) {
-	if !r.retryOrder(f) && r.ctx.Err() == nil {
+func (r *term) sendOrder(v server.Server, f func(context.Context) error) {
+	if !r.retryOrder(v, f) && r.ctx.Err() == nil {
 		r.owner.logDecision(decision.Server, "no answer to an order", r.token)
 	}
 }
 
-// retryOrder repeats an idempotent order, with a doubled timeout each time, until it is answered or orderRetryPeriod is
-// over. It reports whether there was an answer.
-func (r *term) retryOrder(f func(context.Context) error) bool {
+// retryOrder repeats an idempotent order to a server, with a doubled timeout each time, until it is answered, orderRetryPeriod
+// is over or the server is known to have restarted. It reports whether there was an answer.
+func (r *term) retryOrder(v server.Server, f func(context.Context) error) bool {
 	deadline := time.Now().Add(orderRetryPeriod)
 	timeout := r.orderTimeout.duration()
-	for r.ctx.Err() == nil && time.Now().Before(deadline) {
+	for r.ctx.Err() == nil && time.Now().Before(deadline) && r.isCurrent(v) {
 		c, stop := context.WithTimeout(r.ctx, timeout)
 		began := time.Now()
 		err := f(c)
@@ -140,7 +140,7 @@
 			r.owner.deps.Metrics.Time("order_duration", "answered", time.Since(began))
 			return true
 		}
-		if r.stepDownIfFenced(err) {
+		if r.stepDownIfFenced(v, err) {
 			return false
 		}
 		r.owner.deps.Metrics.Event("orders", "repeated")
@@ -149,10 +149,27 @@
 	return false
 }
 
-// stepDownIfFenced ends the term if the error is a FencedError, and reports whether it is.
-func (r *term) stepDownIfFenced(err error) bool {
+// restartBits is the number of low bits of a fencing token that count the restarts of the server.
+const restartBits = 16
+
+// fencingToken returns the token of calls to a server. It is higher than those of previous owners and of calls to earlier
+// incarnations of the server.
+func (r *term) fencingToken(v server.Server) uint64 {
+	return uint64(r.token)<<restartBits + uint64(min(v.Restarts, 1<<restartBits-1))
+}
+
+// isCurrent reports whether no later incarnation of the server is known.
+func (r *term) isCurrent(v server.Server) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.IsCurrent(v)
+}
+
+// stepDownIfFenced ends the term if the error is a FencedError, and reports whether it does. A server that has restarted also
+// rejects what was addressed to its earlier incarnations.
+func (r *term) stepDownIfFenced(v server.Server, err error) bool {
 	var f *FencedError
-	if !errors.As(err, &f) {
+	if !errors.As(err, &f) || !r.isCurrent(v) {
 		return false
 	}
 	r.stepDown(f.Error())
@@ -186,13 +203,17 @@
 			r.owner.forgetServer(id)
 			return
 		}
-		if err := r.poll(h, missed); err != nil {
+		restarted, err := r.poll(h, missed)
+		switch {
+		case err != nil:
 			missed++
 			r.pollMissed(h, missed, err)
-			continue
+		case restarted:
+			missed = 1
+		default:
+			missed = 0
+			r.awaitEndsStored(id)
 		}
-		missed = 0
-		r.awaitEndsStored(id)
 	}
 }
 
@@ -211,10 +232,11 @@
 	return h, ok
 }
 
-// poll polls a server once and applies its listing. After missed polls it does not wait for ends.
-func (r *term) poll(h scheduler.PollRequest, missed int) error {
+// poll polls a server once and applies its listing, unless it reports that another incarnation has answered: that may go on to
+// accept orders to the earlier one until it is polled itself. After missed polls it does not wait for ends.
+func (r *term) poll(h scheduler.PollRequest, missed int) (restarted bool, err error) {
 	if !h.Server.Address.IsValid() {
-		return &UnknownAddressError{Server: h.Server.ID}
+		return false, &UnknownAddressError{Server: h.Server.ID}
 	}
 	wait := r.pollWait(h)
 	timeout := wait + pollSlack
@@ -226,13 +248,20 @@
 	}
 	c, stop := context.WithTimeout(r.ctx, timeout)
 	defer stop()
-	l, err := r.owner.deps.Servers.Poll(c, h, uint64(r.token), wait)
+	l, err := r.owner.deps.Servers.Poll(c, h, r.fencingToken(h.Server), wait)
 	if err != nil {
-		r.stepDownIfFenced(err)
-		return err
+		r.stepDownIfFenced(h.Server, err)
+		return false, err
 	}
-	r.update(func(s *scheduler.Scheduler, now time.Time) { s.ListingReceived(h.Server.ID, l, now) })
-	return nil
+	restarted = !l.StartedAt.IsZero() && !l.StartedAt.Equal(h.Server.StartedAt)
+	r.update(func(s *scheduler.Scheduler, now time.Time) {
+		if restarted {
+			s.ServerRestarted(h.Server.ID, l.StartedAt, now)
+			return
+		}
+		s.ListingReceived(h.Server.ID, l, now)
+	})
+	return restarted, nil
 }
 
 // pollWait returns how long a poll waits for ends. While the store does not confirm the ownership, it ends finalRenewalLead
--- a/fleet/scheduler/crash.go
+++ b/fleet/scheduler/crash.go
@@ -74,6 +74,13 @@
 // serverCrashed drops the runs of a server that has surely ended, and counts the crash against its tasks unless the server
 // was to leave.
 func (s *Scheduler) serverCrashed(v *serverState, now time.Time, reason string) {
+	l := v.takeCrashed()
+	s.dropRuns(v, now, reason)
+	s.countCrashes(v, l, now)
+}
+
+// takeCrashed returns the runs that a server may have had when it crashed, including those that were given up before.
+func (v *serverState) takeCrashed() []*run {
 	l := v.lost
 	v.explainLost()
 	for _, r := range v.runs {
@@ -81,7 +88,11 @@
 			l = append(l, r)
 		}
 	}
-	s.dropRuns(v, now, reason)
+	return l
+}
+
+// countCrashes counts the crash of a server against the tasks of the runs, unless the server was to leave.
+func (s *Scheduler) countCrashes(v *serverState, l []*run, now time.Time) {
 	if v.info.Draining || v.terminated || s.cordonedVMs[v.info.VM] {
 		return
 	}
--- a/fleet/scheduler/crash_test.go
+++ b/fleet/scheduler/crash_test.go
@@ -155,6 +155,7 @@
 		v := newServer("a")
 		v.StartedAt = w.now
 		w.Register(v, w.now)
+		w.ListingReceived("a", server.Listing{StartedAt: w.now, Clock: time.Millisecond}, w.now)
 		entries := []*schema.LogEntry{}
 		for b := w.NextBatch(batchLimit, w.now); b != nil; b = w.NextBatch(batchLimit, w.now) {
 			entries = append(entries, b.Log)
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -1,6 +1,75 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/loss"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+)
+
+// serverRestarted records that the server v has crashed and runs as w, under the same ID. Orders name only the ID, so that w
+// may have carried out those to v before this owner's first call to w: its runs stay assigned to w until w has listed its own.
+func (s *Scheduler) serverRestarted(v, w *serverState, now time.Time) {
+	crashed := v.takeCrashed()
+	s.handOver(v, w, now)
+	s.countCrashes(v, crashed, now)
+}
+
+// handOver assigns the runs of a server to its next incarnation, which may have them, and drops those that were never ordered.
+func (s *Scheduler) handOver(v, w *serverState, now time.Time) {
+	s.expectEarlierOrders(w, now)
+	for r, x := range v.strays.All() {
+		x.ConfirmedClock = 0
+		w.strays.Add(r, x)
+	}
+	for _, r := range v.runs {
+		s.drop(r, now, loss.ReasonServerRestarted)
+		if r.phase != assigned {
+			s.inheritRun(r.task, w, r.number, r.phase == stopping, now)
+		}
+	}
+	s.clearStrays(v)
+}
+
+// inheritRun assigns a run to a server that may have it by an order of a previous owner or to an earlier incarnation.
+func (s *Scheduler) inheritRun(t *task, v *serverState, number int, stopped bool, now time.Time) {
+	r := &run{task: t, number: number, server: v, phase: unconfirmed, inherited: true, pace: fullPace, startedAt: now}
+	if stopped {
+		r.phase = stopping
+	}
+	t.run = r
+	v.strays.Remove(r.id())
+	v.addRun(r)
+}
+
+// expectEarlierOrders records that a server that has not answered yet may have carried out orders to an earlier incarnation, and
+// with them have extended its lease as far as it lets orders do.
+func (s *Scheduler) expectEarlierOrders(v *serverState, now time.Time) {
+	v.restarted = true
+	v.previousExpiry = now.Add(startOrderLifetime + s.limits.MaxLease*leaseExpiryPercent/100 + leaseExpiryMargin)
+	if v.previousExpiry.Before(s.previousLeasesExpireAt) {
+		v.previousExpiry = s.previousLeasesExpireAt
+	}
+}
+
+// ServerRestarted records that an incarnation of a server that started at the given time has answered. A later one than the
+// known one is used once it has registered, since its capacity and labels may be others.
+func (s *Scheduler) ServerRestarted(id string, startedAt, now time.Time) {
+	v := s.servers[id]
+	if v == nil || !startedAt.After(v.info.StartedAt) {
+		return
+	}
+	i := v.info
+	i.StartedAt = startedAt
+	s.Register(i, now)
+	s.servers[id].unregisteredStart = true
+}
+
+// IsCurrent reports whether no later incarnation of the server is known.
+func (s *Scheduler) IsCurrent(i server.Server) bool {
+	v := s.servers[i.ID]
+	return v != nil && v.info.StartedAt.Equal(i.StartedAt)
+}
 
 // newestByVM returns, by VM, the server that started last among those that have answered this owner.
 func (s *Scheduler) newestByVM() map[string]*serverState {
--- a/fleet/scheduler/lease.go
+++ b/fleet/scheduler/lease.go
@@ -151,7 +151,7 @@
 func (s *Scheduler) RestoreLeases(m *schema.LeaseRecord) {
 	for _, l := range m.GetServers() {
 		v := s.inheritedServer(l.Server, time.UnixMilli(l.BornMs))
-		if v == nil {
+		if v == nil || v.info.StartedAt.UnixMilli() != l.BornMs {
 			continue
 		}
 		v.leaseRecorded = true
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -16,12 +16,7 @@
 		return
 	}
 	if !l.StartedAt.IsZero() && !l.StartedAt.Equal(v.info.StartedAt) {
-		if l.StartedAt.After(v.info.StartedAt) {
-			i := v.info
-			i.StartedAt = l.StartedAt
-			s.Register(i, now)
-			s.servers[id].unregisteredStart = true
-		}
+		s.ServerRestarted(id, l.StartedAt, now)
 		return
 	}
 	if !v.reachable {
@@ -32,6 +27,10 @@
 	if v.listingClock == 0 {
 		// A previous owner may just have renewed the lease.
 		v.leaseUntil = max(v.leaseUntil, l.Clock+s.previousLease)
+		if v.restarted {
+			// The server shortens a lease that ends on the clock of an earlier incarnation to the longest lease.
+			v.leaseUntil = max(v.leaseUntil, l.Clock+s.limits.MaxLease)
+		}
 		v.fencedAt = now
 	}
 	v.reachable = true
@@ -159,7 +158,7 @@
 			continue
 		}
 		if r.inherited {
-			s.drop(r, now, "previous owner's run is missing from the listing")
+			s.drop(r, now, "inherited run is missing from the listing")
 			continue
 		}
 		if l.Clock <= r.confirmedClock {
--- /dev/null
+++ b/fleet/scheduler/restart_test.go
@@ -0,0 +1,118 @@
+package scheduler_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
+	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
+)
+
+// Guards against running a task twice because a server that restarted under its ID carries out an order to the incarnation before.
+var _ = ginkgo.Describe("a server that restarts under its ID", func() {
+	var w *harness
+	var o scheduler.StartOrder
+	ginkgo.BeforeEach(func() {
+		w = newHarness()
+		w.addServers("a")
+		w.submit(newRecord(1, 1))
+		o = w.acceptStarts()[0]
+		w.addServers("b")
+		w.now = w.now.Add(time.Second)
+	})
+
+	restarted := func() server.Server {
+		v := newServer("a")
+		v.StartedAt = w.now
+		return v
+	}
+	starts := func() []scheduler.StartOrder {
+		w.commit()
+		return w.acceptStarts()
+	}
+
+	ginkgo.DescribeTable("keeps a run that it has begun by an earlier order", func(learn func(server.Server)) {
+		v := restarted()
+		learn(v)
+		gomega.Expect(starts()).To(gomega.BeEmpty())
+		w.ListingReceived("a", server.Listing{StartedAt: v.StartedAt, Clock: time.Millisecond, Runs: []server.Run{listedRun(o, 10)}}, w.now)
+		gomega.Expect(starts()).To(gomega.BeEmpty())
+		gomega.Expect(w.takeStops()).To(gomega.BeEmpty())
+		w.ListingReceived("a", server.Listing{
+			StartedAt: v.StartedAt, Clock: 2 * time.Millisecond, Ends: []server.EndedRun{{Sequence: 1, Task: o.Task, Number: o.Number, Reason: job.EndDone}},
+		}, w.now)
+		w.commit()
+		gomega.Expect(w.JobPhase(o.Task.Job).Phase).To(gomega.Equal(job.Completed))
+	},
+		ginkgo.Entry("if it registers", func(v server.Server) { w.Register(v, w.now) }),
+		ginkgo.Entry("if it answers a call to the earlier incarnation", func(v server.Server) { w.ServerRestarted("a", v.StartedAt, w.now) }),
+		ginkgo.Entry("if it restarts once more", func(v server.Server) {
+			x := v
+			x.StartedAt = v.StartedAt.Add(-time.Millisecond)
+			w.Register(x, w.now)
+			w.Register(v, w.now)
+		}))
+
+	ginkgo.It("keeps a run that a previous owner ordered from the earlier incarnation", func() {
+		x := newHarness()
+		x.now = x.now.Add(10 * time.Second)
+		x.Restore(newRecord(1, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, x.now)
+		w = x
+		w.addServers("b")
+		v := restarted()
+		w.Register(v, w.now)
+		gomega.Expect(starts()).To(gomega.BeEmpty())
+		w.ListingReceived("a", server.Listing{StartedAt: v.StartedAt, Clock: time.Millisecond, Runs: []server.Run{listedRun(o, 10)}}, w.now)
+		gomega.Expect(starts()).To(gomega.BeEmpty())
+		gomega.Expect(w.takeStops()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("keeps a run of the earlier incarnation that is restored after one of the later", func() {
+		x := newHarness()
+		x.Restore(newRecord(2, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli() + 500}}}, x.now)
+		x.Restore(newRecord(1, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, x.now)
+		w = x
+		w.addServers("b")
+		gomega.Expect(starts()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("frees the run once the longest lease has expired if it never answers", func() {
+		w.Register(restarted(), w.now)
+		since := w.now
+		for len(starts()) == 0 {
+			w.advance(100 * time.Millisecond)
+			w.reportRuns("b")
+			gomega.Expect(w.now.Sub(since)).To(gomega.BeNumerically("<", bounds.MaxLease+3*time.Second))
+		}
+		gomega.Expect(w.now.Sub(since)).To(gomega.BeNumerically(">", bounds.MaxLease))
+	})
+
+	ginkgo.It("is called with the number of its restarts, also after it was forgotten", func() {
+		v := restarted()
+		w.Register(v, w.now)
+		h, _ := w.PreparePoll("a", w.now)
+		gomega.Expect(h.Server.Restarts).To(gomega.Equal(1))
+		w.ListingReceived("a", server.Listing{StartedAt: v.StartedAt, Clock: time.Millisecond}, w.now)
+		w.Unregister("a", w.now)
+		w.advance(40 * time.Second)
+		w.Register(v, w.now)
+		h, _ = w.PreparePoll("a", w.now)
+		gomega.Expect(h.Server.Restarts).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("gets no acknowledgement of the earlier incarnation's ends while it is unreachable", func() {
+		w.ListingReceived("a", server.Listing{
+			StartedAt: start, Clock: w.clock(), Ends: []server.EndedRun{{Sequence: 1, Task: o.Task, Number: o.Number, Reason: job.EndDone}},
+		}, w.now)
+		w.commit()
+		h, _ := w.PreparePoll("a", w.now)
+		gomega.Expect(h.AcknowledgedEnd).To(gomega.Equal(uint64(1)))
+		w.ServerUnreachable("a", start, w.now, "connection refused")
+		h, _ = w.PreparePoll("a", w.now)
+		gomega.Expect(h.AcknowledgedEnd).To(gomega.BeZero())
+	})
+})
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -6,7 +6,6 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
-	"github.com/tarragonbank/tarragonbank/fleet/usage"
 )
 
 // Restore adds a job from the store after a takeover. p is its progress, or nil if the progress within the job record
@@ -74,31 +73,27 @@
 	if v == nil {
 		return
 	}
-	r := &run{task: t, number: t.lastRun, server: v, phase: unconfirmed, inherited: true, pace: fullPace, startedAt: now}
-	t.run = r
-	v.strays.Remove(r.id())
-	v.addRun(r)
+	s.inheritRun(t, v, t.lastRun, false, now)
 }
 
 // inheritedServer returns the server incarnation to which a previous owner assigned a run, adding it if it is unknown or
-// later than the known one, or nil if a later incarnation is known.
+// later than the known one. If a later incarnation is known, that may have the run, unless it has listed its runs.
 func (s *Scheduler) inheritedServer(id string, startedAt time.Time) *serverState {
 	v := s.servers[id]
 	switch {
 	case v == nil:
-	case v.info.StartedAt.After(startedAt):
-		return nil
+		return s.addServer(server.Server{ID: id, StartedAt: startedAt}, s.startedAt)
 	case v.info.StartedAt.Equal(startedAt):
 		return v
-	default:
-		s.dropPreviousRuns(v, s.startedAt)
-	}
-	v = &serverState{
-		info: server.Server{ID: id, StartedAt: startedAt}, runs: map[job.Task]*run{},
-		unreachableSince: s.startedAt, knownSince: s.startedAt, usage: s.usage, strays: usage.NewStrays(s.usage),
+	case startedAt.After(v.info.StartedAt):
+		s.restarts[id]++
+		w := s.addServer(server.Server{ID: id, StartedAt: startedAt, Restarts: s.restarts[id]}, s.startedAt)
+		s.handOver(v, w, s.startedAt)
+		return w
+	case v.listingClock > 0:
+		return nil
 	}
-	s.servers[id] = v
-	s.sortedServers = nil
+	s.expectEarlierOrders(v, s.startedAt)
 	return v
 }
 
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -36,8 +36,8 @@
 	// clock.
 	expiresClock   time.Duration
 	confirmedClock time.Duration
-	// inherited is true for a run that a previous owner ordered. The server refuses that owner's orders once it has seen
-	// the new fencing token.
+	// inherited is true for a run that a previous owner ordered, or this one from an earlier incarnation of the server. The
+	// server refuses those orders once it has seen the new fencing token.
 	inherited  bool
 	stopSentAt time.Time
 	percent    int
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -36,6 +36,8 @@
 	jobs    map[string]*jobState
 	active  map[string]*jobState
 	servers map[string]*serverState
+	// restarts counts the restarts of servers by ID, also of those that are no longer known.
+	restarts map[string]int
 	// startedAt is when the owner took over.
 	startedAt time.Time
 	advice    map[string]*placementAdvice
@@ -52,7 +54,7 @@
 // New returns an empty scheduler for an owner that took over at the time now.
 func New(x Limits, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{},
+		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{}, restarts: map[string]int{},
 		advice: map[string]*placementAdvice{}, lookAhead: newLookAhead(), estimates: newEstimates(), pass: pass{cordonedVMs: map[string]bool{}}, supplies: newSupplies(), accounts: newAccounts(),
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
-	"github.com/tarragonbank/tarragonbank/fleet/loss"
 	"github.com/tarragonbank/tarragonbank/fleet/reservation"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 	"github.com/tarragonbank/tarragonbank/fleet/usage"
@@ -20,6 +19,8 @@
 	// unregisteredStart is true if a listing revealed this incarnation and the registration is that of the previous one, which
 	// may have had another capacity and other labels.
 	unregisteredStart bool
+	// restarted is true if an earlier incarnation had runs of this owner or a previous one. Orders to that name the same ID.
+	restarted bool
 	// addressTaken is true if another server answers at the server's address.
 	addressTaken bool
 	// lastClock is the server's clock as reported at lastClockAt. leaseUntil is the latest time, on that clock, to which
@@ -37,7 +38,8 @@
 	// whose lease record left it out.
 	leaseRecorded bool
 	unrecordedBy  uint64
-	// previousExpiry is when the lease has expired by the previous owner's record, zero if that did not list the server.
+	// previousExpiry is when a lease that this owner did not renew has expired: by the previous owner's record, or by the latest
+	// order to an earlier incarnation. It is zero if neither is known.
 	previousExpiry time.Time
 	// fencedAt is when the first listing arrived. The server has seen this owner's fencing token since then and refuses
 	// previous owners.
@@ -179,27 +181,26 @@
 // listingTimeout is the age of the last listing from which a server gets no new runs; listings come every second.
 const listingTimeout = 2500 * time.Millisecond
 
-// Register adds a server or updates its registration. A later start time under the same ID is a new
-// incarnation, and the runs of the previous one are dropped; an earlier start time is ignored.
+// Register adds a server or updates its registration. A later start time under the same ID is a new incarnation, whose first
+// listing decides about the runs of the previous one; an earlier start time is ignored.
 func (s *Scheduler) Register(i server.Server, now time.Time) {
 	v := s.servers[i.ID]
 	if v != nil && i.StartedAt.Before(v.info.StartedAt) {
 		return
 	}
+	previous := v
 	if v != nil && !i.StartedAt.Equal(v.info.StartedAt) {
-		s.serverCrashed(v, now, loss.ReasonServerRestarted)
+		s.restarts[i.ID]++
 		v = nil
 	}
+	i.Restarts = s.restarts[i.ID]
 	if v != nil && v.terminated {
 		v.info, v.registered = i, true
 		return
 	}
 	if v == nil {
-		v = &serverState{
-			runs: map[job.Task]*run{}, idleSince: now, unreachableSince: now, knownSince: now, usage: s.usage, strays: usage.NewStrays(s.usage),
-		}
-		s.servers[i.ID] = v
-		s.sortedServers = nil
+		v = s.addServer(i, now)
+		v.idleSince = now
 		s.addDecision(Decision{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
 	}
 	if i.Draining && !v.info.Draining {
@@ -214,6 +215,19 @@
 	v.registered = true
 	v.unregisteredStart = false
 	s.needsPlan = true
+	if previous != nil && previous != v {
+		s.serverRestarted(previous, v, now)
+	}
+}
+
+// addServer adds an incarnation of a server, in place of an earlier one.
+func (s *Scheduler) addServer(i server.Server, now time.Time) *serverState {
+	v := &serverState{
+		info: i, runs: map[job.Task]*run{}, unreachableSince: now, knownSince: now, usage: s.usage, strays: usage.NewStrays(s.usage),
+	}
+	s.servers[i.ID] = v
+	s.sortedServers = nil
+	return v
 }
 
 // Recall adds what is known of a server from earlier to one with restored runs that is not registered, so that it can be
@@ -226,6 +240,7 @@
 	}
 	// Whether it drains is known once it is registered.
 	i.Draining = false
+	i.Restarts = s.restarts[i.ID]
 	v.info = i
 	return true
 }
@@ -240,11 +255,6 @@
 	s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server unregistered", Age: now.Sub(v.listedAt)})
 }
 
-// dropPreviousRuns drops the runs of a server's previous incarnation.
-func (s *Scheduler) dropPreviousRuns(v *serverState, now time.Time) {
-	s.dropRuns(v, now, loss.ReasonServerRestarted)
-}
-
 // dropRuns drops all runs of a server, so that their tasks are placed again.
 func (s *Scheduler) dropRuns(v *serverState, now time.Time, reason string) {
 	for _, r := range v.runs {
@@ -285,7 +295,11 @@
 		return PollRequest{}, false
 	}
 	v.endLog.advance()
-	h := PollRequest{Server: v.info, AcknowledgedEnd: v.endLog.stored, HasRuns: len(v.runs) > 0}
+	h := PollRequest{Server: v.info, HasRuns: len(v.runs) > 0}
+	if v.reachable {
+		// An unreachable server may have been restarted, and an end of the next incarnation may have the same number.
+		h.AcknowledgedEnd = v.endLog.stored
+	}
 	if v.lastClock > 0 && v.reachable && !v.leaseRecorded {
 		h.LeaseUntil = v.expectedClock(now) + s.limits.leaseDuration()
 		v.leaseUntil = max(v.leaseUntil, h.LeaseUntil)
--- a/fleet/server/server.go
+++ b/fleet/server/server.go
@@ -11,7 +11,10 @@
 type Server struct {
 	ID string
 	// StartedAt is when this incarnation started; it changes when the server restarts under the same ID.
-	StartedAt  time.Time
+	StartedAt time.Time
+	// Restarts is the number of restarts under the ID that the owner has seen. Orders carry it in their fencing token, so that
+	// an incarnation that the owner has reached rejects the orders to earlier ones.
+	Restarts   int
 	VM         string
 	Pool       string
 	Address    netip.AddrPort
