Spread the polls of silent servers with runs as well

Callers would see: what the spread polls were to end, where most servers have tasks: after a takeover all of them are polled at the same moment, each with 0.3 s, and then 1.4 times a second each, so that the owner takes its own delay for their silence. Cause: only servers without runs wait for their turn. Change: servers with runs wait too, by a limit of their own, which lets each of them be polled within a second: after the longest takeover (3 s) their leases last for another 2 s. The second is derived from the leases, not measured.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
@@ -41,6 +43,9 @@
 	unansweredPollBurst    = 100 * time.Millisecond
 	// maxTurnDelay is how long the polls of silent servers with runs put off those of the others, which include new servers.
 	maxTurnDelay = 500 * time.Millisecond
+	// maxUrgentSpread is the time over which the polls of silent servers with runs are spread at most. After a takeover of 3 s their
+	// leases last for another 2 s.
+	maxUrgentSpread = time.Second
 	// adviceTimeout bounds a request to the advice service, which handles one request at a time.
 	adviceTimeout = 2 * time.Second
 )
@@ -208,7 +213,7 @@
 
 // awaitPollTurn spreads the polls of servers that have not answered lately: all servers when the term begins, and those that
 // are unreachable. Without that, more of them fall due at a time than this process can carry out, and it takes its own delay
-// for silence of the servers. Servers with runs go first, since their leases are running. One that has missed a single poll does
+// for silence of the servers. Servers with runs go first, within maxUrgentSpread, since their leases are running. One that has missed a single poll does
 // not wait: it may get runs meanwhile, whose leases nothing would renew.
 func (r *term) awaitPollTurn(id string) {
 	now := time.Now()
@@ -223,6 +228,16 @@
 	if n.TokensAt(now) > -maxTurnDelay.Seconds()*float64(n.Limit()) {
 		n.ReserveN(now, 1)
 	}
+	wait.For(r.ctx, r.urgentPolls.ReserveN(now, 1).DelayFrom(now))
+}
+
+// limitUrgentPolls sets the limit of the polls of silent servers with runs to that of the others or, if it is more, to as many
+// as there are servers with runs in maxUrgentSpread.
+func (r *term) limitUrgentPolls() {
+	r.lock.Lock()
+	n := r.scheduler.ServersWithRuns()
+	r.lock.Unlock()
+	r.urgentPolls.SetLimit(max(r.unansweredPolls.Limit(), rate.Limit(float64(n)/maxUrgentSpread.Seconds())))
 }
 
 // nextPoll returns the next poll of the server. The result is false if the scheduler needs no further polls. No lease is
--- a/entry/owner/silent_test.go
+++ b/entry/owner/silent_test.go
@@ -22,11 +22,14 @@
 	runs   map[string][]server.Run
 	polls  map[string][]time.Time
 	silent func(id string) bool
+	// leases are when the leases expire, lapsed is the number of renewals that came later.
+	leases map[string]time.Duration
+	lapsed int
 }
 
 func newFleetServers(s *cluster) *fleetServers {
 	return &fleetServers{
-		fakeServer: s.server, runs: map[string][]server.Run{}, polls: map[string][]time.Time{},
+		fakeServer: s.server, runs: map[string][]server.Run{}, polls: map[string][]time.Time{}, leases: map[string]time.Duration{},
 		silent: func(string) bool { return false },
 	}
 }
@@ -47,6 +50,7 @@
 		<-ctx.Done()
 		return server.Listing{}, ctx.Err()
 	}
+	s.renew(h)
 	pause(ctx, max(wait, 10*time.Millisecond))
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -55,6 +59,20 @@
 	}, nil
 }
 
+// renew renews the lease of a server.
+func (s *fleetServers) renew(h scheduler.PollRequest) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	old := s.leases[h.Server.ID]
+	if h.LeaseUntil == 0 {
+		return
+	}
+	if old > 0 && time.Duration(time.Now().UnixNano()) > old && len(s.runs[h.Server.ID]) > 0 {
+		s.lapsed++
+	}
+	s.leases[h.Server.ID] = max(old, h.LeaseUntil)
+}
+
 func (s *fleetServers) setSilent(f func(id string) bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -134,3 +152,53 @@
 		g.Expect(l[0]).To(gomega.BeTemporally("<", began.Add(2*time.Second)))
 	})
 }
+
+// takeOver gives each of n servers a task that lasts, stops the owner and returns when the next one first polled each server. cores
+// are those of the entries.
+func takeOver(t *testing.T, n int, cores float64) (first map[string]time.Time, lapsed int) {
+	t.Helper()
+	first = map[string]time.Time{}
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		register(g, s, "x", n)
+		c := newFleetServers(s)
+		s.servers, s.cores, s.killed = c, cores, true
+		o, stop := s.startEntry("e1")
+		time.Sleep(10 * time.Second)
+		for i := range n / 100 {
+			m := jobRecord(fmt.Sprintf("00000000000000%02x", i))
+			m.Steps = []*schema.StepRecord{{Count: 100, CpuMilli: 64000, EstimateMs: 1000, Lasting: true}}
+			g.Expect(o.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		began := time.Now()
+		s.startEntry("e2")
+		time.Sleep(15 * time.Second)
+		for id, l := range c.runs {
+			g.Expect(l).To(gomega.HaveLen(1))
+			first[id] = c.pollsSince(id, began)[0]
+		}
+		lapsed = c.lapsed
+	})
+	return first, lapsed
+}
+
+// An owner that polled all servers with tasks at once read their answers after the time limit and took them for silent.
+func TestNewOwnerSpreadsItsFirstPollsOfServersWithRuns(t *testing.T) {
+	first, lapsed := takeOver(t, 1000, 0.25)
+	g := gomega.NewWithT(t)
+	g.Expect(lapsed).To(gomega.BeZero(), "leases outlast the takeover")
+	spread := time.Duration(0)
+	for _, at := range first {
+		n := 0
+		for _, x := range first {
+			d := x.Sub(at)
+			spread = max(spread, d)
+			if d >= 0 && d < 100*time.Millisecond {
+				n++
+			}
+		}
+		g.Expect(n).To(gomega.BeNumerically("<", 300), "first polls in a tenth of a second")
+	}
+	g.Expect(spread).To(gomega.BeNumerically("<", 1500*time.Millisecond), "leases last for 2 s after the longest takeover")
+}
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -65,6 +65,8 @@
 	orderTimeout adaptiveTimeout
 	// unansweredPolls limits the polls of servers that have not answered lately.
 	unansweredPolls *rate.Limiter
+	// urgentPolls limits those of them that have runs.
+	urgentPolls *rate.Limiter
 	// reportedAt and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
 	// process has too little processor.
 	reportedAt time.Time
@@ -104,6 +106,7 @@
 	}
 	n := unansweredPollsPerCore * max(o.self.Cores, minPollingCores)
 	r.unansweredPolls = rate.NewLimiter(rate.Limit(n), max(int(n*unansweredPollBurst.Seconds()), 1))
+	r.urgentPolls = rate.NewLimiter(r.unansweredPolls.Limit(), r.unansweredPolls.Burst())
 	r.confirmOwnership(a.askedAt)
 	return r
 }
@@ -149,6 +152,7 @@
 		o.logDecision(decision.Ownership, loss.ReasonTermEnded+", stored jobs not read: "+err.Error(), r.token)
 		return
 	}
+	r.limitUrgentPolls()
 	r.pollRemembered()
 	r.spawn(func() { mirror.New(o.deps.Store, o.deps.Registry.Prefix(), registrationSink{r}).Run(r.ctx) })
 	r.ready.Store(true)
@@ -268,6 +272,7 @@
 			return
 		case <-t.C:
 			r.detectOverload(time.Now())
+			r.limitUrgentPolls()
 			r.update(func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
 			r.handOverToLarger(time.Now())
 			r.reportGauges(time.Now())
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -311,3 +311,14 @@
 	}
 	return l
 }
+
+// ServersWithRuns returns the number of servers that have runs.
+func (s *Scheduler) ServersWithRuns() int {
+	n := 0
+	for _, v := range s.servers {
+		if len(v.runs) > 0 {
+			n++
+		}
+	}
+	return n
+}
