Repeat an order that fails at once after a pause

Callers would see: an owner of a large fleet falls behind, and all executors are suspended, after orders to a few servers that refuse connections, such as stops on VMs that move. Cause: an order is repeated without a pause for 0.9 s, and its time limit doubles each time. After some 37 attempts the limit overflows and is negative: from then on each attempt fails without being sent, in a tight loop until the 0.9 s are over. Through executors every such attempt counts as a call without a result, eight of which in a row suspend an executor. Evidence: review and the test: it never came to an end before (with the fake clock no time passes once the limit has overflowed); with only the limit bounded 1,758 attempts for two rounds of one order. Change: a pause of 25 ms between attempts, and a bound for the time limit.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -18,6 +18,8 @@
 	// orderRetryPeriod bounds an order to a server and its retries. The server's listing shows the outcome of orders
 	// without an answer.
 	orderRetryPeriod = 900 * time.Millisecond
+	// orderRetryPause is the time between attempts. A server that refuses connections fails each of them at once.
+	orderRetryPause = 25 * time.Millisecond
 	// idlePollWait is how long a poll waits for a run end on a server without runs, busyPollWait on other servers. A lost
 	// answer delays the report of ends for as long, and a silent server is noticed after this time.
 	idlePollWait = time.Second
@@ -155,7 +157,8 @@
 			return false
 		}
 		r.owner.deps.Metrics.Event("orders", "repeated")
-		timeout *= 2
+		timeout = min(timeout*2, orderRetryPeriod)
+		wait.For(r.ctx, orderRetryPause)
 	}
 	return false
 }
--- a/entry/owner/silent_test.go
+++ b/entry/owner/silent_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
@@ -202,3 +203,36 @@
 	}
 	g.Expect(spread).To(gomega.BeNumerically("<", 1500*time.Millisecond), "leases last for 2 s after the longest takeover")
 }
+
+// refusingServers fail stop orders after a millisecond.
+type refusingServers struct {
+	*fleetServers
+	stops int
+}
+
+func (s *refusingServers) Stop(ctx context.Context, _ scheduler.StopOrder, _ uint64) error {
+	s.lock.Lock()
+	s.stops++
+	s.lock.Unlock()
+	pause(ctx, time.Millisecond)
+	return &owner.UnknownAddressError{Server: "s"}
+}
+
+// An order to a server that refused connections was repeated without a pause, hundreds of times.
+func TestOrderThatFailsAtOnceIsRepeatedWithPauses(t *testing.T) {
+	runTest(t, func(g *gomega.WithT, s *cluster) {
+		c := &refusingServers{fleetServers: newFleetServers(s)}
+		s.servers = c
+		o, _ := s.startEntry("e1")
+		time.Sleep(time.Second)
+		m := jobRecord(firstID)
+		m.Steps = []*schema.StepRecord{{Count: 1, CpuMilli: 1000, EstimateMs: 1000, Lasting: true}}
+		g.Expect(o.Current().Submit(s.ctx, m).Result).To(gomega.Equal(scheduler.Done))
+		time.Sleep(time.Second)
+		g.Expect(o.Current().Cancel(s.ctx, firstID, "").Result).To(gomega.Equal(scheduler.Done))
+		time.Sleep(900 * time.Millisecond)
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		g.Expect(c.stops).To(gomega.And(gomega.BeNumerically(">", 2), gomega.BeNumerically("<", 80)))
+	})
+}
