Read the list of VMs no more often after a failure

Callers would see: no moves, no maintenance and no news of ended servers for as long as the platform refuses readings of the list. Cause: a failed reading is repeated at the next step, after 0.2 s in place of 0.6 s. Each reading is one call a page, and refused ones count, so that an owner near the limit (rate-per-s) keeps it exceeded by its own repetitions.

--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -93,11 +93,18 @@
 	secondWave *wave.Wave
 	// onOrder is called with the VM of each order, under the lock.
 	onOrder func(name string)
+	// lists counts the readings of the list. They fail if failLists is true.
+	lists     int
+	failLists bool
 }
 
 func (f *fakeFleet) List(context.Context) ([]vm.PlatformStatus, error) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
+	f.lists++
+	if f.failLists {
+		return nil, errors.New("too many readings")
+	}
 	return append([]vm.PlatformStatus{}, f.vms...), nil
 }
 
@@ -458,3 +465,19 @@
 		}
 	})
 }
+
+// A refused reading of the list was repeated three times as often as others, which kept the platform's limit exceeded.
+func TestFailedListIsNotReadMoreOften(t *testing.T) {
+	readings := [2]int{}
+	for i, fail := range []bool{false, true} {
+		run(t, func(_ *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
+			x.failLists = fail
+		}, func(_ *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
+			time.Sleep(10 * time.Second)
+			x.lock.Lock()
+			defer x.lock.Unlock()
+			readings[i] = x.lists
+		})
+	}
+	gomega.NewWithT(t).Expect(readings[1]).To(gomega.And(gomega.BeNumerically(">", 10), gomega.BeNumerically("<=", readings[0])))
+}
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -26,6 +26,7 @@
 	lock          sync.Mutex
 	vms           map[string]vm.PlatformStatus
 	listedAt      time.Time
+	listFailedAt  time.Time
 	poolsLoggedAt time.Time
 	usageLoggedAt time.Time
 	usage         *vmusage.Account
@@ -113,7 +114,7 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(t.listedAt) > listInterval && !t.readVMs(ctx) {
+	if now.Sub(t.listedAt) > listInterval && (now.Sub(t.listFailedAt) <= listInterval || !t.readVMs(ctx)) {
 		return
 	}
 	t.closeFinished(now)
@@ -140,6 +141,7 @@
 	defer stop()
 	l, err := t.controller.fleet.List(c)
 	if err != nil {
+		t.listFailedAt = time.Now()
 		if ctx.Err() == nil {
 			t.logDecision(decision.Record{Kind: decision.Dependency, Reason: "cannot list VMs: " + err.Error()})
 		}
