Send start orders only while the ownership is confirmed

Cause: an owner renews leases only for 1.1 s after the store last confirmed its ownership, but sent start orders for any commit that was stored. A process that stood still reads the answer to its last commit when it goes on, and then orders the starts, with 1.2 s from now to arrive. Its successor has waited for all leases by then and started the tasks elsewhere; a server that has not heard from the successor yet accepts the order, since its token is not too old there.

Its job is admitted at 23.576; the owner b-3 stands still from 23.58, its server is cut off from 23.5; c-6 takes over at 24.910 and finds its lease expired at 31.253; b-3 goes on at 32.61 and orders run 1 at 32.644, on data of the server that is 9.3 s old; run 1 starts at 32.752, c-6 orders run 2 at 32.799 and it starts at 32.806; b-3 steps down at 32.810.

Why it works: the orders of a commit wait until the store has confirmed the ownership within 1.1 s, as the renewal of leases does. An order is good for 1.2 s then, which is less than the lease that a successor waits for in any case. An owner that has lost the ownership learns it from its renewal instead.

--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -26,6 +26,8 @@
 	storeUnavailableReason = "the store is away"
 	// storeRetryInterval is the time between attempts while the store does not serve a call.
 	storeRetryInterval = 50 * time.Millisecond
+	// confirmationCheckInterval is the time between checks whether the ownership is confirmed again.
+	confirmationCheckInterval = 10 * time.Millisecond
 )
 
 // commitBatches commits changes, one transaction at a time, until the term ends.
@@ -47,11 +49,24 @@
 				return
 			}
 			mark = n
+			if !r.awaitConfirmation(ctx) {
+				return
+			}
 			r.update(func(s *scheduler.Scheduler, now time.Time) { s.BatchCommitted(b, now) })
 		}
 	}
 }
 
+// awaitConfirmation waits until the store has confirmed the ownership lately, and reports whether the term still runs. This
+// process may read the answer to a commit long after it was given, for instance if it stood still. By then another owner may have
+// waited for all leases, and a server that has not heard from it would accept the start orders that follow.
+func (r *term) awaitConfirmation(ctx context.Context) bool {
+	for ctx.Err() == nil && r.confirmationAge() > scheduler.MaxUnconfirmedRenewal {
+		wait.For(ctx, confirmationCheckInterval)
+	}
+	return ctx.Err() == nil
+}
+
 // nextBatch places pending tasks and returns the next batch to commit, or nil if nothing has changed.
 func (r *term) nextBatch() *scheduler.Batch {
 	var b *scheduler.Batch
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -218,6 +218,8 @@
 	cores   float64
 	// killed is true if stopping an entry leaves its owner lease to expire.
 	killed bool
+	// entryStore is the store as the entries use it, nil for the store itself.
+	entryStore owner.Store
 	// lookAhead makes the entries learn the durations of tasks.
 	lookAhead bool
 }
@@ -244,6 +246,9 @@
 	if s.killed {
 		m = killedStore{s.store}
 	}
+	if s.entryStore != nil {
+		m = s.entryStore
+	}
 	o := owner.New(owner.Identity{Name: name, Address: netip.MustParseAddrPort("127.0.0.1:2"), Cores: s.cores},
 		scheduler.Limits{MaxLease: 6 * time.Second, JobRetention: time.Minute, LookAhead: s.lookAhead}, owner.Dependencies{
 			Store: m, Servers: s.servers, Registry: singleServerRegistry{}, Log: discard{}, Metrics: s.metrics,
