Count a restored job as waiting until a task is known to have started

Callers saw: right after a takeover a queue had no waiting jobs although several had waited for over 5 s and none of their tasks had begun (MIXED).

Cause: a new owner took a job as started if any task was assigned to a server. If the server was cut off before the start order arrived, the job counted as started until the lease had surely expired, up to 8 s later.

Nine jobs of that queue, admitted from 1.274 to 2.159 s, had start orders from 2.469 to 2.524 s to servers that were cut off from 2.5 s; the owner stands still from 2.58 s, the next one takes over at 3.980 s and finds the leases expired at 10.309 s.

Why it works: done tasks, failures, crashes and checkpoints prove a start, and so does the first listing with the run or its end. Until then the job counts as waiting, and is shown as queued.

Test: "waits after a takeover until a task is known to have started" failed before (0 instead of 1).

--- a/fleet/scheduler/course_test.go
+++ b/fleet/scheduler/course_test.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
+	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
 var _ = ginkgo.Describe("the lifecycle of a job", func() {
@@ -49,6 +50,27 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
 
+	// Jobs whose start orders had not reached their servers were missing from the count until the leases of these had expired.
+	ginkgo.It("waits after a takeover until a task is known to have started", func() {
+		assigned := &schema.TaskProgress{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}
+		w = newHarness()
+		w.Restore(newRecord(1, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{assigned}}, w.now)
+		w.Restore(newRecord(2, 2), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Done: true}}}, w.now)
+		w.commit()
+		gomega.Expect(w.PendingJobs("plans").Pending).To(gomega.Equal(1))
+		w.Register(newServer("a"), w.now)
+		w.reportRuns("a", server.Run{Task: job.Task{Job: newRecord(1, 1).Id}, Number: 1, Percent: 10})
+		gomega.Expect(w.PendingJobs("plans").Pending).To(gomega.BeZero())
+	})
+
+	ginkgo.It("has started after a takeover if its task has ended meanwhile", func() {
+		w = newHarness()
+		w.Restore(newRecord(1, 2), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, w.now)
+		w.Register(newServer("a"), w.now)
+		w.reportEnd("a", job.Task{Job: newRecord(1, 2).Id}, 1, job.EndDone)
+		gomega.Expect(w.PendingJobs("plans").Pending).To(gomega.BeZero())
+	})
+
 	ginkgo.It("is idempotent on submission", func() {
 		gomega.Expect(w.submit(newRecord(1, 3)).Result).To(gomega.Equal(scheduler.Done))
 		gomega.Expect(w.submit(newRecord(1, 3)).Result).To(gomega.Equal(scheduler.Done))
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -55,7 +55,8 @@
 	if t == nil {
 		return
 	}
-	j.started = true
+	// An assignment alone does not tell whether its start order has arrived: the first listing does.
+	j.started = j.started || m.Done || m.Failures > 0 || m.Crashes > 0 || m.Checkpoint != ""
 	t.restoreRecord(m)
 	t.lastRun = int(m.LastRun)
 	t.failures = int(m.Failures)
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -129,6 +129,7 @@
 		s.orders.EndCounts = map[job.EndReason]int{}
 	}
 	s.orders.EndCounts[reason]++
+	t.state.started = true
 	s.release(r, now)
 	if checkpoint != "" && t.step.step.Checkpointing {
 		t.checkpoint = checkpoint
