Check the confirmation of the ownership where the start orders get their time

Change: the check is made under the lock, after that time was read. Standing still before the check fails it, and later the orders expire. TestOwnerThatWasFrozenSendsNoStartOrders passes as before; no test stops the process in that window.

--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -49,22 +49,28 @@
 				return
 			}
 			mark = n
-			if !r.awaitConfirmation(ctx) {
-				return
-			}
-			r.update(func(s *scheduler.Scheduler, now time.Time) { s.BatchCommitted(b, now) })
+			r.applyCommitted(ctx, b)
 		}
 	}
 }
 
-// awaitConfirmation waits until the store has confirmed the ownership lately, and reports whether the term still runs. This
-// process may read the answer to a commit long after it was given, for instance if it stood still. By then another owner may have
-// waited for all leases, and a server that has not heard from it would accept the start orders that follow.
-func (r *term) awaitConfirmation(ctx context.Context) bool {
-	for ctx.Err() == nil && r.confirmationAge() > scheduler.MaxUnconfirmedRenewal {
-		wait.For(ctx, confirmationCheckInterval)
-	}
-	return ctx.Err() == nil
+// applyCommitted tells the scheduler that a batch is stored, once the store has confirmed the ownership lately. This process may
+// read the answer to a commit long after it was given, for instance if it stood still. By then another owner may have waited
+// for all leases, and a server that has not heard from it would accept the start orders that follow.
+//
+// The age is checked after the time that the orders count from was read: if this process stands still before the check, the check
+// fails, and if it does so later, the orders expire.
+func (r *term) applyCommitted(ctx context.Context, b *scheduler.Batch) {
+	for applied := false; !applied && ctx.Err() == nil; {
+		r.update(func(s *scheduler.Scheduler, now time.Time) {
+			if applied = r.confirmationAge() <= scheduler.MaxUnconfirmedRenewal; applied {
+				s.BatchCommitted(b, now)
+			}
+		})
+		if !applied {
+			wait.For(ctx, confirmationCheckInterval)
+		}
+	}
 }
 
 // nextBatch places pending tasks and returns the next batch to commit, or nil if nothing has changed.
