Poll silent servers with runs before the lease record lists them

Callers would see: after a long takeover of a large fleet, tasks killed by their lease. Cause: polls spread over a second come later than the 0.5 s after which a server that has not answered gets into the lease record; its lease is then renewed only after another commit and another poll. The spread follows from leaseRecordDelay.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -45,9 +45,9 @@
 	unansweredPollBurst    = 100 * time.Millisecond
 	// maxTurnDelay is how long the polls of silent servers with runs put off those of the others, which include new servers.
 	maxTurnDelay = 500 * time.Millisecond
-	// maxUrgentSpread is the time over which the polls of silent servers with runs are spread at most. After a takeover of 3 s their
-	// leases last for another 2 s.
-	maxUrgentSpread = time.Second
+	// maxUrgentSpread is the time over which the polls of silent servers with runs are spread at most. It is shorter than the
+	// scheduler's leaseRecordDelay: a server in the lease record gets no renewal before another commit and another poll.
+	maxUrgentSpread = 400 * time.Millisecond
 	// adviceTimeout bounds a request to the advice service, which handles one request at a time.
 	adviceTimeout = 2 * time.Second
 )
