--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -238,8 +238,8 @@
 
 // awaitPollTurn spreads the polls of servers that have not answered lately: all servers when the term begins, and those that
 // are unreachable. Without that, more of them fall due at a time than this process can carry out, and it takes its own delay
-// for silence of the servers. Servers with runs go first, within maxUrgentSpread, since their leases are running. One that has missed a single poll does
-// not wait: it may get runs meanwhile, whose leases nothing would renew.
+// for silence of the servers. Servers with runs go first, within maxUrgentSpread, since their leases are running. One that has
+// missed a single poll does not wait: it may get runs meanwhile, whose leases nothing would renew.
 func (r *term) awaitPollTurn(id string) {
 	now := time.Now()
 	r.lock.Lock()
--- a/entry/owner/silent_test.go
+++ b/entry/owner/silent_test.go
@@ -129,7 +129,7 @@
 	})
 }
 
-// The polls of silent servers with runs are not delayed, and put off those of all others for as long as they went on.
+// The polls of silent servers with runs put off those of all others for as long as they went on.
 func TestSilentServersWithRunsDoNotPutOffNewOnes(t *testing.T) {
 	runTest(t, func(g *gomega.WithT, s *cluster) {
 		register(g, s, "x", 600)
