Store what has failed a job only with its end

Cause: the end of a job waits for room in a commit, while entries of the log are replaced: what is needed of an old entry goes into the newest one, with the present state of its tasks. For a job that had failed it said that the last run had failed and runs no more, but not that the job had failed. If the owner was lost before the end was stored, its successor started the task again, however many attempts had failed.

Run 2 ends as failed at 8.331 s; b-2 takes over at 11.310, lists the end at 13.041 and logs that the job has failed, while its commits are late; it stands still from 14.0 s. a-1 takes over at 15.397 and orders run 3 at 15.752, without a line on run 2: so it had restored that run as ended and the job as not ended, which no other path stores. That the entries were replaced in between is concluded from this and from the test.

Why it works: of a failed job the replacing entry repeats what the store holds, which has the last run still assigned to its server. The run's end is not acknowledged before the job's end is stored, so that the server lists it to the successor, which fails the job. Other ends stay as they were: done tasks are logged at once, as a test demands.

Test: "makes no further attempt at a job whose failure is not stored yet" failed before: the successor ordered a start.

--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
@@ -61,8 +62,13 @@
 
 // progress returns the record of the task's state for the store.
 func (t *task) progress() *schema.TaskProgress {
-	r := t.record()
-	t.recorded = r
+	t.recorded = t.record()
+	return t.recordedProgress()
+}
+
+// recordedProgress returns the record of the task's state that the store holds.
+func (t *task) recordedProgress() *schema.TaskProgress {
+	r := t.recorded
 	p := &schema.TaskProgress{
 		Occurrence: int32(t.key.Occurrence), Step: int32(t.key.Step), Index: int32(t.key.Index),
 		LastRun: int32(r.lastRun), Failures: int32(r.failures), Done: r.done, Checkpoint: r.checkpoint, Server: r.server,
@@ -86,13 +92,19 @@
 }
 
 // change returns the tasks of a job that differ from what the store holds, or all that are not pending since the start if
-// whole is true. It returns nil if there are none.
+// whole is true. It returns nil if there are none. What has failed a job is stored only with its end: a successor that knows that
+// the last run has failed, but not that the job has, would start the task again.
 func (j *jobState) change(whole bool) *schema.JobChange {
 	c := &schema.JobChange{Id: j.job.ID}
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
 			for _, t := range p.tasks {
-				if whole && (t.lastRun > 0 || t.done) || t.record() != t.recorded {
+				switch {
+				case j.phase == job.Failed:
+					if t.recorded.lastRun > 0 || t.recorded.done {
+						c.Tasks = append(c.Tasks, t.recordedProgress())
+					}
+				case whole && (t.lastRun > 0 || t.done) || t.record() != t.recorded:
 					c.Tasks = append(c.Tasks, t.progress())
 				}
 			}
--- a/fleet/scheduler/changelog_test.go
+++ b/fleet/scheduler/changelog_test.go
@@ -178,4 +178,51 @@
 		s := x.successor(w.now)
 		gomega.Expect(s.Explain(newRecord(1, 1).Id, s.now).Jobs[0].Tasks[0].State).To(gomega.Equal("done"))
 	})
+
+	// The entries showed that all attempts had failed, but not that the job had: a successor made one more.
+	ginkgo.It("makes no further attempt at a job whose failure is not stored yet", func() {
+		const noRoom = 0
+		w, x := newHarness(), newStored()
+		w.addServers("a", "b")
+		w.Submit(newRecord(1, 1), w.now, func(scheduler.Reply) {})
+		w.Submit(newRecord(2, 1, longRunning), w.now, func(scheduler.Reply) {})
+		w.commitTo(x)
+		id := newRecord(1, 1).Id
+		var other, last scheduler.StartOrder
+		for attempts := 0; attempts < table.ByName("plans").MaxAttempts; {
+			for _, o := range w.acceptStarts() {
+				if o.Task.Job != id {
+					other = o
+					continue
+				}
+				attempts++
+				last = o
+				w.reportEnd(o.Server.ID, o.Task, o.Number, job.EndFailed)
+			}
+			if attempts < table.ByName("plans").MaxAttempts {
+				w.commitTo(x)
+			}
+		}
+		gomega.Expect(w.Explain(id, w.now).Jobs[0].Tasks[0].Failures).To(gomega.BeEquivalentTo(3))
+		for range 150 {
+			w.reportEnd(other.Server.ID, other.Task, other.Number, job.EndStopped)
+			w.now = w.now.Add(20 * time.Millisecond)
+			w.Plan(w.now)
+			b := w.NextBatch(noRoom, w.now)
+			x.apply(b)
+			w.BatchCommitted(b, w.now)
+			w.collectOrders()
+			other = w.acceptStarts()[0]
+		}
+		s := x.successor(w.now)
+		s.addServers("c")
+		s.commitTo(x)
+		for _, o := range s.acceptStarts() {
+			gomega.Expect(o.Task.Job).NotTo(gomega.Equal(id))
+		}
+		s.Register(newServer(last.Server.ID), s.now)
+		s.reportEnd(last.Server.ID, last.Task, last.Number, job.EndFailed)
+		s.commitTo(x)
+		gomega.Expect(s.JobPhase(id).Phase).To(gomega.Equal(job.Failed))
+	})
 })
