--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
 	"github.com/tarragonbank/tarragonbank/fleet/loss"
@@ -63,10 +61,8 @@
 	storeUnavailable bool
 	// orderTimeout is the timeout of orders to servers.
 	orderTimeout adaptiveTimeout
-	// unansweredPolls limits the polls of servers that have not answered lately.
-	unansweredPolls *rate.Limiter
-	// urgentPolls limits those of them that have runs.
-	urgentPolls *rate.Limiter
+	// pollTurns spreads the polls of servers that have not answered lately.
+	pollTurns pollTurns
 	// reportedAt and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
 	// process has too little processor.
 	reportedAt time.Time
@@ -79,8 +75,6 @@
 	tickInterval = 100 * time.Millisecond
 	// maxConfirmationAge is how old the store's confirmation may be for orders that cannot be fenced.
 	maxConfirmationAge = time.Second
-	// minPollingCores is assumed for an entry that does not know its cores.
-	minPollingCores = 0.1
 	// minPreviousTerm is twice as long as owners, also those of earlier versions, renew leases without a confirmation.
 	minPreviousTerm = 4 * time.Second
 )
@@ -103,10 +97,8 @@
 		commitRequests: make(chan struct{}, 1),
 		commitTimeout:  adaptiveTimeout{minimum: minCommitTimeout, maximum: storeTimeout},
 		orderTimeout:   adaptiveTimeout{minimum: minOrderTimeout, maximum: maxOrderTimeout},
+		pollTurns:      newPollTurns(o.self.Cores),
 	}
-	n := unansweredPollsPerCore * max(o.self.Cores, minPollingCores)
-	r.unansweredPolls = rate.NewLimiter(rate.Limit(n), max(int(n*unansweredPollBurst.Seconds()), 1))
-	r.urgentPolls = rate.NewLimiter(r.unansweredPolls.Limit(), r.unansweredPolls.Burst())
 	r.confirmOwnership(a.askedAt)
 	return r
 }
