Check in the soak that entries answer by the configurations in force

Cause: our simulated configurations differed in their version only, and the soak asked for the version at its end, when all faults were over. Change: each version has a queue of its own and drops an older one; callers ask random entries for them all the time, and the checker judges 200 and 404 by the users' two rules (in force in time at an entry that has been without faults for the contact time, and no step back within a process). Changes come in series during faults of the links to the store, from a random stream of their own.

--- a/bench/experiment/soak.go
+++ b/bench/experiment/soak.go
@@ -33,6 +33,9 @@
 	for _, status := range slices.Sorted(maps.Keys(x.KeyAnswers)) {
 		r.metric(fmt.Sprintf("keyAnswers%d", status), x.KeyAnswers[status])
 	}
+	for _, status := range slices.Sorted(maps.Keys(x.QueueAnswers)) {
+		r.metric(fmt.Sprintf("queueAnswers%d", status), x.QueueAnswers[status])
+	}
 	for _, v := range x.Violations {
 		r.addViolation("%s", v)
 	}
--- a/bench/jobsite/caller.go
+++ b/bench/jobsite/caller.go
@@ -62,14 +62,16 @@
 	lock   sync.Mutex
 	random *rand.Rand
 	// keyRandom draws workspaces and keys, so that the other draws of a seed do not depend on them.
-	keyRandom   *rand.Rand
+	keyRandom *rand.Rand
+	// probeRandom draws the entries and queues of ProbeQueues.
+	probeRandom *rand.Rand
 	submissions []*Submission
 	pending     sync.WaitGroup
 }
 
 // NewCallers returns callers of a site. The seed determines the choice of entries and the job IDs.
 func NewCallers(s *Site, seed uint64) *Callers {
-	return &Callers{site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, random: rand.New(rand.NewPCG(seed, 3)), keyRandom: rand.New(rand.NewPCG(seed, 22))}
+	return &Callers{site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, random: rand.New(rand.NewPCG(seed, 3)), keyRandom: rand.New(rand.NewPCG(seed, 22)), probeRandom: rand.New(rand.NewPCG(seed, 23))}
 }
 
 // Submissions returns copies of all submissions in their current state.
--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -106,6 +106,7 @@
 	cancelTimeout        = 3 * time.Second
 	contactTime          = 3 * time.Second
 	untimedCancelTimeout = time.Minute
+	configApplyTime      = 2 * time.Second
 )
 
 // vmSize is the capacity of a VM.
@@ -118,21 +119,35 @@
 	TaskAttempts  = 4
 	slackFactor   = 1.6
 	targetLatency = 2 * time.Second
+	host          = "workshop.example"
 )
 
 // Pools lists the pools in service. Each has a queue of the same name.
 var Pools = []string{"cups", "carving"}
 
-// table returns the queue table with the version. Tables differ only in their versions.
+// seasonalVersions is the number of versions of the configuration that have a seasonal queue.
+const seasonalVersions = 2
+
+// seasonalQueue returns the queue that comes with a version of the configuration. It is public, so that a request to it needs no
+// key.
+func seasonalQueue(version uint64) queue.Queue {
+	n := fmt.Sprintf("seasonal-%d", version)
+	return queue.Queue{Name: n, Host: host, Prefix: "/" + n + "/", Pool: Pools[0], MaxAttempts: TaskAttempts, SlackFactor: slackFactor, LatencyAllowance: targetLatency, Public: true}
+}
+
+// table returns the queue table with the version. Tables differ in their versions and their seasonal queues.
 func table(version uint64) *queue.Table {
 	l, pools := []queue.Queue{}, map[string]queue.Pool{StandbyPool: {Name: StandbyPool, Standby: true}}
 	for i, p := range Pools {
 		pools[p] = queue.Pool{Name: p}
 		l = append(l, queue.Queue{
-			Name: p, Host: "workshop.example", Prefix: "/" + p + "/", Pool: p, Priority: i, MaxAttempts: TaskAttempts,
+			Name: p, Host: host, Prefix: "/" + p + "/", Pool: p, Priority: i, MaxAttempts: TaskAttempts,
 			SlackFactor: slackFactor, LatencyAllowance: targetLatency,
 		})
 	}
+	for i := range uint64(min(seasonalVersions, version)) {
+		l = append(l, seasonalQueue(version-i))
+	}
 	return queue.New(version, l, pools, queue.Limits{})
 }
 
@@ -176,10 +191,10 @@
 		Table: s.Table, StoreAddress: s.block.Address(groupPlatform, 1, portStore), CloudAddress: s.block.Address(groupPlatform, 1, portCloud),
 		Seed: s.Options.Seed, MaxLease: maxLease, GangTimeout: gangTimeout, HeartbeatInterval: heartbeatInterval, DrainTime: drainTime, MoveTime: moveTime,
 		MaintenanceTime: maintenanceTime, CancelTimeout: cancelTimeout, RegisteredAddress: s.proxyAddress,
-		ContactTime: contactTime, UnguardedPools: s.Options.UnguardedPools, Workspaces: s.simulatedWorkspaces(),
+		ContactTime: contactTime, ConfigApplyTime: configApplyTime, UnguardedPools: s.Options.UnguardedPools, Workspaces: s.simulatedWorkspaces(),
 	}
 	if s.Options.Untimed {
-		p.CancelTimeout = untimedCancelTimeout
+		p.CancelTimeout, p.ConfigApplyLimit = untimedCancelTimeout, untimedApplyLimit
 	}
 	host := 0
 	for _, pool := range append([]string{StandbyPool}, Pools...) {
--- a/bench/jobsite/workspace.go
+++ b/bench/jobsite/workspace.go
@@ -19,7 +19,7 @@
 	ConfigApplyTime = 3 * time.Second
 	// orderLifetime is longer than an order to start a task is valid.
 	orderLifetime = 1500 * time.Millisecond
-	// untimedApplyLimit replaces ConfigApplyTime in the checks on busy machines.
+	// untimedApplyLimit replaces the time to apply a configuration in the checks on busy machines.
 	untimedApplyLimit = time.Minute
 	// keysPerWorkspace is the number of keys that a workspace has at the start.
 	keysPerWorkspace = 2
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -64,8 +64,6 @@
 	// shutdownTimeout bounds the graceful shutdown of an entry.
 	shutdownTimeout = 8 * time.Second
 	waveTimeLimit   = 20 * time.Second
-	// silenceNoticed is the time in which an entry replaces silent connections to the store.
-	silenceNoticed = 5 * time.Second
 )
 
 // entry returns a random entry.
@@ -171,9 +169,7 @@
 }
 
 func storeConnectionsSilent(r *run) func() {
-	e := r.entry()
-	time.AfterFunc(silenceNoticed, r.site.Platform.Checker.Disturb(e.Name))
-	e.StoreProxy.Blackhole()
+	r.silenceStoreConnections(r.entry())
 	return nil
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -37,8 +37,10 @@
 	Refused        int
 	OutcomeUnknown int
 	TaskStarts     int
-	// KeyAnswers counts the requests of callers of workspaces by the status of their responses.
-	KeyAnswers map[int]int
+	// KeyAnswers counts the requests of callers of workspaces by the status of their responses, QueueAnswers those about
+	// queues that come and go.
+	KeyAnswers   map[int]int
+	QueueAnswers map[int]int
 }
 
 // run is the state of one soak.
@@ -48,12 +50,13 @@
 	callers *jobsite.Callers
 	// Each random stream is used by one goroutine: faultRandom by the one that injects faults, loadRandom by the one that
 	// submits jobs, capacityRandom by the one that changes capacities, crashingRandom by the one that submits crashing
-	// jobs, workspaceRandom by the one that changes workspaces.
+	// jobs, workspaceRandom by the one that changes workspaces, configRandom by the one that changes queues.
 	faultRandom     *rand.Rand
 	loadRandom      *rand.Rand
 	capacityRandom  *rand.Rand
 	crashingRandom  *rand.Rand
 	workspaceRandom *rand.Rand
+	configRandom    *rand.Rand
 	// withdrawals counts the withdrawn keys of which an entry does not learn yet.
 	withdrawals  sync.WaitGroup
 	activeFaults sync.WaitGroup
@@ -112,7 +115,8 @@
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
 		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), workspaceRandom: rand.New(rand.NewPCG(p.Seed, 15)),
-		reserved: map[*jobsite.Entry]func(){}, pinned: map[any]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		configRandom: rand.New(rand.NewPCG(p.Seed, 16)),
+		reserved:     map[*jobsite.Entry]func(){}, pinned: map[any]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
@@ -124,7 +128,7 @@
 	faultCtx, stopFaults := context.WithTimeout(ctx, p.FaultDuration)
 	defer stopFaults()
 	var work sync.WaitGroup
-	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities, r.changeWorkspaces, r.probeKeys} {
+	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities, r.changeWorkspaces, r.changeConfigs, r.probeKeys, r.callers.ProbeQueues} {
 		work.Add(1)
 		go func() {
 			defer work.Done()
@@ -221,7 +225,7 @@
 }
 
 func (r *run) result() *Result {
-	x := &Result{TaskStarts: r.site.Platform.Checker.StartCount(), KeyAnswers: r.site.Platform.Checker.Answers()}
+	x := &Result{TaskStarts: r.site.Platform.Checker.StartCount(), KeyAnswers: r.site.Platform.Checker.Answers(), QueueAnswers: r.site.Platform.Checker.QueueAnswers()}
 	for _, j := range r.callers.Submissions() {
 		switch j.Answer {
 		case simulator.Accepted:
