Answer 404 for an unknown queue only by a configuration that is proved

Root cause: an entry took the absence of a route in its table for the absence of the route. The table follows one watch, and whatever holds that up (a silent connection, a read that hangs, a store that turns one entry away) made a final, wrong answer of it. The age of the proof was known, and used for keys only. Class: a negative answer from a copy without a bound on the copy's age. Calls whose queue is known go to the owner as before.

--- a/entry/jobapi/answer.go
+++ b/entry/jobapi/answer.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// unprovedRetryAfter is how long a client should wait before it retries at an entry whose configuration is not proved.
+const unprovedRetryAfter = 2 * time.Second
+
+// writeAbsent writes that the configuration lacks something, or, if it is not proved, that it may lack it.
+func (s *Server) writeAbsent(w http.ResponseWriter, f errorResponse) {
+	if s.entry.ConfigProved() {
+		writeError(w, http.StatusNotFound, f)
+		return
+	}
+	f.Kind, f.Error, f.RetryAfterMs = "unproved", f.Error+", but this entry's configuration may be out of date", unprovedRetryAfter.Milliseconds()
+	writeError(w, http.StatusServiceUnavailable, f)
+}
+
 // writeError writes an error, with a Retry-After header in whole seconds, rounded up.
 func writeError(w http.ResponseWriter, status int, f errorResponse) {
 	if f.RetryAfterMs > 0 {
--- a/entry/jobapi/jobapi_test.go
+++ b/entry/jobapi/jobapi_test.go
@@ -43,7 +43,7 @@
 }
 
 // fakeEntry has a fixed state, and discards decisions and metrics.
-type fakeEntry struct{}
+type fakeEntry struct{ unproved bool }
 
 func (fakeEntry) Table() *queue.Table {
 	d, err := workspace.New([]workspace.Definition{{Workspace: workspace.Workspace{Name: "dev"}}})
@@ -51,6 +51,8 @@
 	return queue.New(4, []queue.Queue{{Name: "plans", Pool: "carving", Priority: 1, MaxAttempts: 3}}, nil, queue.Limits{}, queue.WithWorkspaces(d))
 }
 
+func (e fakeEntry) ConfigProved() bool { return !e.unproved }
+
 func (fakeEntry) Owner() owner.Record {
 	return owner.Record{Name: "njiro-1", Address: netip.MustParseAddrPort("10.0.0.1:7000"), Revision: 12}
 }
@@ -65,10 +67,15 @@
 
 // request sends one request and returns the status, the body and the Retry-After header.
 func request(f *fakeRelay, method, path, kind, body string) (int, string, string) {
+	return requestAt(fakeEntry{}, f, method, path, kind, body)
+}
+
+// requestAt is request to an entry with the given state.
+func requestAt(e fakeEntry, f *fakeRelay, method, path, kind, body string) (int, string, string) {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set("Content-Type", kind)
 	w := httptest.NewRecorder()
-	jobapi.New(f, fakeEntry{}, fakeEntry{}, fakeEntry{}).ServeHTTP(w, r)
+	jobapi.New(f, e, e, e).ServeHTTP(w, r)
 	b, err := io.ReadAll(w.Body)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return w.Code, strings.TrimSpace(string(b)), w.Header().Get("Retry-After")
@@ -86,6 +93,19 @@
 }
 
 var _ = ginkgo.Describe("a submission", func() {
+	// Guards against 404 for a queue that a newer configuration has.
+	ginkgo.DescribeTable("is not told what is absent by a configuration that is not proved", func(path, body string) {
+		f := &fakeRelay{}
+		code, answer, retry := requestAt(fakeEntry{unproved: true}, f, "POST", path, "", body)
+		gomega.Expect(code).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(answer).To(gomega.ContainSubstring(`"kind":"unproved"`))
+		gomega.Expect(retry).To(gomega.Equal("2"))
+		gomega.Expect(f.call).To(gomega.BeNil())
+	},
+		ginkgo.Entry("a queue", "/v1/jobs", strings.Replace(jsonJob, "plans", "plates", 1)),
+		ginkgo.Entry("a workspace", "/v1/preview?workspace=none", jsonJob),
+	)
+
 	ginkgo.DescribeTable("is passed to the relay with all its fields", func(kind, body string) {
 		f := &fakeRelay{}
 		status, answer, _ := request(f, "POST", "/v1/jobs", kind, body)
--- a/entry/jobapi/preview.go
+++ b/entry/jobapi/preview.go
@@ -17,7 +17,7 @@
 	m := job.FromRequest(q)
 	m.Workspace = r.URL.Query().Get("workspace")
 	if t := s.entry.Table(); m.Workspace != "" && t.Workspaces.ByName(m.Workspace) == nil {
-		writeNoWorkspace(w, m.Workspace)
+		s.writeAbsent(w, noWorkspace(m.Workspace))
 		return
 	}
 	x := s.call(r, &schema.JobCall{Kind: schema.JobCall_PREVIEW, Id: q.Id, Queue: q.Queue, Job: m})
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -42,6 +42,9 @@
 type Entry interface {
 	// Table returns the active configuration of queues, or nil if there is none yet.
 	Table() *queue.Table
+	// ConfigProved reports whether the table was lately proved to be that of the configuration in the store. Otherwise it may
+	// lack what a newer one has.
+	ConfigProved() bool
 	// Owner returns the fleet's owner as last read from the store.
 	Owner() owner.Record
 	// Waves reads the progress of the maintenance waves from the store.
@@ -122,7 +125,7 @@
 	}
 	if t := s.entry.Table(); t.ByName(q.Queue) == nil {
 		refused(q.Id, "no queue "+q.Queue)
-		writeError(w, http.StatusNotFound, errorResponse{Kind: "queue", Field: "queue", Error: "there is no queue " + q.Queue})
+		s.writeAbsent(w, errorResponse{Kind: "queue", Field: "queue", Error: "there is no queue " + q.Queue})
 		return nil, false
 	}
 	return q, true
--- a/entry/jobapi/workspace.go
+++ b/entry/jobapi/workspace.go
@@ -28,9 +28,9 @@
 			return
 		}
 	}
-	writeNoWorkspace(w, r.PathValue("name"))
+	writeError(w, http.StatusNotFound, noWorkspace(r.PathValue("name")))
 }
 
-func writeNoWorkspace(w http.ResponseWriter, name string) {
-	writeError(w, http.StatusNotFound, errorResponse{Kind: "workspace", Error: "there is no workspace " + name})
+func noWorkspace(name string) errorResponse {
+	return errorResponse{Kind: "workspace", Error: "there is no workspace " + name}
 }
