Send reads of all items beside one that hangs

One that was sent into an outage is never answered, and held the configuration, the owner's key or the servers for up to 8 s after the store was back; an entry counts as sound after 3 s. Class: the time limit that a slow peer needs, used against a silent one. Change: each attempt has 1 s a page; after one that took it, one slow read with 8 s a page goes on beside the attempts that follow, and the first answer wins. The proof counts from the sending of the read that won. Evidence: TestReadSentInAnOutageDelaysNothingAfterIt, outages of 1 to 20 s: before, nothing was read 1.15 s after the end of most of them (from 1.7 s); now after all. A page that takes 3 s is still read.

--- a/entry/mirror/mirror.go
+++ b/entry/mirror/mirror.go
@@ -45,6 +45,8 @@
 	clock func() time.Duration
 	// provedAt is the latest time since boot after which the store is known to have held the sink's state, nil if there is none.
 	provedAt atomic.Pointer[time.Duration]
+	// slowRead is the slow read that is under way, the zero value if there is none. Only Run uses it.
+	slowRead reading
 }
 
 // DefaultPollTimeout is how long the store holds a watch without changes. It also bounds for how long a silent connection
@@ -56,10 +58,6 @@
 	retryInterval = 150 * time.Millisecond
 	// responseGrace is how much later than its poll timeout a watch may answer; a slow store takes 250 ms.
 	responseGrace = 700 * time.Millisecond
-	// minReadTimeout bounds the first attempt to read a page. Each further one may take twice as long, up to maxReadTimeout,
-	// since a page of 1 MB takes seconds on a slow link.
-	minReadTimeout = time.Second
-	maxReadTimeout = 8 * time.Second
 )
 
 // Option configures a Mirror.
@@ -88,13 +86,12 @@
 func (m *Mirror) Run(ctx context.Context) {
 	after := store.Revision(0)
 	failed := false
-	readTimeout := minReadTimeout
+	defer m.abandonSlowRead()
 	for ctx.Err() == nil {
 		var err error
 		sent, compacted := m.clock(), false
 		if after == 0 {
-			after, err = m.readAll(ctx, readTimeout)
-			readTimeout = min(2*readTimeout, maxReadTimeout)
+			after, sent, err = m.readAll(ctx)
 		} else {
 			after, err = m.poll(ctx, after)
 			compacted = after == 0
@@ -105,7 +102,6 @@
 		if err == nil {
 			m.lastContactNs.Store(time.Now().UnixNano())
 			failed = false
-			readTimeout = minReadTimeout
 			continue
 		}
 		if ctx.Err() == nil && !failed {
@@ -155,36 +151,6 @@
 	return m.clock() - *t
 }
 
-// readAll passes the items of all pages to the sink and returns the revision of the first page, so that the watch repeats
-// changes made while later pages were read. Each page has to arrive within the timeout.
-func (m *Mirror) readAll(ctx context.Context, timeout time.Duration) (store.Revision, error) {
-	var l []store.Item
-	first := store.Revision(0)
-	after := ""
-	for {
-		p, err := m.readPage(ctx, after, timeout)
-		if err != nil {
-			return 0, err
-		}
-		if first == 0 {
-			first = p.Revision
-		}
-		l = append(l, p.Items...)
-		if !p.HasMore || len(p.Items) == 0 {
-			break
-		}
-		after = p.Items[len(p.Items)-1].Key
-	}
-	m.sink.Reset(l)
-	return first, nil
-}
-
-func (m *Mirror) readPage(ctx context.Context, after string, timeout time.Duration) (store.Page, error) {
-	c, stop := context.WithTimeout(ctx, timeout)
-	defer stop()
-	return m.store.Range(c, m.prefix, after)
-}
-
 // poll waits for changes and returns the revision to continue from. It returns 0, to have all items read again, if the
 // store has compacted the changes after the given revision.
 func (m *Mirror) poll(ctx context.Context, after store.Revision) (store.Revision, error) {
--- a/entry/mirror/mirror_test.go
+++ b/entry/mirror/mirror_test.go
@@ -165,3 +165,42 @@
 		})
 	}
 }
+
+// silentStore leaves the reads that are sent before the time back without an answer.
+type silentStore struct {
+	scriptedStore
+	back  time.Time
+	reads int
+}
+
+func (s *silentStore) Range(ctx context.Context, p, after string) (store.Page, error) {
+	s.lock.Lock()
+	s.reads++
+	s.lock.Unlock()
+	if time.Now().Before(s.back) {
+		<-ctx.Done()
+		return store.Page{}, &store.UnavailableError{Call: "range", Detail: ctx.Err().Error()}
+	}
+	return s.scriptedStore.Range(ctx, p, after)
+}
+
+// A read that was sent into an outage held the mirror for up to 8 s after the store was back.
+func TestReadSentInAnOutageDelaysNothingAfterIt(t *testing.T) {
+	const readInterval, slowReadInterval = 1150 * time.Millisecond, 8 * time.Second
+	for outage := time.Second; outage < 20*time.Second; outage += 700 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := &silentStore{scriptedStore: scriptedStore{items: []store.Item{item("a", "1")}, at: 5}, back: time.Now().Add(outage)}
+			k := &recordingSink{}
+			ctx, stop := context.WithCancel(context.Background())
+			go mirror.New(s, "", k).Run(ctx)
+			time.Sleep(outage + readInterval)
+			synctest.Wait()
+			g.Expect(k.values).To(gomega.Equal(map[string]string{"a": "1"}), "after an outage of %s", outage)
+			prompt, slow := 1+int((outage+readInterval)/readInterval), 1+int(outage/slowReadInterval)
+			g.Expect(s.reads).To(gomega.BeNumerically("<=", prompt+slow), "one slow read at a time beside the prompt ones")
+			stop()
+			synctest.Wait()
+		})
+	}
+}
