Pass the owner's configuration to entries that the store turns away

The entry reached the owner all the while, whose replies to pings tell the revision of the newer configuration; nothing was done with that. Class: one path for what two parties hold. The proof follows with the next ping.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -53,18 +53,10 @@
 	predecessor *ownerConn
 	onPanic     func(x any)
 	proof       ConfigProof
+	follower    configFollower
 	clock       func() time.Duration
 }
 
-// ConfigProof tells how recently this entry's configuration was proved to be the one in the store.
-type ConfigProof interface {
-	// Proof returns the revision at which the store wrote the configuration, and a time within which the store held it at
-	// some moment. The revision is 0 if there is no proof.
-	Proof() (store.Revision, time.Duration)
-	// Confirm records that the store held the configuration of the revision at some moment after t, a time since boot.
-	Confirm(r store.Revision, t time.Duration)
-}
-
 const (
 	// callTimeout bounds a call, here or at the owner, for callers that wait for longer: it spans a takeover and a commit to
 	// a slow store.
@@ -94,7 +86,7 @@
 // New returns a relay for this entry. Entries that call it join the executors; handle answers the calls that the owner
 // makes on this entry's connection.
 func New(o Ownership, self owner.Identity, x Executors, handle channel.Handler, l ...Option) *Relay {
-	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, predecessor: &ownerConn{handle: handle}, onPanic: func(any) {}, clock: boottime.Now}
+	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, predecessor: &ownerConn{handle: handle}, onPanic: func(any) {}, clock: boottime.Now, follower: newConfigFollower()}
 	for _, f := range l {
 		f(r)
 	}
@@ -110,8 +102,8 @@
 	return func(r *Relay) { r.onPanic = f }
 }
 
-// WithConfigProof passes the proof of this entry's configuration to the entries that ping it, and takes over that of the
-// owner. So an entry that reaches the owner but not the store keeps its proof while the configuration stays the same.
+// WithConfigProof passes the proof of this entry's configuration to the entries that ping it, and takes over the owner's proof
+// and its newer configurations. So an entry that reaches the owner but not the store goes by the same configuration.
 func WithConfigProof(p ConfigProof) Option {
 	return func(r *Relay) { r.proof = p }
 }
@@ -317,6 +309,7 @@
 	if r.proof != nil {
 		// The owner told the age after the ping was sent, so that the proof is not older than this.
 		r.proof.Confirm(store.Revision(m.GetConfigRevision()), sent-time.Duration(m.GetConfigAgeMs())*time.Millisecond)
+		r.followConfig(ctx, k, store.Revision(m.GetConfigRevision()))
 	}
 }
 
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -150,12 +151,31 @@
 	revision  store.Revision
 	age       time.Duration
 	confirmed chan time.Duration
+
+	lock   sync.Mutex
+	config []byte
+}
+
+func (p *fakeProof) Proof() (store.Revision, time.Duration) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.revision, p.age
 }
 
-func (p *fakeProof) Proof() (store.Revision, time.Duration) { return p.revision, p.age }
+func (p *fakeProof) Config() (store.Revision, []byte) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.revision, p.config
+}
+
+func (p *fakeProof) Learn(r store.Revision, config []byte) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.revision, p.config = r, config
+}
 
 func (p *fakeProof) Confirm(r store.Revision, t time.Duration) {
-	if r == p.revision {
+	if own, _ := p.Config(); r == own {
 		p.confirmed <- t
 	}
 }
@@ -475,4 +495,26 @@
 		gomega.Eventually(p.confirmed, 3*time.Second).Should(gomega.Receive(&t))
 		gomega.Expect(t).To(gomega.And(gomega.BeNumerically(">=", began-age), gomega.BeNumerically("<=", boottime.Now()-age)))
 	})
+
+	// Guards against an entry that keeps an old configuration while the store turns it away and the owner has a newer one.
+	ginkgo.It("leads to the owner's configuration if that is newer", func() {
+		owners := &fakeProof{revision: 9, config: []byte("new")}
+		a, stopOwner := serve(&fakeOwnership{owner: &fakeOwner{}}, relay.WithConfigProof(owners))
+		defer stopOwner()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		p := &fakeProof{revision: 7, config: []byte("old"), confirmed: make(chan time.Duration, 99)}
+		go relay.New(&fakeOwnership{known: owner.Record{Address: a, Revision: 5}}, owner.Identity{Name: "here"}, &fakeExecutors{}, nil,
+			relay.WithConfigProof(p)).Run(ctx)
+		config := func() string {
+			v, b := p.Config()
+			return fmt.Sprint(v, " ", string(b))
+		}
+		gomega.Eventually(config, 5*time.Second).Should(gomega.Equal("9 new"))
+		gomega.Eventually(p.confirmed, 5*time.Second).Should(gomega.Receive())
+		owners.Learn(10, make([]byte, 1<<20))
+		gomega.Consistently(config, 1200*time.Millisecond).Should(gomega.Equal("9 new"), "too large to be passed on")
+		owners.Learn(8, []byte("older"))
+		gomega.Consistently(config, 1200*time.Millisecond).Should(gomega.Equal("9 new"))
+	})
 })
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -64,6 +64,9 @@
 		x.relay.learn(m.Owner, x.relay.ownership.Known().Revision)
 		return &schema.Reply{Body: &schema.Reply_Job{Job: &schema.JobReply{}}}
 	}
+	if m.Kind == schema.JobCall_CONFIG {
+		return &schema.Reply{Body: &schema.Reply_Job{Job: x.relay.configReply()}}
+	}
 	reply := &schema.JobReply{Result: notOwner, Owner: x.relay.notice()}
 	if d := x.relay.ownership.Current(); d != nil {
 		reply = encodeReply(Invoke(ctx, d, m))
