Say that a job does not exist only while the ownership is confirmed

Callers could be told 410 for a job that was accepted: by an owner that the store turns away and that does not know of its successor yet. Seen in a test, not at the users; servers that the new owner has polled tell the old one soon, so that the window is short where both reach them. Known jobs are answered as before. Not changed: a submission is refused while the store is away, though a successor may have accepted an earlier attempt; 'not known' would be the worse answer for all others.

--- a/entry/owner/preview.go
+++ b/entry/owner/preview.go
@@ -14,7 +14,7 @@
 	if r.overloaded.Load() {
 		return scheduler.Reply{Result: scheduler.Refused, Reason: overloadedReason, RetryAfter: overload.RetryAfter(m.GetId())}
 	}
-	if r.storeAway() && r.JobPhase(m.GetId(), "").Result == scheduler.NotFound {
+	if r.storeAway() && !r.knows(m.GetId()) {
 		return scheduler.Reply{Result: scheduler.Done, Preview: &schema.JobPreview{
 			Reason: storeUnavailableReason, RetryAfterMs: storeUnavailableRetry.Milliseconds(),
 		}}
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -315,10 +315,10 @@
 
 // Submit adds a job and returns once it is stored, refused or found malformed.
 func (r *term) Submit(ctx context.Context, m *schema.JobRecord) scheduler.Reply {
-	if r.storeAway() && r.JobPhase(m.Id, m.Workspace).Result == scheduler.NotFound {
+	if r.storeAway() && !r.knows(m.Id) {
 		return r.refuse(m, scheduler.Reply{Reason: storeUnavailableReason, RetryAfter: storeUnavailableRetry, Cause: scheduler.CauseStore})
 	}
-	if r.overloaded.Load() && isFinite(m) && r.JobPhase(m.Id, m.Workspace).Result == scheduler.NotFound {
+	if r.overloaded.Load() && isFinite(m) && !r.knows(m.Id) {
 		return r.refuse(m, scheduler.Reply{Reason: overloadedReason, RetryAfter: overload.RetryAfter(m.Id), Cause: scheduler.CauseOverload})
 	}
 	return r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
@@ -343,13 +343,31 @@
 
 // Cancel ends a job and returns once the cancellation is stored.
 func (r *term) Cancel(ctx context.Context, id, workspace string) scheduler.Reply {
-	return r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
+	return r.checkAbsence(r.callScheduler(ctx, func(s *scheduler.Scheduler, now time.Time, reply func(scheduler.Reply)) {
 		if s.Forbids(id, workspace) {
 			reply(scheduler.Reply{Result: scheduler.Forbidden})
 			return
 		}
 		s.Cancel(id, now, reply)
-	})
+	}))
+}
+
+// checkAbsence returns the reply to a call about a job. If the store has not lately confirmed the ownership, another owner may have
+// accepted a job that this one does not know.
+func (r *term) checkAbsence(x scheduler.Reply) scheduler.Reply {
+	if x.Result != scheduler.NotFound || r.confirmationAge() <= scheduler.MaxUnconfirmedRenewal {
+		return x
+	}
+	return scheduler.Reply{
+		Result: scheduler.Refused, Reason: "unknown here, but the ownership is not confirmed", RetryAfter: storeUnavailableRetry, Cause: scheduler.CauseStore,
+	}
+}
+
+// knows reports whether this owner knows a job.
+func (r *term) knows(id string) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.scheduler.JobPhase(id).Result != scheduler.NotFound
 }
 
 // callScheduler calls f and waits for its reply. The outcome is unknown if the context or the term ends first.
@@ -379,7 +397,7 @@
 	if r.scheduler.Forbids(id, workspace) {
 		return scheduler.Reply{Result: scheduler.Forbidden}
 	}
-	return r.scheduler.JobPhase(id)
+	return r.checkAbsence(r.scheduler.JobPhase(id))
 }
 
 // PendingJobs counts the stored jobs of a queue of which no task has started.
@@ -400,7 +418,7 @@
 func (r *term) Explain(id string) scheduler.Reply {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.scheduler.Explain(id, time.Now())
+	return r.checkAbsence(r.scheduler.Explain(id, time.Now()))
 }
 
 // Pools returns the capacity and the demand of each pool.
