Soak: cancel the long-running jobs of unknown outcome before their tasks must end

The check was wrong: at the end of a soak the tasks of all long-running jobs must be gone, but only accepted ones were cancelled. A job whose first attempt had no answer and whose retries got 401, since its workspace's keys were withdrawn meanwhile, may run, and nobody had cancelled it. Trace of: admitted, 'submission unsure', then POST refused as 'workspace unknown' four times; no cancel was ever sent. Change: all that may have been accepted are cancelled, and the tasks of all must end: stricter, since the cancellation of a job of unknown outcome is now checked too.

--- a/bench/jobsite/caller.go
+++ b/bench/jobsite/caller.go
@@ -48,7 +48,7 @@
 	// Phase is the phase observed last, Ended when a final phase was first observed.
 	Phase string
 	Ended time.Time
-	// Cancelled is set once the caller has decided to cancel the accepted job.
+	// Cancelled is set once the caller has decided to cancel the job.
 	Cancelled bool
 	// answered is closed when the submission has its final answer or its context has ended.
 	answered chan struct{}
@@ -225,15 +225,24 @@
 // Cancel waits for a submission's answer in the background and, if the job was accepted, retries its cancellation until it
 // is acknowledged or the context ends.
 func (c *Callers) Cancel(ctx context.Context, x *Submission) {
+	c.cancel(ctx, x, func(a simulator.Answer) bool { return a == simulator.Accepted })
+}
+
+// CancelUnlessRefused is Cancel for a job that may have been accepted. No attempt to submit it may be under way.
+func (c *Callers) CancelUnlessRefused(ctx context.Context, x *Submission) {
+	c.cancel(ctx, x, func(a simulator.Answer) bool { return a != simulator.Refused })
+}
+
+func (c *Callers) cancel(ctx context.Context, x *Submission, concerns func(simulator.Answer) bool) {
 	c.pending.Add(1)
 	go func() {
 		defer c.pending.Done()
 		<-x.answered
 		c.lock.Lock()
-		accepted := x.Answer == simulator.Accepted
-		x.Cancelled = accepted
+		x.Cancelled = concerns(x.Answer)
+		cancelled := x.Cancelled
 		c.lock.Unlock()
-		if !accepted {
+		if !cancelled {
 			return
 		}
 		for ctx.Err() == nil {
--- a/bench/soak/settle.go
+++ b/bench/soak/settle.go
@@ -80,17 +80,17 @@
 	}
 }
 
-// settleLongRunning verifies that all tasks of long-running jobs run, cancels the jobs and verifies that the tasks end.
+// settleLongRunning verifies that all tasks of accepted long-running jobs run, cancels these and those of unknown outcome, and
+// verifies that the tasks of all end.
 func (r *run) settleLongRunning() {
 	for _, x := range r.longRunning {
 		id := x.Request.Id
-		if r.callers.Submission(id).Answer != simulator.Accepted {
-			continue
+		if r.callers.Submission(id).Answer == simulator.Accepted {
+			r.eventually(settleLimit, "not all tasks of the long-running job "+id+" are running", func() bool {
+				return r.site.Platform.Checker.RunningCount(id) == x.Steps[0].Count
+			})
 		}
-		r.eventually(settleLimit, "not all tasks of the long-running job "+id+" are running", func() bool {
-			return r.site.Platform.Checker.RunningCount(id) == x.Steps[0].Count
-		})
-		r.callers.Cancel(r.ctx, x)
+		r.callers.CancelUnlessRefused(r.ctx, x)
 	}
 	r.callers.Wait()
 	for _, x := range r.longRunning {
