--- a/bench/jobsite/keycaller.go
+++ b/bench/jobsite/keycaller.go
@@ -106,20 +106,22 @@
 // ProbeKeys asks random entries, ready or not, for the states of jobs until the context ends, with current, withdrawn and
 // unknown keys and with those of other workspaces. The checker judges the answers.
 func (c *Callers) ProbeKeys(ctx context.Context) {
+	callEvery(ctx, probeInterval, func() { c.probe(ctx) })
+}
+
+// callEvery calls f at each interval, without waiting for earlier calls, until the context ends. It returns once all have
+// returned.
+func callEvery(ctx context.Context, interval time.Duration, f func()) {
 	var work sync.WaitGroup
 	defer work.Wait()
-	t := time.NewTicker(probeInterval)
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			work.Add(1)
-			go func() {
-				defer work.Done()
-				c.probe(ctx)
-			}()
+			work.Go(f)
 		}
 	}
 }
@@ -151,6 +153,15 @@
 		return 0
 	}
 	sent := time.Now()
+	status := c.send(r)
+	if status != 0 {
+		c.recordRequest(e, q.Key, q.Job, sent, status)
+	}
+	return status
+}
+
+// send sends a request and returns the status of the response, 0 without a complete one.
+func (c *Callers) send(r *http.Request) int {
 	a, err := c.client.Do(r)
 	if err != nil {
 		return 0
@@ -159,7 +170,6 @@
 	if _, err := io.Copy(io.Discard, a.Body); err != nil {
 		return 0
 	}
-	c.recordRequest(e, q.Key, q.Job, sent, a.StatusCode)
 	return a.StatusCode
 }
 
--- a/bench/jobsite/queuecaller.go
+++ b/bench/jobsite/queuecaller.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
@@ -23,23 +21,9 @@
 // ProbeQueues asks random entries, ready or not, for seasonal queues until the context ends: those of the newest configuration,
 // those dropped last, and one that never existed. The checker judges the answers.
 func (c *Callers) ProbeQueues(ctx context.Context) {
-	var work sync.WaitGroup
-	defer work.Wait()
-	t := time.NewTicker(queueProbeInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		e, q := c.site.Entries[c.drawProbe(len(c.site.Entries))], c.drawSeasonalQueue()
-		work.Add(1)
-		go func() {
-			defer work.Done()
-			c.RequestQueue(ctx, e, q)
-		}()
-	}
+	callEvery(ctx, queueProbeInterval, func() {
+		c.RequestQueue(ctx, c.site.Entries[c.drawProbe(len(c.site.Entries))], c.drawSeasonalQueue())
+	})
 }
 
 func (c *Callers) drawProbe(n int) int {
@@ -67,17 +51,9 @@
 		return 0
 	}
 	x := simulator.QueueRequest{Entry: e.Name, Incarnation: e.StartCount(), Queue: q, SentAt: time.Now()}
-	a, err := c.client.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer a.Body.Close()
-	if _, err := io.Copy(io.Discard, a.Body); err != nil {
-		return 0
-	}
-	x.Status, x.AnsweredAt = a.StatusCode, time.Now()
-	if x.Incarnation == e.StartCount() {
+	x.Status, x.AnsweredAt = c.send(r), time.Now()
+	if x.Status != 0 && x.Incarnation == e.StartCount() {
 		c.site.Platform.Checker.RecordQueueRequest(x)
 	}
-	return a.StatusCode
+	return x.Status
 }
