--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// cases are the scripted cases by name. A case plays with or without its disruption.
+var cases = map[string]func(s *site, trouble bool){
+	"declared": declared, "advice": adviceOfMany, "dropped": dropped, "harm": harm, "hopeless": hopeless, "lasting": lasting,
+}
+
+// spare is the pool of the machines that are switched off.
+var spare = service{"ledger", true}
+
+func finite(n, cpu int, estimate time.Duration) map[string]any {
+	return map[string]any{"count": n, "cpu": cpu, "mem-mb": 500, "estimate-ms": estimate.Milliseconds()}
+}
+
+func lastingStep(n, cpu, apart int) map[string]any {
+	return map[string]any{"count": n, "cpu": cpu, "mem-mb": 500, "estimate-ms": 1000, "long-running": true, "anti-affinity": apart}
+}
+
+// ordinaryJobs is the number of ordinary jobs beside one that is long or can never be done: one in twenty, as on the sites' days.
+const ordinaryJobs = 19
+
+// submitOrdinary hands in ordinary jobs and waits until they are completed.
+func (s *site) submitOrdinary(prefix string) {
+	for i := range ordinaryJobs {
+		id := fmt.Sprintf("%016x", 0xc0de00+i)
+		m := &jobModel{steps: []*stepModel{{cpu: 3500, time: 400 * time.Millisecond}}}
+		s.submit(prefix, id, m, []map[string]any{finite(2, 3500, 400*time.Millisecond)})
+		time.Sleep(50 * time.Millisecond)
+	}
+	for i := range ordinaryJobs {
+		path := fmt.Sprintf("%s%016x", prefix, 0xc0de00+i)
+		for n := 0; ; n++ {
+			if _, x := s.entries[0].call("GET", path, nil); x == `{"state":"completed"}` {
+				break
+			}
+			if n > 100 {
+				s.fatal("an ordinary job is not completed in time")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// declared: the tasks of one job in twenty take ten times as long as the job declares.
+func declared(s *site, trouble bool) {
+	s.queues = []queue{{name: "horn-carve", prefix: "/carve/", pool: "carving", attempts: 4}}
+	s.services = []service{{"carving", false}, spare}
+	s.addMachines("carving", 3)
+	s.start(3)
+	s.submitOrdinary("/carve/")
+	const id = "0000000000000107"
+	const estimate = 40 * time.Second
+	m := &jobModel{steps: []*stepModel{{cpu: 7700, time: estimate}}}
+	if trouble {
+		m.steps[0].time = 10 * estimate
+	}
+	step := finite(3, 7700, estimate)
+	step["anti-affinity"] = 1
+	s.submit("/carve/", id, m, []map[string]any{step})
+	// The traffic ends here. The rule looks from finish_s after it.
+	from := s.now() + 14*time.Second
+	end := s.now() + 75*time.Second
+	for s.now() < end {
+		time.Sleep(time.Second)
+		if _, x := s.entries[0].call("GET", "/carve/"+id, nil); x == `{"state":"completed"}` {
+			end = s.now() - 2*time.Second
+		}
+	}
+	d, at := s.gap(id, from, end)
+	s.record("the job's tasks were started %d times; longest time without any run of the job: %v, from %v", s.starts(id), d, at)
+	if d > 3*time.Second {
+		s.violated("LOST: an accepted job had nothing running for %v while all workers were idle; none of its tasks got further than a few seconds", d)
+	}
+}
+
+// adviceOfMany: workers are added to a pool whose queue needs advice, until one call cannot name them all.
+func adviceOfMany(s *site, trouble bool) {
+	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4, advice: true}}
+	s.services = []service{{"cups", false}}
+	const first, added, allowed = 95, 14, 8
+	s.addMachines("cups", first)
+	// The policy of the queue allows the eight workers with the highest IDs. Those that are added get lower ones.
+	s.nextID = 1000
+	s.good = func(_, w string) bool { return w > fmt.Sprintf("i-%04d", 1000+first-allowed) }
+	s.start(3)
+	if trouble {
+		s.record("%d empty workers are added to the %d", added, first)
+		s.mu.Lock()
+		s.nextID = 0
+		l := len(s.machines)
+		s.addMachines("cups", added)
+		for _, m := range s.machines[l:] {
+			s.boot(m)
+		}
+		s.mu.Unlock()
+	}
+	time.Sleep(6 * time.Second)
+	const id = "00000000000000e5"
+	m := &jobModel{steps: []*stepModel{{cpu: 3500, time: time.Second, advice: true}}}
+	s.submit("/cut/", id, m, []map[string]any{finite(2, 3500, time.Second)})
+	from := s.now() + 14*time.Second
+	time.Sleep(30 * time.Second)
+	if n := s.starts(id); n == 0 {
+		d, _ := s.gap(id, from, s.now())
+		s.violated("LOST: an accepted job has had nothing running for %v from finish_s after the end of the traffic, with %d idle workers that may run it", d, allowed)
+	}
+}
+
+// dropped: the operator drops a queue while a job of it that can never be done is under way.
+func dropped(s *site, trouble bool) {
+	const attempts = 2
+	s.queues = []queue{{name: "roofnest", prefix: "/nest/", pool: "roofdesk", attempts: attempts}, {name: "dryledger", prefix: "/dry/", pool: "roofdesk", attempts: 4}}
+	s.services = []service{{"roofdesk", false}, spare}
+	s.addMachines("roofdesk", 9)
+	s.start(3)
+	s.submitOrdinary("/nest/")
+	const id = "00000000000000d4"
+	m := &jobModel{steps: []*stepModel{{cpu: 9900, time: 3 * time.Second, fails: func(*run) bool { return true }}}}
+	s.submit("/nest/", id, m, []map[string]any{finite(1, 9900, 3*time.Second)})
+	time.Sleep(time.Second)
+	if trouble {
+		s.queues = s.queues[1:]
+		s.configure()
+	}
+	time.Sleep(20 * time.Second)
+	const task = id + ".0.0.0"
+	noted := s.of(task, "noted failed")
+	failed := s.of(task, "failed")
+	for _, e := range s.of(task, "start") {
+		n := 0
+		for _, f := range failed {
+			if f.at < e.at {
+				n++
+			}
+		}
+		if n >= attempts && len(noted) >= n {
+			s.violated("BUDGET: run %d of %s was started after %d runs had ended failed; retry-attempts is %d", e.run, task, n, attempts)
+		}
+	}
+}
+
+const (
+	// target is the limit of the tail of the serving tasks, in milliseconds.
+	target = 100
+	// harmTime and contactTime are harm-ms and contact-ms of the settings.
+	harmTime    = 4 * time.Second
+	contactTime = 3 * time.Second
+)
+
+// harm: one worker in six is cut off one way while the tasks that fill begin to disturb those that serve.
+func harm(s *site, trouble bool) {
+	const n = 6
+	s.queues = []queue{{name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
+	s.services = []service{{"cups", false}, spare}
+	s.addMachines("cups", n)
+	s.start(3)
+	const id = "00000000000000f6"
+	m := &jobModel{steps: []*stepModel{{cpu: 5300, lasting: true, serves: true}, {cpu: 5300, lasting: true, fills: true}}}
+	serving, filling := lastingStep(n, 5300, 1), lastingStep(n, 5300, 1)
+	serving["target-ms"], serving["image"], filling["fills"], filling["image"] = target, "watch", true, "dry"
+	s.submit("/cure/", id, m, []map[string]any{serving, filling})
+	time.Sleep(8 * time.Second)
+	w := s.running(id + ".1.0")
+	if w == nil {
+		w = s.running(id + ".0.1.0")
+	}
+	if w == nil {
+		s.fatal("a task that fills does not run")
+	}
+	if trouble {
+		w.setCut(cutOneWay)
+	}
+	s.setDisturbance(100)
+	time.Sleep(2500 * time.Millisecond)
+	if trouble {
+		w.setCut(connected)
+	}
+	healed := s.now()
+	var since time.Duration
+	for s.now() < healed+20*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		w.mu.Lock()
+		ms, filled := w.tail()
+		w.mu.Unlock()
+		now := s.now()
+		switch {
+		case ms <= target || !filled || now < healed+contactTime:
+			since = 0
+		case since == 0:
+			since = now
+		case now-since > harmTime:
+			s.violated("HARM: the serving task on %s is at %d ms, over its target of %d ms, for %v on end and until %v after the cut; alone it would be at %d ms", w, ms, target, now-since, now-healed, baseTail)
+		}
+	}
+}
+
+// hopeless: one job in twenty can never be done. Then a job that lasts is handed in.
+func hopeless(s *site, trouble bool) {
+	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4}, {name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
+	s.services = []service{{"cups", false}, spare}
+	s.addMachines("cups", 3)
+	s.start(3)
+	s.submitOrdinary("/cut/")
+	if trouble {
+		const id = "00000000000000a1"
+		m := &jobModel{steps: []*stepModel{{cpu: 3500, time: 300 * time.Millisecond, fails: func(*run) bool { return true }}}}
+		s.submit("/cut/", id, m, []map[string]any{finite(24, 3500, time.Second)})
+	}
+	time.Sleep(3 * time.Second)
+	const last = "00000000000000b2"
+	s.submit("/cure/", last, &jobModel{steps: []*stepModel{{cpu: 5300, lasting: true}}}, []map[string]any{lastingStep(1, 5300, 1)})
+	s.judgeLasting(last, s.now(), 40*time.Second)
+}
+
+// judgeLasting checks that the only task of a lasting job runs: 3 s without a run, from 6 s after the last one or the job's
+// acceptance.
+func (s *site) judgeLasting(id string, from, d time.Duration) {
+	time.Sleep(d)
+	gap, at := s.gap(id, from, s.now())
+	s.record("longest time without a run of the lasting task: %v, from %v", gap, at)
+	if gap > 9*time.Second {
+		s.violated("LOST: a task that lasts had nothing running for %v with room for it on idle workers", gap)
+	}
+}
+
+// lasting: a lasting task fails from time to time on a worker that is sound.
+func lasting(s *site, trouble bool) {
+	s.queues = []queue{{name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
+	s.services = []service{{"cups", false}, spare}
+	s.addMachines("cups", 3)
+	s.start(3)
+	const id = "00000000000000c3"
+	s.submit("/cure/", id, &jobModel{steps: []*stepModel{{cpu: 5300, lasting: true}}}, []map[string]any{lastingStep(3, 5300, 1)})
+	from := s.now()
+	const task = id + ".0.0.0"
+	for i := range 6 {
+		for range 200 {
+			if s.running(task) != nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+		if w := s.running(task); trouble && w != nil {
+			s.record("the lasting task fails for the %d. time", i+1)
+			w.fail(task)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	s.judgeLasting(task, from, 22*time.Second)
+}
