--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,16 +2,18 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"time"
 )
 
 // cases are the scripted cases by name. A case plays with or without its disruption.
 var cases = map[string]func(s *site, trouble bool){
-	"declared": declared, "advice": adviceOfMany, "dropped": dropped, "harm": harm, "hopeless": hopeless, "lasting": lasting,
+	"declared": declared, "advice": adviceOfMany, "dropped": dropped, "harm": harm, "hopeless": hopeless, "lasting": lasting, "reborn": reborn,
 }
 
 // spare is the pool of the machines that are switched off.
-var spare = service{"ledger", true}
+var spare = service{name: "ledger", standby: true}
 
 func finite(n, cpu int, estimate time.Duration) map[string]any {
 	return map[string]any{"count": n, "cpu": cpu, "mem-mb": 500, "estimate-ms": estimate.Milliseconds()}
@@ -49,7 +51,7 @@
 // declared: the tasks of one job in twenty take ten times as long as the job declares.
 func declared(s *site, trouble bool) {
 	s.queues = []queue{{name: "horn-carve", prefix: "/carve/", pool: "carving", attempts: 4}}
-	s.services = []service{{"carving", false}, spare}
+	s.services = []service{{name: "carving"}, spare}
 	s.addMachines("carving", 3)
 	s.start(3)
 	s.submitOrdinary("/carve/")
@@ -81,7 +83,7 @@
 // adviceOfMany: workers are added to a pool whose queue needs advice, until one call cannot name them all.
 func adviceOfMany(s *site, trouble bool) {
 	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4, advice: true}}
-	s.services = []service{{"cups", false}}
+	s.services = []service{{name: "cups"}}
 	const first, added, allowed = 95, 14, 8
 	s.addMachines("cups", first)
 	// The policy of the queue allows the eight workers with the highest IDs. Those that are added get lower ones.
@@ -115,7 +117,7 @@
 func dropped(s *site, trouble bool) {
 	const attempts = 2
 	s.queues = []queue{{name: "roofnest", prefix: "/nest/", pool: "roofdesk", attempts: attempts}, {name: "dryledger", prefix: "/dry/", pool: "roofdesk", attempts: 4}}
-	s.services = []service{{"roofdesk", false}, spare}
+	s.services = []service{{name: "roofdesk"}, spare}
 	s.addMachines("roofdesk", 9)
 	s.start(3)
 	s.submitOrdinary("/nest/")
@@ -156,7 +158,7 @@
 func harm(s *site, trouble bool) {
 	const n = 6
 	s.queues = []queue{{name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
-	s.services = []service{{"cups", false}, spare}
+	s.services = []service{{name: "cups"}, spare}
 	s.addMachines("cups", n)
 	s.start(3)
 	const id = "00000000000000f6"
@@ -202,7 +204,7 @@
 // hopeless: one job in twenty can never be done. Then a job that lasts is handed in.
 func hopeless(s *site, trouble bool) {
 	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4}, {name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
-	s.services = []service{{"cups", false}, spare}
+	s.services = []service{{name: "cups"}, spare}
 	s.addMachines("cups", 3)
 	s.start(3)
 	s.submitOrdinary("/cut/")
@@ -231,7 +233,7 @@
 // lasting: a lasting task fails from time to time on a worker that is sound.
 func lasting(s *site, trouble bool) {
 	s.queues = []queue{{name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
-	s.services = []service{{"cups", false}, spare}
+	s.services = []service{{name: "cups"}, spare}
 	s.addMachines("cups", 3)
 	s.start(3)
 	const id = "00000000000000c3"
@@ -254,3 +256,40 @@
 	}
 	s.judgeLasting(task, from, 22*time.Second)
 }
+
+// duration returns the milliseconds that the environment names for a trial, or the default.
+func duration(name string, ms int) time.Duration {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		ms = n
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// reborn: a worker that doesn't guard its capacity crashes and starts again under its ID as a smaller one, while tasks are placed.
+func reborn(s *site, trouble bool) {
+	silence := duration("SILENCE_MS", 250)
+	// lag is the time after which a worker's registration can be read: lag_ms of the site file.
+	lag := duration("LAG_MS", 800)
+	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4}}
+	s.services = []service{{name: "cups", trusting: true}, spare}
+	s.addMachines("cups", 6)
+	s.start(3)
+	// The system keeps the machines that the work needs. The last one with work takes more first.
+	const before = "00000000000000b5"
+	s.submit("/cut/", before, &jobModel{steps: []*stepModel{{cpu: 3500, time: 20 * time.Second}}}, []map[string]any{finite(2, 3500, 20*time.Second)})
+	time.Sleep(time.Second)
+	w := s.running(before + ".0.0.0")
+	if w == nil {
+		s.fatal("the first task does not run")
+	}
+	if trouble {
+		w.crash()
+		time.AfterFunc(silence, func() { w.restart(fullCPU/2, lag) })
+	}
+	const id = "00000000000000a7"
+	s.submit("/cut/", id, &jobModel{steps: []*stepModel{{cpu: 3500, time: 2 * time.Second}}}, []map[string]any{finite(16, 3500, 2*time.Second)})
+	time.Sleep(15 * time.Second)
+	if n := s.overfills(); n > 0 {
+		s.violated("LIMIT: %d starts brought a worker that doesn't guard its capacity over it", n)
+	}
+}
--- a/review/standin/shapes.go
+++ b/review/standin/shapes.go
@@ -15,7 +15,7 @@
 // shapes hands in jobs of all shapes.
 func shapes(s *site, trouble bool) {
 	s.queues = []queue{{name: "a", prefix: "/a/", pool: "cups", attempts: 3}, {name: "b", prefix: "/b/", pool: "carving", attempts: 3, priority: 1}, {name: "v", prefix: "/v/", pool: "cups", attempts: 3, advice: true}}
-	s.services = []service{{"cups", false}, {"carving", false}, {"ledger", true}}
+	s.services = []service{{name: "cups"}, {name: "carving"}, spare}
 	s.addMachines("cups", 6)
 	s.addMachines("carving", 6)
 	s.addMachines("ledger", 2)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -73,6 +73,8 @@
 type service struct {
 	name    string
 	standby bool
+	// trusting is set if the service's workers start whatever they are told to.
+	trusting bool
 }
 
 type jobModel struct {
@@ -196,6 +198,15 @@
 	return false
 }
 
+func (s *site) trusting(pool string) bool {
+	for _, x := range s.services {
+		if x.name == pool {
+			return x.trusting
+		}
+	}
+	return false
+}
+
 // boot starts a worker on a machine, unless its pool is switched off. The caller holds the lock.
 func (s *site) boot(m *machine) {
 	if s.standby(m.pool) {
@@ -241,7 +252,7 @@
 	}
 	for _, b := range s.services {
 		backends = append(backends, map[string]any{
-			"name": b.name, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, "enforces-capacity": true, "standby": b.standby,
+			"name": b.name, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, "enforces-capacity": !b.trusting, "standby": b.standby,
 		})
 	}
 	s.record("operator writes configuration version %d with %d queues", s.version, len(routes))
@@ -415,6 +426,23 @@
 	return l
 }
 
+// overfilled records a start that brings a worker over its capacity.
+func (s *site) overfilled(w *worker, o *order, used, capacity int) {
+	s.note("over", o.Task, o.Run, w, fmt.Sprintf(": %d of %d thousandths of a core", used, capacity))
+}
+
+func (s *site) overfills() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.events {
+		if e.kind == "over" {
+			n++
+		}
+	}
+	return n
+}
+
 // starts counts the runs of a job's tasks.
 func (s *site) starts(id string) int {
 	s.mu.Lock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -33,8 +33,10 @@
 	born    time.Time
 	done    chan struct{}
 
-	mu       sync.Mutex
-	cut      cutKind
+	mu  sync.Mutex
+	cut cutKind
+	// down is true from a crash until the worker has registered again.
+	down     bool
 	draining bool
 	fence    uint64
 	leaseEnd time.Duration
@@ -101,6 +103,10 @@
 
 func (w *worker) register() {
 	w.mu.Lock()
+	if w.down {
+		w.mu.Unlock()
+		return
+	}
 	w.sequence++
 	state := "ready"
 	if w.draining {
@@ -133,6 +139,34 @@
 	w.site.record("worker %s: %s", w.id, [...]string{"reached again", "cut off from the entries, both ways", "cut off from the entries, one way"}[k])
 }
 
+// crash ends all that runs on the worker, which falls silent. Its registration stays.
+func (w *worker) crash() {
+	w.mu.Lock()
+	for _, r := range w.runs {
+		w.site.ended(w, r, "crashed")
+	}
+	w.runs = map[string]*run{}
+	w.cut = cutOff
+	w.down = true
+	w.mu.Unlock()
+	w.site.record("worker %s crashes and is silent", w.id)
+}
+
+// restart starts the worker again under its ID, with another capacity. It registers after the lag.
+func (w *worker) restart(cpu int, lag time.Duration) {
+	w.mu.Lock()
+	w.born, w.fence, w.leaseEnd, w.highest, w.ends, w.lastEnd, w.sequence = time.Now(), 0, 0, map[string]int{}, nil, 0, 0
+	w.machine.capacity = map[string]int{"cpu": cpu, "mem-mb": fullMemory, "gpu": 0}
+	w.cut = connected
+	w.mu.Unlock()
+	w.site.record("worker %s has started again under its ID, with %d thousandths of a core", w.id, cpu)
+	time.Sleep(lag)
+	w.mu.Lock()
+	w.down = false
+	w.mu.Unlock()
+	w.register()
+}
+
 // passes reports whether a request, or an answer, passes. Otherwise it waits until the caller gives up.
 func (w *worker) passes(r *http.Request, answer bool) bool {
 	w.mu.Lock()
@@ -284,8 +318,11 @@
 			used += r.step.cpu
 		}
 	}
-	if !m.fills && used+m.cpu > w.machine.capacity["cpu"] {
-		return "room"
+	if c := w.machine.capacity["cpu"]; !m.fills && used+m.cpu > c {
+		if !w.site.trusting(w.machine.pool) {
+			return "room"
+		}
+		w.site.overfilled(w, o, used+m.cpu, c)
 	}
 	if m.gang > 0 {
 		w.site.joinGang(o.Task, o.Run)
