--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -13,7 +13,7 @@
 }
 
 // spare is the pool of the machines that are switched off.
-var spare = service{name: "ledger", standby: true}
+var spare = service{name: "office", standby: true}
 
 func finite(n, cpu int, estimate time.Duration) map[string]any {
 	return map[string]any{"count": n, "cpu": cpu, "mem-mb": 500, "estimate-ms": estimate.Milliseconds()}
@@ -50,11 +50,11 @@
 
 // declared: the tasks of one job in twenty take ten times as long as the job declares.
 func declared(s *site, trouble bool) {
-	s.queues = []queue{{name: "horn-carve", prefix: "/carve/", pool: "carving", attempts: 4}}
-	s.services = []service{{name: "carving"}, spare}
-	s.addMachines("carving", 3)
+	s.queues = []queue{{name: "roofnest", prefix: "/nest/", pool: "roofdesk", priority: 1, attempts: 2}}
+	s.services = []service{{name: "roofdesk"}, spare}
+	s.addMachines("roofdesk", 3)
 	s.start(3)
-	s.submitOrdinary("/carve/")
+	s.submitOrdinary("/nest/")
 	const id = "0000000000000107"
 	const estimate = 40 * time.Second
 	m := &jobModel{steps: []*stepModel{{cpu: 7700, time: estimate}}}
@@ -63,13 +63,13 @@
 	}
 	step := finite(3, 7700, estimate)
 	step["anti-affinity"] = 1
-	s.submit("/carve/", id, m, []map[string]any{step})
+	s.submit("/nest/", id, m, []map[string]any{step})
 	// The traffic ends here. The rule looks from finish_s after it.
 	from := s.now() + 14*time.Second
 	end := s.now() + 75*time.Second
 	for s.now() < end {
 		time.Sleep(time.Second)
-		if _, x := s.entries[0].call("GET", "/carve/"+id, nil); x == `{"state":"completed"}` {
+		if _, x := s.entries[0].call("GET", "/nest/"+id, nil); x == `{"state":"completed"}` {
 			end = s.now() - 2*time.Second
 		}
 	}
@@ -82,11 +82,12 @@
 
 // adviceOfMany: workers are added to a pool whose queue needs advice, until one call cannot name them all.
 func adviceOfMany(s *site, trouble bool) {
-	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4, advice: true}}
-	s.services = []service{{name: "cups"}}
-	const first, added, allowed = 95, 14, 8
-	s.addMachines("cups", first)
-	// The policy of the queue allows the eight workers with the highest IDs. Those that are added get lower ones.
+	s.queues = []queue{{name: "palletplan", prefix: "/plan/", pool: "shipdesk", priority: 1, attempts: 2, advice: true}}
+	s.services = []service{{name: "shipdesk"}}
+	// The pool is as large as on the site's grown deployment; the share that is added is that of the site's trouble.
+	const first, added, allowed = 85, 21, 5
+	s.addMachines("shipdesk", first)
+	// The policy of the queue allows the five workers with the highest IDs. Those that are added get lower ones.
 	s.nextID = 1000
 	s.good = func(_, w string) bool { return w > fmt.Sprintf("i-%04d", 1000+first-allowed) }
 	s.start(3)
@@ -95,7 +96,7 @@
 		s.mu.Lock()
 		s.nextID = 0
 		l := len(s.machines)
-		s.addMachines("cups", added)
+		s.addMachines("shipdesk", added)
 		for _, m := range s.machines[l:] {
 			s.boot(m)
 		}
@@ -104,7 +105,7 @@
 	time.Sleep(6 * time.Second)
 	const id = "00000000000000e5"
 	m := &jobModel{steps: []*stepModel{{cpu: 3500, time: time.Second, advice: true}}}
-	s.submit("/cut/", id, m, []map[string]any{finite(2, 3500, time.Second)})
+	s.submit("/plan/", id, m, []map[string]any{finite(2, 3500, time.Second)})
 	from := s.now() + 14*time.Second
 	time.Sleep(30 * time.Second)
 	if n := s.starts(id); n == 0 {
@@ -157,9 +158,9 @@
 // harm: one worker in six is cut off one way while the tasks that fill begin to disturb those that serve.
 func harm(s *site, trouble bool) {
 	const n = 6
-	s.queues = []queue{{name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
-	s.services = []service{{name: "cups"}, spare}
-	s.addMachines("cups", n)
+	s.queues = []queue{{name: "stockwatch", prefix: "/cure/", pool: "sawdesk", attempts: 4}}
+	s.services = []service{{name: "sawdesk"}, spare}
+	s.addMachines("sawdesk", n)
 	s.start(3)
 	const id = "00000000000000f6"
 	m := &jobModel{steps: []*stepModel{{cpu: 5300, lasting: true, serves: true}, {cpu: 5300, lasting: true, fills: true}}}
@@ -203,9 +204,9 @@
 
 // hopeless: one job in twenty can never be done. Then a job that lasts is handed in.
 func hopeless(s *site, trouble bool) {
-	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4}, {name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
-	s.services = []service{{name: "cups"}, spare}
-	s.addMachines("cups", 3)
+	s.queues = []queue{{name: "cutlist", prefix: "/cut/", pool: "sawdesk", attempts: 4}, {name: "stockwatch", prefix: "/cure/", pool: "sawdesk", attempts: 4}}
+	s.services = []service{{name: "sawdesk"}, spare}
+	s.addMachines("sawdesk", 3)
 	s.start(3)
 	s.submitOrdinary("/cut/")
 	if trouble {
@@ -232,9 +233,9 @@
 
 // lasting: a lasting task fails from time to time on a worker that is sound.
 func lasting(s *site, trouble bool) {
-	s.queues = []queue{{name: "cup-cure", prefix: "/cure/", pool: "cups", attempts: 4}}
-	s.services = []service{{name: "cups"}, spare}
-	s.addMachines("cups", 3)
+	s.queues = []queue{{name: "stockwatch", prefix: "/cure/", pool: "sawdesk", attempts: 4}}
+	s.services = []service{{name: "sawdesk"}, spare}
+	s.addMachines("sawdesk", 3)
 	s.start(3)
 	const id = "00000000000000c3"
 	s.submit("/cure/", id, &jobModel{steps: []*stepModel{{cpu: 5300, lasting: true}}}, []map[string]any{lastingStep(3, 5300, 1)})
@@ -270,9 +271,9 @@
 	silence := duration("SILENCE_MS", 250)
 	// lag is the time after which a worker's registration can be read: lag_ms of the site file.
 	lag := duration("LAG_MS", 800)
-	s.queues = []queue{{name: "cup-cut", prefix: "/cut/", pool: "cups", attempts: 4}}
-	s.services = []service{{name: "cups", trusting: true}, spare}
-	s.addMachines("cups", 6)
+	s.queues = []queue{{name: "cutlist", prefix: "/cut/", pool: "sawdesk", attempts: 4}}
+	s.services = []service{{name: "sawdesk", trusting: true}, spare}
+	s.addMachines("sawdesk", 6)
 	s.start(3)
 	// The system keeps the machines that the work needs. The last one with work takes more first.
 	const before = "00000000000000b5"
--- a/review/standin/shapes.go
+++ b/review/standin/shapes.go
@@ -14,11 +14,11 @@
 
 // shapes hands in jobs of all shapes.
 func shapes(s *site, trouble bool) {
-	s.queues = []queue{{name: "a", prefix: "/a/", pool: "cups", attempts: 3}, {name: "b", prefix: "/b/", pool: "carving", attempts: 3, priority: 1}, {name: "v", prefix: "/v/", pool: "cups", attempts: 3, advice: true}}
-	s.services = []service{{name: "cups"}, {name: "carving"}, spare}
-	s.addMachines("cups", 6)
-	s.addMachines("carving", 6)
-	s.addMachines("ledger", 2)
+	s.queues = []queue{{name: "a", prefix: "/a/", pool: "sawdesk", attempts: 3}, {name: "b", prefix: "/b/", pool: "roofdesk", attempts: 3, priority: 1}, {name: "v", prefix: "/v/", pool: "sawdesk", attempts: 3, advice: true}}
+	s.services = []service{{name: "sawdesk"}, {name: "roofdesk"}, spare}
+	s.addMachines("sawdesk", 6)
+	s.addMachines("roofdesk", 6)
+	s.addMachines("office", 2)
 	s.good = func(step, w string) bool {
 		h := fnv.New32a()
 		h.Write([]byte(step + w))
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -107,11 +107,11 @@
 	moveTime    = 1500 * time.Millisecond
 	upkeepTime  = 2 * time.Second
 	fullCPU     = 64000
-	fullMemory  = 131072
+	fullMemory  = 262144
 	adviceValid = 3 * time.Second
 )
 
-var zones = []string{"njiro", "sakina", "themi"}
+var zones = []string{"savinja-a", "savinja-b", "savinja-c"}
 
 func newSite(dir string) *site {
 	root, err := filepath.Abs(filepath.Join(dir, "..", ".."))
@@ -536,7 +536,7 @@
 	control := ip + ":8623"
 	v := map[string]any{
 		"node-name": e.name, "role": "entry", "machine-class": "front", "serves": []string{"front", "control"}, "ip": ip,
-		"zone": zones[i%len(zones)], "region": "arusha", "zones": map[string]string{"njiro": "arusha", "sakina": "arusha", "themi": "arusha"},
+		"zone": zones[i%len(zones)], "region": "savinja", "zones": map[string]string{"savinja-a": "savinja", "savinja-b": "savinja", "savinja-c": "savinja"},
 		"listen-addrs": map[string]string{"front": e.front, "ready": e.ready, "control": control}, "port-range": []int{7060, 7075},
 		"seeds": []string{control}, "bootstrap": true, "counts-as-loss": false,
 		"limits":   map[string]any{"cpu-share": 0.4, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
@@ -547,7 +547,7 @@
 			"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000, "grace-s": 6, "loss-slack-ms": 200,
 			"config-apply-ms": 2000, "rollback-slack-ms": 250, "max-stretch-ms": 5000, "recovery-s": 12, "hold-max-ms": holdMax.Milliseconds(),
 			"stop-timeout-ms": 400, "gang-timeout-ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120,
-			"cross-rack-factor": 2, "checkpoint-s": 1, "restore-ms": 100, "notice-ms": 4500, "move-s": 1.5, "maintenance-s": 2, "require-fencing": false,
+			"cross-rack-factor": 3, "checkpoint-s": 2, "restore-ms": 100, "notice-ms": 4500, "move-s": 1.5, "maintenance-s": 2, "require-fencing": false,
 			"lease-ms": 3000, "thaw-slack-ms": 300, "pace-ms": 100, "harm-ms": 4000,
 		},
 		"orders": "call", "advice": s.advice,
