--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -10,6 +10,7 @@
 // cases are the scripted cases by name. A case plays with or without its disruption.
 var cases = map[string]func(s *site, trouble bool){
 	"declared": declared, "advice": adviceOfMany, "dropped": dropped, "harm": harm, "hopeless": hopeless, "lasting": lasting, "reborn": reborn,
+	"gangs": hopelessGangs, "unadvised": unadvised,
 }
 
 // spare is the pool of the machines that are switched off.
@@ -26,21 +27,21 @@
 // ordinaryJobs is the number of ordinary jobs beside one that is long or can never be done: one in twenty, as on the sites' days.
 const ordinaryJobs = 19
 
-// submitOrdinary hands in ordinary jobs and waits until they are completed.
-func (s *site) submitOrdinary(prefix string) {
-	for i := range ordinaryJobs {
+// submitOrdinary hands in n ordinary jobs and waits until they are completed.
+func (s *site) submitOrdinary(prefix string, n int) {
+	for i := range n {
 		id := fmt.Sprintf("%016x", 0xc0de00+i)
 		m := &jobModel{steps: []*stepModel{{cpu: 3500, time: 400 * time.Millisecond}}}
 		s.submit(prefix, id, m, []map[string]any{finite(2, 3500, 400*time.Millisecond)})
 		time.Sleep(50 * time.Millisecond)
 	}
-	for i := range ordinaryJobs {
+	for i := range n {
 		path := fmt.Sprintf("%s%016x", prefix, 0xc0de00+i)
-		for n := 0; ; n++ {
+		for k := 0; ; k++ {
 			if _, x := s.entries[0].call("GET", path, nil); x == `{"state":"completed"}` {
 				break
 			}
-			if n > 100 {
+			if k > 100 {
 				s.fatal("an ordinary job is not completed in time")
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -54,7 +55,7 @@
 	s.services = []service{{name: "roofdesk"}, spare}
 	s.addMachines("roofdesk", 3)
 	s.start(3)
-	s.submitOrdinary("/nest/")
+	s.submitOrdinary("/nest/", ordinaryJobs)
 	const id = "0000000000000107"
 	const estimate = 40 * time.Second
 	m := &jobModel{steps: []*stepModel{{cpu: 7700, time: estimate}}}
@@ -121,7 +122,7 @@
 	s.services = []service{{name: "roofdesk"}, spare}
 	s.addMachines("roofdesk", 9)
 	s.start(3)
-	s.submitOrdinary("/nest/")
+	s.submitOrdinary("/nest/", ordinaryJobs)
 	const id = "00000000000000d4"
 	m := &jobModel{steps: []*stepModel{{cpu: 9900, time: 3 * time.Second, fails: func(*run) bool { return true }}}}
 	s.submit("/nest/", id, m, []map[string]any{finite(1, 9900, 3*time.Second)})
@@ -131,7 +132,11 @@
 		s.configure()
 	}
 	time.Sleep(20 * time.Second)
-	const task = id + ".0.0.0"
+	s.judgeBudget(id+".0.0.0", attempts)
+}
+
+// judgeBudget checks that a task is not started after so many of its runs have ended failed and were taken note of.
+func (s *site) judgeBudget(task string, attempts int) {
 	noted := s.of(task, "noted failed")
 	failed := s.of(task, "failed")
 	for _, e := range s.of(task, "start") {
@@ -147,6 +152,70 @@
 	}
 }
 
+// hopelessGangs: one job in twenty is a gang that can never be done. Each of its tasks fails by itself at the end of its work.
+func hopelessGangs(s *site, trouble bool) {
+	const attempts, members, gangs = 2, 24, 3
+	s.queues = []queue{{name: "roofnest", prefix: "/nest/", pool: "roofdesk", attempts: attempts}}
+	s.services = []service{{name: "roofdesk"}, spare}
+	s.addMachines("roofdesk", 9)
+	s.start(3)
+	s.submitOrdinary("/nest/", gangs*ordinaryJobs)
+	ids := []string{}
+	for k := range gangs {
+		id := fmt.Sprintf("%016x", 0xd80+k)
+		ids = append(ids, id)
+		m := &jobModel{steps: []*stepModel{{cpu: 3500, time: 1700 * time.Millisecond, gang: members}}}
+		if trouble {
+			m.steps[0].fails = func(*run) bool { return true }
+		}
+		step := finite(members, 3500, 1700*time.Millisecond)
+		step["gang"] = true
+		s.submit("/nest/", id, m, []map[string]any{step})
+	}
+	time.Sleep(25 * time.Second)
+	for _, id := range ids {
+		if s.starts(id) < members {
+			s.fatal("gang %s was not started", id)
+		}
+		for i := range members {
+			s.judgeBudget(fmt.Sprintf("%s.0.0.%d", id, i), attempts)
+		}
+	}
+}
+
+// unadvised: the operator drops a queue with advice while the first step of an accepted job of it runs.
+func unadvised(s *site, trouble bool) {
+	const tasks = 4
+	s.queues = []queue{{name: "palletplan", prefix: "/plan/", pool: "shipdesk", priority: 1, attempts: 2, advice: true}, {name: "orderbook", prefix: "/order/", pool: "shipdesk", attempts: 4}}
+	s.services = []service{{name: "shipdesk"}, spare}
+	s.addMachines("shipdesk", 12)
+	s.start(3)
+	const id = "00000000000000d7"
+	const estimate = 1700 * time.Millisecond
+	m := &jobModel{steps: []*stepModel{{cpu: 18000, time: estimate, advice: true}, {cpu: 18000, time: estimate, advice: true}}}
+	first, second := finite(tasks, 18000, estimate), finite(tasks, 18000, estimate)
+	second["after"] = []int{0}
+	s.submit("/plan/", id, m, []map[string]any{first, second})
+	time.Sleep(time.Second)
+	if trouble {
+		s.queues = s.queues[1:]
+		s.configure()
+	}
+	from := s.now() + 14*time.Second
+	time.Sleep(34 * time.Second)
+	s.mu.Lock()
+	s.line("workers have rejected %d starts for their ticket", s.rejections)
+	s.mu.Unlock()
+	done := 0
+	for i := range tasks {
+		done += len(s.of(fmt.Sprintf("%s.0.1.%d", id, i), "done"))
+	}
+	if done < tasks {
+		d, _ := s.gap(id, from, s.now())
+		s.violated("LOST: an accepted job has had nothing running for %v from finish_s after the end of the traffic, while all workers are idle; %d of the %d tasks of its second step are done", d, done, tasks)
+	}
+}
+
 const (
 	// target is the limit of the tail of the serving tasks, in milliseconds.
 	target = 100
@@ -208,7 +277,7 @@
 	s.services = []service{{name: "sawdesk"}, spare}
 	s.addMachines("sawdesk", 3)
 	s.start(3)
-	s.submitOrdinary("/cut/")
+	s.submitOrdinary("/cut/", ordinaryJobs)
 	if trouble {
 		const id = "00000000000000a1"
 		m := &jobModel{steps: []*stepModel{{cpu: 3500, time: 300 * time.Millisecond, fails: func(*run) bool { return true }}}}
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -43,6 +43,8 @@
 	entries  []*entry
 	// disturbs is what a task that fills adds to the tail of a serving task beside it, in milliseconds.
 	disturbs int
+	// rejections counts the starts that were rejected for their ticket.
+	rejections int
 	// adviceDecide and adviceEach are decide-ms and each-ms of the queues with advice.
 	adviceDecide, adviceEach time.Duration
 }
@@ -426,6 +428,19 @@
 	return l
 }
 
+// maxRecordedRejections is the number of starts without a valid ticket that are recorded one by one.
+const maxRecordedRejections = 40
+
+// rejected records that a worker rejects a start for its ticket.
+func (s *site) rejected(w *worker, o *order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejections++
+	if s.rejections <= maxRecordedRejections {
+		s.line("rejected     %s run %d on %s: its ticket is %q", o.Task, o.Run, w, o.Ticket)
+	}
+}
+
 // overfilled records a start that brings a worker over its capacity.
 func (s *site) overfilled(w *worker, o *order, used, capacity int) {
 	s.note("over", o.Task, o.Run, w, fmt.Sprintf(": %d of %d thousandths of a core", used, capacity))
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -213,6 +213,9 @@
 			}
 		case !r.failAt.IsZero() && now.After(r.failAt):
 			w.endRun(r, "failed")
+		case m.gang > 0 && !r.joined.IsZero() && now.Sub(r.joined) >= m.time && m.outcome(r) == "failed":
+			// It fails by itself, whatever becomes of the others.
+			w.endRun(r, "failed")
 		case m.gang > 0 && w.site.gangBroken(r):
 			w.endRun(r, "broken")
 		case m.gang > 0 && r.joined.IsZero():
@@ -310,6 +313,7 @@
 		return "old"
 	}
 	if m.advice && o.Ticket != w.site.ticket(o.Task, w.id) {
+		w.site.rejected(w, o)
 		return "ticket"
 	}
 	used := 0
