Ask the advice service about all servers of a pool, and keep placing meanwhile

Cause: one answer for a step, named by the step, replaced the one before. Each request named the first 100 usable servers, so that the others were never asked about; an answer that allowed none of them, or only full ones, ended the search until it expired, and the same 100 were asked about again. A new request dropped the valid tickets, so that nothing was placed while it was under way; a rejected ticket dropped those of all servers; a server that had restarted kept the ticket of its earlier incarnation. A request without an answer was repeated every 0.5 s beside the first one, and in an idle pool not at all. Answers were kept for as long as the owner lived.

Change: answers are kept with the step, by incarnation of the server. While a task finds no server with a valid ticket and the capacity, the service is asked about further ones that have the capacity: those that are known to be allowed first, then those that it was not asked about, the best ones first, 30 at the beginning and at most 100, then those denied 30 s ago or more. At most four requests wait for an answer, the most urgent steps go first. A failure is reported to the scheduler, which repeats the request after 0.5 s.

Ruled out: the list of servers (all 106 were listed and idle), the service (answered at once), the queue's route.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -165,14 +165,20 @@
 	c, stop := context.WithTimeout(r.ctx, adviceTimeout)
 	defer stop()
 	asked := time.Now()
-	m, valid, err := r.owner.deps.Adviser.Advise(c, x.Step, x.Servers)
+	ids := []string{}
+	for _, v := range x.Servers {
+		ids = append(ids, v.ID)
+	}
+	m, valid, err := r.owner.deps.Adviser.Advise(c, x.Task.StepName(), ids)
+	if r.ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		r.owner.deps.Metrics.Event("advice", "failed")
-		if r.ctx.Err() == nil {
-			r.owner.logDecision(decision.Dependency, "no advice for step "+x.Step+": "+err.Error(), r.token)
-		}
+		r.owner.logDecision(decision.Dependency, "no advice for step "+x.Task.StepName()+": "+err.Error(), r.token)
+		r.update(func(s *scheduler.Scheduler, now time.Time) { s.AdviceFailed(x, now) })
 		return
 	}
 	r.owner.deps.Metrics.Event("advice", "answered")
-	r.update(func(s *scheduler.Scheduler, _ time.Time) { s.SetAdvice(x.Step, m, asked.Add(valid)) })
+	r.update(func(s *scheduler.Scheduler, now time.Time) { s.AdviceReceived(x, m, asked.Add(valid), now) })
 }
--- a/fleet/scheduler/advice.go
+++ b/fleet/scheduler/advice.go
@@ -1,72 +1,253 @@
 package scheduler
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
-// placementAdvice is the advice service's answer for a step, or a request that has no answer yet.
-type placementAdvice struct {
-	// tickets maps the IDs of the allowed servers to the ticket that a start order carries.
-	tickets     map[string]string
-	validUntil  time.Time
-	requestedAt time.Time
-	pending     bool
+// stepAdvice holds what the advice service has answered about a step.
+type stepAdvice struct {
+	// answers are the latest answers by server ID.
+	answers map[string]adviceAnswer
+	// pending is true while a request for the step has no answer.
+	pending bool
+	// retryAt is when the next request may follow one that failed.
+	retryAt time.Time
+}
+
+// adviceAnswer is the service's answer about one incarnation of a server.
+type adviceAnswer struct {
+	startedAt time.Time
+	allowed   bool
+	// ticket authorizes the starts of the step's tasks on an allowed server until validUntil.
+	ticket string
+	// validUntil is the time from which the service may be asked about the server again.
+	validUntil time.Time
 }
 
 const (
-	// adviceRetry is the time after which an unanswered request is sent again.
+	// adviceRetry is the time after which a request that failed is sent again.
 	adviceRetry = 500 * time.Millisecond
 	// minTicketValidity is how long a ticket must remain valid when a run is assigned.
 	minTicketValidity = 300 * time.Millisecond
-	// maxAdvisedServers is the largest number of servers in one request.
+	// denialValidity is how long a server that a step may not use is not asked about again. Policies do not change, but the
+	// service may learn of a new server late.
+	denialValidity = 30 * time.Second
+	// maxAdvisedServers is the largest number of servers in one request, minAdvisedServers the number in the first one for a
+	// step with few tasks. The service takes some time for each server, and few tasks rarely need more.
 	maxAdvisedServers = 100
+	minAdvisedServers = 30
+	// advisedServersPerTask is the number of servers in the first request for each waiting task.
+	advisedServersPerTask = 2
+	// maxAdviceRequests is the number of unanswered requests from which others wait. The service handles them one after the
+	// other, so that a few suffice to keep it busy, and the most urgent steps go first.
+	maxAdviceRequests = 4
+)
+
+// needsAdvice reports whether the advice service decides which servers may run the job's steps.
+func (s *Scheduler) needsAdvice(j *jobState) bool {
+	q := s.table.ByName(j.job.Queue)
+	return q != nil && q.UsesAdvice
+}
+
+// answerFor returns the service's answer about a server, false if it has not been asked about this incarnation.
+func (a *stepAdvice) answerFor(v *serverState) (adviceAnswer, bool) {
+	x, ok := a.answers[v.info.ID]
+	return x, ok && x.startedAt.Equal(v.info.StartedAt)
+}
+
+// hasTicket reports whether the step has a ticket for the server that is valid long enough for a run to start.
+func (a *stepAdvice) hasTicket(v *serverState, now time.Time) bool {
+	x, ok := a.answerFor(v)
+	return ok && x.ticket != "" && now.Add(minTicketValidity).Before(x.validUntil)
+}
+
+// ticketed returns the servers for which the step has a valid ticket.
+func (a *stepAdvice) ticketed(l []*serverState, now time.Time) []*serverState {
+	r := []*serverState{}
+	for _, v := range l {
+		if a.hasTicket(v, now) {
+			r = append(r, v)
+		}
+	}
+	return r
+}
+
+// waitsFor returns what a step without a ticket for one of a pool's usable servers waits for.
+func (a *stepAdvice) waitsFor(pool string, l []*serverState) string {
+	for _, v := range l {
+		if x, ok := a.answerFor(v); !ok || x.allowed {
+			return "the advice service"
+		}
+	}
+	return fmt.Sprintf("a server of pool %s that the advice service allows: it allows none of %d", pool, len(l))
+}
+
+// advisedServers returns the servers on which the step's tasks may be placed now: all if its queue needs no advice.
+func (s *Scheduler) advisedServers(w pendingStep, l []*serverState, now time.Time) []*serverState {
+	if !s.needsAdvice(w.state) {
+		return l
+	}
+	return w.step.advice.ticketed(l, now)
+}
+
+// adviceClass orders the servers in a request.
+type adviceClass int
+
+const (
+	// classAllowed are servers that the step may use and whose ticket has expired.
+	classAllowed adviceClass = iota
+	// classUnknown are servers that the service was not asked about.
+	classUnknown
+	// classDenied are servers that the step could not use some time ago.
+	classDenied
 )
 
-// advisedServers returns the servers that the advice service allows for the step, or all if the queue needs no
-// advice. It returns false, after requesting advice if necessary, while there is no valid answer.
-func (s *Scheduler) advisedServers(w pendingStep, l []*serverState, now time.Time) ([]*serverState, bool) {
-	q := s.table.ByName(w.state.job.Queue)
-	if q == nil || !q.UsesAdvice {
-		return l, true
+// classOf returns the class of a server, false if the service need not be asked about it now.
+func (a *stepAdvice) classOf(v *serverState, now time.Time) (adviceClass, bool) {
+	x, ok := a.answerFor(v)
+	switch {
+	case !ok:
+		return classUnknown, true
+	case x.allowed:
+		return classAllowed, !now.Add(minTicketValidity).Before(x.validUntil)
+	default:
+		return classDenied, !now.Before(x.validUntil)
 	}
-	name := w.step.tasks[0].key.StepName()
-	p := s.advice[name]
-	if p == nil || !p.pending && now.Add(minTicketValidity).After(p.validUntil) || p.pending && now.Sub(p.requestedAt) > adviceRetry {
-		s.requestAdvice(name, l, now)
-		return nil, false
+}
+
+// awaitsAdvice reports whether the advice service may still allow a server with the capacity for a task that found none, and
+// asks it if it is time to.
+func (s *Scheduler) awaitsAdvice(t *task, l []*serverState, now time.Time) bool {
+	if !s.needsAdvice(t.state) {
+		return false
 	}
-	if p.pending {
-		return nil, false
+	a := &t.step.advice
+	if a.pending {
+		return true
 	}
-	allowed := []*serverState{}
+	candidates := a.candidates(t, l, now)
+	if len(candidates) == 0 || t.step.step.Gang && packGang(t.step, l) == nil {
+		s.resumeAt(a.nextRequest(now))
+		return false
+	}
+	switch {
+	case now.Before(a.retryAt):
+		s.resumeAt(a.retryAt)
+	case s.adviceRequests < maxAdviceRequests:
+		s.requestAdvice(t, candidates, now)
+	}
+	return true
+}
+
+// candidates returns the servers that the next request for a task may name: those of the first class that has any with the
+// capacity.
+func (a *stepAdvice) candidates(t *task, l []*serverState, now time.Time) []*serverState {
+	best := classDenied
+	candidates := []*serverState{}
 	for _, v := range l {
-		if _, ok := p.tickets[v.info.ID]; ok {
-			allowed = append(allowed, v)
+		c, ok := a.classOf(v, now)
+		if !ok || c > best || !eligible(t, v, now) {
+			continue
 		}
+		if c < best {
+			best, candidates = c, candidates[:0]
+		}
+		candidates = append(candidates, v)
+	}
+	return candidates
+}
+
+// requestAdvice asks the advice service about the best of the servers for a task.
+func (s *Scheduler) requestAdvice(t *task, l []*serverState, now time.Time) {
+	slices.SortStableFunc(l, func(v, w *serverState) int { return cmp.Compare(placementCost(t, v, now), placementCost(t, w, now)) })
+	r := AdviceRequest{Task: t.step.tasks[0].key}
+	for _, v := range l[:min(len(l), t.step.advice.requestSize(t.step))] {
+		r.Servers = append(r.Servers, v.info)
 	}
-	return allowed, true
+	t.step.advice.pending = true
+	s.adviceRequests++
+	s.orders.AdviceRequests = append(s.orders.AdviceRequests, r)
+}
+
+// requestSize returns the number of servers in the next request for the step: about as many as it has asked about before.
+func (a *stepAdvice) requestSize(p *stepState) int {
+	return min(max(minAdvisedServers, advisedServersPerTask*p.countPending(), len(a.answers)), maxAdvisedServers)
 }
 
-func (s *Scheduler) requestAdvice(name string, l []*serverState, now time.Time) {
-	s.advice[name] = &placementAdvice{pending: true, requestedAt: now}
-	c := AdviceRequest{Step: name}
-	for _, v := range l[:min(len(l), maxAdvisedServers)] {
-		c.Servers = append(c.Servers, v.info.ID)
+// nextRequest returns when the service may be asked again about a server without a ticket, zero if there is none.
+func (a *stepAdvice) nextRequest(now time.Time) time.Time {
+	var next time.Time
+	for _, x := range a.answers {
+		if x.ticket == "" && x.validUntil.After(now) && (next.IsZero() || x.validUntil.Before(next)) {
+			next = x.validUntil
+		}
 	}
-	s.orders.AdviceRequests = append(s.orders.AdviceRequests, c)
+	return next
 }
 
-// SetAdvice records the advice service's answer for a step: tickets by server ID, valid until the given time.
-func (s *Scheduler) SetAdvice(step string, tickets map[string]string, until time.Time) {
-	s.advice[step] = &placementAdvice{tickets: tickets, validUntil: until}
+// AdviceReceived records the advice service's answer to a request: tickets by server ID, valid until the given time. The
+// other servers of the request are not allowed.
+func (s *Scheduler) AdviceReceived(r AdviceRequest, tickets map[string]string, until, now time.Time) {
+	a := s.adviceRequestEnded(r)
+	if a == nil {
+		return
+	}
+	if a.answers == nil {
+		a.answers = map[string]adviceAnswer{}
+	}
+	for id := range a.answers {
+		if s.servers[id] == nil {
+			delete(a.answers, id)
+		}
+	}
+	allowed := 0
+	for _, v := range r.Servers {
+		x := adviceAnswer{startedAt: v.StartedAt, ticket: tickets[v.ID], validUntil: now.Add(denialValidity)}
+		if x.allowed = x.ticket != ""; x.allowed {
+			x.validUntil = until
+			allowed++
+		}
+		a.answers[v.ID] = x
+	}
+	s.addDecision(Decision{Job: r.Task.Job, Reason: fmt.Sprintf("the advice service allows %d of %d servers for step %d", allowed, len(r.Servers), r.Task.Step)})
+}
+
+// AdviceFailed records that a request to the advice service was not answered.
+func (s *Scheduler) AdviceFailed(r AdviceRequest, now time.Time) {
+	if a := s.adviceRequestEnded(r); a != nil {
+		a.retryAt = now.Add(adviceRetry)
+	}
+}
+
+// adviceRequestEnded lets another request be sent. It returns the advice of the request's step, nil if its job has ended.
+func (s *Scheduler) adviceRequestEnded(r AdviceRequest) *stepAdvice {
+	s.adviceRequests--
 	s.needsPlan = true
+	t := s.findTask(r.Task)
+	if t == nil {
+		return nil
+	}
+	t.step.advice.pending = false
+	return &t.step.advice
 }
 
-// ticket returns the ticket that a run's start order carries, or an empty string.
-func (s *Scheduler) ticket(r *run) string {
-	p := s.advice[r.task.key.StepName()]
-	if p == nil {
-		return ""
+// ticketRejected records that a server rejected the ticket of a start order.
+func (a *stepAdvice) ticketRejected(v server.Server, now time.Time) {
+	x := a.answers[v.ID]
+	if !x.startedAt.Equal(v.StartedAt) {
+		return
 	}
-	return p.tickets[r.server.info.ID]
+	x.ticket, x.validUntil = "", now.Add(adviceRetry)
+	a.answers[v.ID] = x
+}
+
+// ticket returns the ticket that a run's start order carries, or an empty string.
+func (r *run) ticket() string {
+	x, _ := r.task.step.advice.answerFor(r.server)
+	return x.ticket
 }
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -224,7 +224,7 @@
 			o.Checkpoint = r.task.step.checkpoint
 		}
 	}
-	o.Ticket = s.ticket(r)
+	o.Ticket = r.ticket()
 	s.addDecision(Decision{
 		Job: r.task.job.ID, Task: r.task.key.String(), Server: v.info.ID, Pool: v.info.Pool, Run: r.number,
 		Reason: loss.ReasonStartOrdered, Age: now.Sub(v.listedAt),
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -108,10 +108,12 @@
 	if len(usable) == 0 {
 		return "a server of pool " + pool + " that takes new work: " + s.unusableReasons(pool, now)
 	}
-	if q := s.table.ByName(t.job.Queue); q != nil && q.UsesAdvice {
-		if p := s.advice[t.key.StepName()]; p == nil || p.pending {
-			return "the advice service"
+	if s.needsAdvice(t.state) {
+		allowed := t.step.advice.ticketed(usable, now)
+		if len(allowed) == 0 {
+			return t.step.advice.waitsFor(pool, usable)
 		}
+		usable = allowed
 	}
 	if x := s.waitsForReservation(t, pool, now); x != "" {
 		return x
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -60,6 +60,7 @@
 	// failedRun is the number of the gang's last failed run; it keeps the failure from being counted once per member.
 	failedRun  int
 	checkpoint string
+	advice     stepAdvice
 	// durations are the run times of the step's completed tasks.
 	durations []time.Duration
 	// foreseenEnd is when the step's tasks are foreseen to end if they are placed in the present pass.
@@ -209,6 +210,7 @@
 	if t.step.unfinished > 0 {
 		return
 	}
+	t.step.advice = stepAdvice{}
 	o := t.state.occurrences[t.key.Occurrence]
 	for _, p := range o.steps {
 		for _, a := range p.step.After {
--- a/fleet/scheduler/lookahead.go
+++ b/fleet/scheduler/lookahead.go
@@ -89,7 +89,7 @@
 // reserve reserves servers for the step's pending tasks if they are large.
 func (s *Scheduler) reserve(w pendingStep, l []*serverState, now time.Time) {
 	p := w.step.step
-	if !s.limits.LookAhead || p.Gang || p.BestEffort || s.needsAdvice(w) || !isLarge(p, l) {
+	if !s.limits.LookAhead || p.Gang || p.BestEffort || s.needsAdvice(w.state) || !isLarge(p, l) {
 		return
 	}
 	pool := s.poolOf(w.state)
@@ -195,7 +195,7 @@
 // heldServersFor returns the reserved servers with room for a task of the step. Steps that need advice get none, since it may
 // allow other servers only.
 func (s *Scheduler) heldServersFor(w pendingStep) []*serverState {
-	if len(s.heldServers) == 0 || s.needsAdvice(w) {
+	if len(s.heldServers) == 0 || s.needsAdvice(w.state) {
 		return nil
 	}
 	pool, d, l := s.poolOf(w.state), w.step.step.Demand(), []*serverState(nil)
@@ -207,11 +207,6 @@
 	return l
 }
 
-func (s *Scheduler) needsAdvice(w pendingStep) bool {
-	q := s.table.ByName(w.state.job.Queue)
-	return q != nil && q.UsesAdvice
-}
-
 // placed records that a task was placed on a server.
 func (s *Scheduler) placed(t *task, v *serverState) {
 	if b := s.books[s.poolOf(t.state)]; b != nil {
--- a/fleet/scheduler/order.go
+++ b/fleet/scheduler/order.go
@@ -35,10 +35,12 @@
 	Percent int
 }
 
-// AdviceRequest asks the advice service which servers may run a step.
+// AdviceRequest asks the advice service which servers may run a step. Each request is answered by AdviceReceived or
+// AdviceFailed.
 type AdviceRequest struct {
-	Step    string
-	Servers []string
+	// Task is the first task of the step.
+	Task    job.Task
+	Servers []server.Server
 }
 
 // Decision is a scheduling decision for the log.
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -14,7 +14,7 @@
 	needsPlan bool
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
 	awaitingTrial bool
-	// resumesAt is when the first of the servers that were paused in the last pass may be used again, zero if there are none.
+	// resumesAt is when the next pass is due though nothing has changed, zero if there is no such time.
 	resumesAt time.Time
 	// sortedServers caches the servers sorted by ID; nil after the set of servers has changed.
 	sortedServers []*serverState
@@ -124,6 +124,13 @@
 	return m
 }
 
+// resumeAt makes a pass due at the time, if it is not zero.
+func (p *pass) resumeAt(t time.Time) {
+	if !t.IsZero() && (p.resumesAt.IsZero() || t.Before(p.resumesAt)) {
+		p.resumesAt = t
+	}
+}
+
 // nextResumption returns when the next pause of a server is over, zero if none is paused.
 func (s *Scheduler) nextResumption(now time.Time) time.Time {
 	var next time.Time
@@ -182,12 +189,33 @@
 
 // hasPendingTask reports whether a task of the step waits for a server.
 func (p *stepState) hasPendingTask() bool {
+	return p.firstPending() != nil
+}
+
+// firstPending returns the first task of the step that waits for a server, nil if there is none.
+func (p *stepState) firstPending() *task {
 	for _, t := range p.tasks {
-		if !t.done && t.run == nil {
-			return true
+		if t.isPending() {
+			return t
 		}
 	}
-	return false
+	return nil
+}
+
+// countPending counts the step's tasks that wait for a server.
+func (p *stepState) countPending() int {
+	n := 0
+	for _, t := range p.tasks {
+		if t.isPending() {
+			n++
+		}
+	}
+	return n
+}
+
+// isPending reports whether the task waits for a server.
+func (t *task) isPending() bool {
+	return !t.done && t.run == nil
 }
 
 func (s *Scheduler) newPendingStep(j *jobState, o *occurrence, p *stepState, now time.Time) pendingStep {
@@ -267,12 +295,12 @@
 		}
 	}
 	s.foreseeEnd(w.step, now)
-	l, ok := s.advisedServers(w, l, now)
-	if !ok {
-		return
-	}
+	l = s.advisedServers(w, l, now)
 	if w.step.step.Gang {
 		s.placeGang(w, l)
+		if t := w.step.firstPending(); t != nil {
+			s.awaitsAdvice(t, all, now)
+		}
 		return
 	}
 	for _, t := range w.step.tasks {
@@ -283,6 +311,9 @@
 			return
 		}
 		v := bestServer(t, l, now)
+		if v == nil && s.awaitsAdvice(t, all, now) {
+			return
+		}
 		if v == nil && t.mayCrashServers() {
 			s.awaitTrial(w, now)
 			continue
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -256,7 +256,7 @@
 	case Unhealthy, Undelivered:
 		r.server.pauseUntil(now.Add(unhealthyPause))
 	case NotPermitted:
-		delete(s.advice, r.task.key.StepName())
+		r.task.step.advice.ticketRejected(r.server.info, now)
 	case WrongServer:
 		r.server.addressTaken = true
 	}
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -40,7 +40,8 @@
 	restarts map[string]int
 	// startedAt is when the owner took over.
 	startedAt time.Time
-	advice    map[string]*placementAdvice
+	// adviceRequests counts the requests to the advice service that have no answer yet.
+	adviceRequests int
 
 	output
 	previousOwner
@@ -55,7 +56,7 @@
 func New(x Limits, now time.Time) *Scheduler {
 	s := &Scheduler{
 		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{}, restarts: map[string]int{},
-		advice: map[string]*placementAdvice{}, lookAhead: newLookAhead(), estimates: newEstimates(), pass: pass{cordonedVMs: map[string]bool{}}, supplies: newSupplies(), accounts: newAccounts(),
+		lookAhead: newLookAhead(), estimates: newEstimates(), pass: pass{cordonedVMs: map[string]bool{}}, supplies: newSupplies(), accounts: newAccounts(),
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
 	return s
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -30,7 +30,7 @@
 		}
 		c.servers[id] = &x
 	}
-	c.advice, c.unplacedAt, c.poolCores = maps.Clone(s.advice), maps.Clone(s.unplacedAt), maps.Clone(s.poolCores)
+	c.unplacedAt, c.poolCores = maps.Clone(s.unplacedAt), maps.Clone(s.poolCores)
 	c.poolDemandCache = maps.Clone(s.poolDemandCache)
 	if x := s.poolDemandCache[pool]; x != nil {
 		c.poolDemandCache[pool] = x.clone()
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -112,6 +112,7 @@
 	w.orders.Starts = append(w.orders.Starts, o.Starts...)
 	w.orders.Stops = append(w.orders.Stops, o.Stops...)
 	w.orders.Paces = append(w.orders.Paces, o.Paces...)
+	w.orders.AdviceRequests = append(w.orders.AdviceRequests, o.AdviceRequests...)
 	w.orders.Decisions = append(w.orders.Decisions, o.Decisions...)
 }
 
