Fit requests for advice to the time that the service takes for them

Cause: the number of servers in a request, the number of requests under way and their timeout were constants, though the configuration of the queue says what a request costs (decide-ms, each-ms) and how long tickets are valid.

Change: the queue carries these times. The unanswered requests together keep the service busy for 0.5 s or a quarter of the validity at most, or twice the base time of a request where that is longer; the timeout is twice the work of the unanswered requests and 0.5 s. A request names at least as many servers as cost its base time.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -18,8 +18,6 @@
 	// orderRetryPause is the time between the first attempt of an order that failed and the next one. It doubles with each
 	// attempt.
 	orderRetryPause = 10 * time.Millisecond
-	// adviceTimeout bounds a request to the advice service, which handles one request at a time.
-	adviceTimeout = 2 * time.Second
 )
 
 // sendOrders sends each order in a goroutine of its own, and logs the decisions.
@@ -162,7 +160,7 @@
 
 // requestAdvice asks the advice service about a step and passes the answer to the scheduler.
 func (r *term) requestAdvice(x scheduler.AdviceRequest) {
-	c, stop := context.WithTimeout(r.ctx, adviceTimeout)
+	c, stop := context.WithTimeout(r.ctx, x.Timeout)
 	defer stop()
 	asked := time.Now()
 	ids := []string{}
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -21,12 +21,25 @@
 	// duration.
 	SlackFactor      float64
 	LatencyAllowance time.Duration
-	// UsesAdvice reports whether the advice service decides which servers may run a step.
-	UsesAdvice bool
+	// Advice is nil if a step may run on any server, and the advice service does not decide about it.
+	Advice *Advice
 	// Public reports whether calls to the queue need no key of a workspace.
 	Public bool
 }
 
+// Advice is the configuration of the advice service for a queue. Zero durations are unknown.
+type Advice struct {
+	// Base and PerServer are what a request takes, altogether and for each server in it.
+	Base, PerServer time.Duration
+	// Validity is how long tickets are valid.
+	Validity time.Duration
+}
+
+// RequestTime returns how long the service works on a request about n servers.
+func (a *Advice) RequestTime(n int) time.Duration {
+	return a.Base + time.Duration(n)*a.PerServer
+}
+
 // Pool is the configuration of a pool.
 type Pool struct {
 	Name string
--- a/fleet/scheduler/advice.go
+++ b/fleet/scheduler/advice.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
@@ -46,12 +47,32 @@
 	// maxAdviceRequests is the number of unanswered requests from which others wait. The service handles them one after the
 	// other, so that a few suffice to keep it busy, and the most urgent steps go first.
 	maxAdviceRequests = 4
+	// maxAdviceTime bounds the time that the service needs for the unanswered requests, ticketValidityDivisor its share of the
+	// time for which tickets are valid.
+	maxAdviceTime         = 500 * time.Millisecond
+	ticketValidityDivisor = 4
+	// adviceSlack is how long an answer may take beyond maxStretch times the work of the service.
+	adviceSlack = 500 * time.Millisecond
+	maxStretch  = 2
 )
 
+// adviceLoad is the number of the requests that have no answer yet, and the time that the service needs for them.
+type adviceLoad struct {
+	requests int
+	work     time.Duration
+}
+
+// adviceSettings returns the configuration of the advice service for a job's queue, nil if the job needs no advice.
+func (s *Scheduler) adviceSettings(j *jobState) *queue.Advice {
+	if q := s.table.ByName(j.job.Queue); q != nil {
+		return q.Advice
+	}
+	return nil
+}
+
 // needsAdvice reports whether the advice service decides which servers may run the job's steps.
 func (s *Scheduler) needsAdvice(j *jobState) bool {
-	q := s.table.ByName(j.job.Queue)
-	return q != nil && q.UsesAdvice
+	return s.adviceSettings(j) != nil
 }
 
 // answerFor returns the service's answer about a server, false if it has not been asked about this incarnation.
@@ -138,7 +159,7 @@
 	switch {
 	case now.Before(a.retryAt):
 		s.resumeAt(a.retryAt)
-	case s.adviceRequests < maxAdviceRequests:
+	default:
 		s.requestAdvice(t, candidates, now)
 	}
 	return true
@@ -162,18 +183,52 @@
 	return candidates
 }
 
-// requestAdvice asks the advice service about the best of the servers for a task.
+// requestAdvice asks the advice service about the best of the servers for a task, unless it has enough to do.
 func (s *Scheduler) requestAdvice(t *task, l []*serverState, now time.Time) {
+	q := s.adviceSettings(t.state)
+	n := min(len(l), max(t.step.advice.requestSize(t.step), serversPerBase(q)), maxServersPerRequest(q))
+	work := s.advice.work + q.RequestTime(n)
+	if s.advice.requests >= maxAdviceRequests || s.advice.requests > 0 && work > maxRequestTime(q) {
+		return
+	}
+	s.advice = adviceLoad{requests: s.advice.requests + 1, work: work}
 	slices.SortStableFunc(l, func(v, w *serverState) int { return cmp.Compare(placementCost(t, v, now), placementCost(t, w, now)) })
-	r := AdviceRequest{Task: t.step.tasks[0].key}
-	for _, v := range l[:min(len(l), t.step.advice.requestSize(t.step))] {
+	r := AdviceRequest{Task: t.step.tasks[0].key, Work: q.RequestTime(n), Timeout: adviceSlack + maxStretch*work}
+	for _, v := range l[:n] {
 		r.Servers = append(r.Servers, v.info)
 	}
 	t.step.advice.pending = true
-	s.adviceRequests++
 	s.orders.AdviceRequests = append(s.orders.AdviceRequests, r)
 }
 
+// serversPerBase returns the number of servers for which the service needs as long as for a request without any, 0 if that is
+// not known. Smaller requests hardly save time.
+func serversPerBase(q *queue.Advice) int {
+	if q.PerServer <= 0 {
+		return 0
+	}
+	return int(q.Base / q.PerServer)
+}
+
+// maxServersPerRequest returns the number of servers about which the service answers in maxRequestTime, from 1 to
+// maxAdvisedServers.
+func maxServersPerRequest(q *queue.Advice) int {
+	if q.PerServer <= 0 {
+		return maxAdvisedServers
+	}
+	return min(max(int((maxRequestTime(q)-q.Base)/q.PerServer), 1), maxAdvisedServers)
+}
+
+// maxRequestTime returns how long the service may work on unanswered requests: so short that tickets are valid for long enough
+// when they arrive. A request that would take mostly its base time may take twice that.
+func maxRequestTime(q *queue.Advice) time.Duration {
+	d := maxAdviceTime
+	if q.Validity > 0 {
+		d = min(d, q.Validity/ticketValidityDivisor)
+	}
+	return max(d, 2*q.Base)
+}
+
 // requestSize returns the number of servers in the next request for the step: about as many as it has asked about before.
 func (a *stepAdvice) requestSize(p *stepState) int {
 	return min(max(minAdvisedServers, advisedServersPerTask*p.countPending(), len(a.answers)), maxAdvisedServers)
@@ -226,7 +281,7 @@
 
 // adviceRequestEnded lets another request be sent. It returns the advice of the request's step, nil if its job has ended.
 func (s *Scheduler) adviceRequestEnded(r AdviceRequest) *stepAdvice {
-	s.adviceRequests--
+	s.advice = adviceLoad{requests: s.advice.requests - 1, work: s.advice.work - r.Work}
 	s.needsPlan = true
 	t := s.findTask(r.Task)
 	if t == nil {
--- a/fleet/scheduler/advice_test.go
+++ b/fleet/scheduler/advice_test.go
@@ -53,8 +53,12 @@
 
 // newAdvisedHarness returns a harness whose queue needs advice, with n servers named in the order of their IDs.
 func newAdvisedHarness(n int) *harness {
+	return newHarnessWithAdvice(n, &queue.Advice{})
+}
+
+func newHarnessWithAdvice(n int, a *queue.Advice) *harness {
 	w := newHarness()
-	w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", UsesAdvice: true, MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
+	w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", Advice: a, MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
 		map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{}))
 	for i := range n {
 		w.addServers(serverName(i))
@@ -192,6 +196,29 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
 
+	// A request about a hundred servers took a slow service longer than the owner waited, or than its tickets were valid.
+	ginkgo.DescribeTable("asks a slow service about so few servers that their tickets are valid when they arrive", func(a queue.Advice) {
+		w, p := newHarnessWithAdvice(300, &a), allowedServers{serverName(299): true}
+		w.submit(newRecord(1, 1))
+		busy := time.Duration(0)
+		for len(w.orders.AdviceRequests) > 0 {
+			total := time.Duration(0)
+			for _, r := range w.orders.AdviceRequests {
+				total += a.RequestTime(len(r.Servers))
+				gomega.Expect(r.Timeout).To(gomega.BeNumerically(">", total))
+			}
+			gomega.Expect(total).To(gomega.BeNumerically("<", a.Validity/2))
+			busy += total
+			p.answer(w)
+		}
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+		gomega.Expect(busy).To(gomega.BeNumerically("<=", 2*3*a.RequestTime(100)), "small requests take longer than needed")
+	},
+		ginkgo.Entry("fast", queue.Advice{Base: 5 * time.Millisecond, PerServer: 100 * time.Microsecond, Validity: 3 * time.Second}),
+		ginkgo.Entry("slow for each server", queue.Advice{Base: 50 * time.Millisecond, PerServer: 30 * time.Millisecond, Validity: 3 * time.Second}),
+		ginkgo.Entry("short validity", queue.Advice{Base: 20 * time.Millisecond, PerServer: 4 * time.Millisecond, Validity: 400 * time.Millisecond}),
+		ginkgo.Entry("slow for each request", queue.Advice{Base: 300 * time.Millisecond, PerServer: 2 * time.Millisecond, Validity: 2 * time.Second}))
+
 	// Jobs that start in a burst must not fill the service's queue.
 	ginkgo.It("waits while the service has several requests to answer, and gives up none", func() {
 		w, p := newAdvisedHarness(50), allowedServers{}
--- a/fleet/scheduler/order.go
+++ b/fleet/scheduler/order.go
@@ -41,6 +41,8 @@
 	// Task is the first task of the step.
 	Task    job.Task
 	Servers []server.Server
+	// Work is the time that the service needs for the request, Timeout the time after which it counts as failed.
+	Work, Timeout time.Duration
 }
 
 // Decision is a scheduling decision for the log.
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -40,8 +40,7 @@
 	restarts map[string]int
 	// startedAt is when the owner took over.
 	startedAt time.Time
-	// adviceRequests counts the requests to the advice service that have no answer yet.
-	adviceRequests int
+	advice    adviceLoad
 
 	output
 	previousOwner
