Evacuate tasks of queues with advice only to servers that may run them

Cause: evacuate looked for any server of the pool with the capacity, not for one that the advice service allows.

Change: evacuate takes the servers that the step has tickets for, and asks the advice service about others before it records that the pool lacks one.

Evidence: the new spec fails before (the task is stopped) and passes now.

--- a/fleet/scheduler/advice.go
+++ b/fleet/scheduler/advice.go
@@ -108,12 +108,12 @@
 	return fmt.Sprintf("a server of pool %s that the advice service allows: it allows none of %d", pool, len(l))
 }
 
-// advisedServers returns the servers on which the step's tasks may be placed now: all if its queue needs no advice.
-func (s *Scheduler) advisedServers(w pendingStep, l []*serverState, now time.Time) []*serverState {
-	if !s.needsAdvice(w.state) {
+// advisedServers returns the servers on which a task may be placed now: all if its queue needs no advice.
+func (s *Scheduler) advisedServers(t *task, l []*serverState, now time.Time) []*serverState {
+	if !s.needsAdvice(t.state) {
 		return l
 	}
-	return w.step.advice.ticketed(l, now)
+	return t.step.advice.ticketed(l, now)
 }
 
 // adviceClass orders the servers in a request.
--- a/fleet/scheduler/advice_test.go
+++ b/fleet/scheduler/advice_test.go
@@ -219,6 +219,31 @@
 		ginkgo.Entry("short validity", queue.Advice{Base: 20 * time.Millisecond, PerServer: 4 * time.Millisecond, Validity: 400 * time.Millisecond}),
 		ginkgo.Entry("slow for each request", queue.Advice{Base: 300 * time.Millisecond, PerServer: 2 * time.Millisecond, Validity: 2 * time.Second}))
 
+	// A task was stopped for a server that is to be maintained, though its policy allowed none of the others with capacity.
+	ginkgo.It("leaves a server that is to be maintained only for one that the policy allows", func() {
+		w, p := newAdvisedHarness(3), allowedServers{serverName(0): true}
+		w.submit(newRecord(1, 1, longRunning))
+		p.answerAll(w)
+		s := w.acceptStarts()[0]
+		w.reportRuns(s.Server.ID, listedRun(s, 100))
+		w.advance(time.Second)
+		w.reportRuns(serverName(1))
+		w.reportRuns(serverName(2))
+		w.reportRuns(s.Server.ID, listedRun(s, 100))
+		w.Cordon("vm-"+s.Server.ID, true)
+		w.Evacuate("vm-"+s.Server.ID, w.now)
+		w.collectOrders()
+		gomega.Expect(w.takeStops()).To(gomega.BeEmpty())
+		p["s-0003"] = true
+		w.addServers("s-0003")
+		w.Evacuate("vm-"+s.Server.ID, w.now)
+		w.collectOrders()
+		p.answer(w)
+		w.Evacuate("vm-"+s.Server.ID, w.now)
+		w.collectOrders()
+		gomega.Expect(w.takeStops()).To(gomega.HaveLen(1))
+	})
+
 	// Jobs that start in a burst must not fill the service's queue.
 	ginkgo.It("waits while the service has several requests to answer, and gives up none", func() {
 		w, p := newAdvisedHarness(50), allowedServers{}
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -108,13 +108,11 @@
 	if len(usable) == 0 {
 		return "a server of pool " + pool + " that takes new work: " + s.unusableReasons(pool, now)
 	}
-	if s.needsAdvice(t.state) {
-		allowed := t.step.advice.ticketed(usable, now)
-		if len(allowed) == 0 {
-			return t.step.advice.waitsFor(pool, usable)
-		}
-		usable = allowed
+	allowed := s.advisedServers(t, usable, now)
+	if len(allowed) == 0 {
+		return t.step.advice.waitsFor(pool, usable)
 	}
+	usable = allowed
 	if x := s.waitsForReservation(t, pool, now); x != "" {
 		return x
 	}
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -95,10 +95,13 @@
 	return empty
 }
 
-// evacuate stops a run if another server has capacity for its task. Otherwise it records that the pool lacks a server.
+// evacuate stops a run if another server has capacity for its task and may run it. Otherwise it records that the pool lacks a
+// server, once that is known.
 func (s *Scheduler) evacuate(r *run, l []*serverState, now time.Time) {
-	if bestServer(r.task, l, now) == nil {
-		s.unplacedAt[r.server.info.Pool] = now
+	if bestServer(r.task, s.advisedServers(r.task, l, now), now) == nil {
+		if !s.awaitsAdvice(r.task, l, now) {
+			s.unplacedAt[r.server.info.Pool] = now
+		}
 		return
 	}
 	s.addDecision(r.decision("evacuated"))
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -295,7 +295,7 @@
 		}
 	}
 	s.foreseeEnd(w.step, now)
-	l = s.advisedServers(w, l, now)
+	l = s.advisedServers(w.step.tasks[0], l, now)
 	if w.step.step.Gang {
 		s.placeGang(w, l)
 		if t := w.step.firstPending(); t != nil {
--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -136,7 +136,7 @@
 		return
 	}
 	first := w.step.tasks[0]
-	allowed := p.scheduler.advisedServers(w, l, p.now)
+	allowed := p.scheduler.advisedServers(first, l, p.now)
 	costs, excluded := p.costs(first, allowed), p.excluded(first, allowed)
 	p.scheduler.place(w, l, &p.full, p.now)
 	for _, t := range w.step.tasks[:min(len(w.step.tasks), maxPreviewTasks-len(p.result.Tasks))] {
