Count failed runs against servers only where the step does not fail everywhere

Cause: each failed run counted against its server, whatever its task. From the third on each further end doubled the pause, so that one listing with nine ends of one job paused a sound server for 16 s, for all tasks. Only the end of another task as done reset the count, which a server with long-running tasks alone never sees.

Change: a step keeps the servers on which its runs failed, and whether any run succeeded; a server keeps its failures since the last success by step. Failures of a step that has failed on several servers and succeeded on none do not count against a server; once it succeeds somewhere, they do again. A server with three that count is suspected for 16 s after the last one: it comes last in placement and gets one start a second, so that little fails if it is faulty and nothing waits for long if it is not, or if all servers of the pool are suspected. Placement, also of gangs, prefers servers on which the step has not failed. A run of a long-running task counts as a success once it has been ready for 5 s. A long-running task whose runs fail earlier is started again after 0.25 s, doubled up to 2 s, which was limited by the pauses of the servers before.

Ruled out: the capacity (all idle), the leases, the pauses for stalls, which stay as they are.

--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -49,7 +49,7 @@
 	}
 	l := ServerLoad{
 		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore, UsedCores: float64(v.used.CPU) / milliPerCore,
-		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now),
+		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now) && !v.health.isSuspect(now),
 	}
 	for _, r := range v.runs {
 		if r.task.step.step.LongRunning {
@@ -98,7 +98,7 @@
 // evacuate stops a run if another server has capacity for its task and may run it. Otherwise it records that the pool lacks a
 // server, once that is known.
 func (s *Scheduler) evacuate(r *run, l []*serverState, now time.Time) {
-	if bestServer(r.task, s.advisedServers(r.task, l, now), now) == nil {
+	if bestServer(r.task, trusted(s.advisedServers(r.task, l, now), now), now) == nil {
 		if !s.awaitsAdvice(r.task, l, now) {
 			s.unplacedAt[r.server.info.Pool] = now
 		}
@@ -202,7 +202,7 @@
 	}
 	for p, at := range s.unplacedAt {
 		if n := m[p]; now.Sub(at) < unplacedWindow {
-			n.Servers = max(n.Servers, len(s.usableServers(now)[p])+1)
+			n.Servers = max(n.Servers, len(trusted(s.usableServers(now)[p], now))+1)
 			m[p] = n
 		}
 	}
--- a/fleet/scheduler/health.go
+++ b/fleet/scheduler/health.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -8,9 +9,12 @@
 
 // health is derived from the results and the progress of a server's runs.
 type health struct {
-	// failures counts consecutive failed runs.
-	failures int
-	// backoffs counts the pauses since the last successful run, up to maxBackoffs.
+	// failures are the failed runs since the last successful one, by step.
+	failures []stepFailures
+	// lastFailure is when a run last failed, lastProbe when a task was last placed on the server.
+	lastFailure time.Time
+	lastProbe   time.Time
+	// backoffs counts the pauses for stalled runs since the last successful run, up to maxBackoffs.
 	backoffs int
 	// slowUntil is the time until which a slow server is used only where no other has capacity.
 	slowUntil time.Time
@@ -18,10 +22,37 @@
 	ends []judgedEnd
 }
 
+// stepFailures counts a server's failed runs of one step.
+type stepFailures struct {
+	outcomes *outcomes
+	runs     int
+}
+
+// outcomes tells on which servers a step's runs have failed, and whether any has succeeded.
+type outcomes struct {
+	// failedOn holds the IDs of servers on which a run has failed and none has succeeded since, up to maxFailedServers.
+	failedOn  map[string]bool
+	succeeded bool
+}
+
 const (
-	// maxConsecutiveFailures is the number of consecutive failed runs after which a server is paused.
+	// maxConsecutiveFailures is the number of consecutive failed runs after which a server is suspected to fail all.
 	maxConsecutiveFailures = 3
-	// minBackoff doubles with each pause up to maxBackoff. Server disruptions last a few seconds.
+	// suspicionTime is how long a server is suspected after its last failed run. Server disruptions last a few seconds.
+	suspicionTime = 16 * time.Second
+	// probeInterval is the time between the starts on a suspected server, so that little work fails if it is faulty and none
+	// waits for long if it is not.
+	probeInterval = time.Second
+	// maxFailedSteps and maxFailedServers bound the failures that are kept for a server and for a step.
+	maxFailedSteps   = 8
+	maxFailedServers = 16
+	// provenRuntime is how old a run of a long-running task that is ready must be to count as successful.
+	provenRuntime = 5 * time.Second
+	// minRestartDelay doubles with each failed run of a long-running task, up to maxRestartDelay.
+	minRestartDelay  = 250 * time.Millisecond
+	maxRestartDelay  = 2 * time.Second
+	maxQuickFailures = 8
+	// minBackoff doubles with each pause up to maxBackoff.
 	minBackoff  = 2 * time.Second
 	maxBackoff  = 16 * time.Second
 	maxBackoffs = 3
@@ -29,25 +60,123 @@
 	slowPenaltyTime = 3 * time.Second
 )
 
-// recordEnd updates the health of a run's server with the reason for which the run ended.
+// blamesJob reports whether the step, rather than the servers, is the cause of its failures: it has failed on several servers
+// and succeeded on none.
+func (o *outcomes) blamesJob() bool {
+	return len(o.failedOn) > 1 && !o.succeeded
+}
+
+func (o *outcomes) addFailure(id string) {
+	if o.failedOn == nil {
+		o.failedOn = map[string]bool{}
+	}
+	if len(o.failedOn) < maxFailedServers {
+		o.failedOn[id] = true
+	}
+}
+
+func (o *outcomes) addSuccess(id string) {
+	o.succeeded = true
+	delete(o.failedOn, id)
+}
+
+// recordEnd updates the health of a run's server and the outcomes of its step with the reason for which the run ended.
 func (s *Scheduler) recordEnd(r *run, reason job.EndReason, now time.Time) {
-	h := &r.server.health
 	switch reason {
 	case job.EndDone:
-		h.failures = 0
-		h.backoffs = 0
+		r.server.health.backoffs = 0
+		s.recordSuccess(r, now)
 	case job.EndFailed:
-		if h.failures++; h.failures >= maxConsecutiveFailures {
-			s.addDecision(r.decision("server paused after consecutive failed runs"))
-			h.backOff(r.server, now)
-			h.failures = maxConsecutiveFailures - 1
+		s.recordFailure(r, now)
+	}
+}
+
+func (s *Scheduler) recordSuccess(r *run, now time.Time) {
+	h := &r.server.health
+	if h.isSuspect(now) {
+		s.addDecision(r.decision("server is no longer suspected: a run has succeeded"))
+	}
+	h.failures = nil
+	r.task.step.outcomes.addSuccess(r.server.info.ID)
+}
+
+// recordReady records the success of a long-running task's run once it has been ready for long enough. That is no evidence
+// about runs that start later.
+func (s *Scheduler) recordReady(r *run, now time.Time) {
+	if r.proven || r.percent < fullPercent || now.Sub(r.startedAt) < provenRuntime {
+		return
+	}
+	r.proven = true
+	r.task.quickFailures = 0
+	s.recordSuccess(r, now)
+}
+
+// delayRestart delays the next start of a long-running task whose runs fail soon after their starts, from the second one on.
+func (t *task) delayRestart(r *run, now time.Time) {
+	if r.proven {
+		return
+	}
+	if t.quickFailures > 0 {
+		t.restartAt = now.Add(min(minRestartDelay<<(t.quickFailures-1), maxRestartDelay))
+	}
+	t.quickFailures = min(t.quickFailures+1, maxQuickFailures)
+}
+
+func (s *Scheduler) recordFailure(r *run, now time.Time) {
+	h, o := &r.server.health, r.task.step.outcomes
+	suspected, blamed := h.isSuspect(now), o.blamesJob()
+	o.addFailure(r.server.info.ID)
+	h.addFailure(o, now)
+	if !suspected && h.isSuspect(now) {
+		s.addDecision(r.decision("server is suspected after consecutive failed runs"))
+	}
+	if !blamed && o.blamesJob() {
+		s.addDecision(r.decision("runs of the step have failed on several servers and succeeded on none: they do not count against servers"))
+	}
+}
+
+// addFailure counts a failed run of a step. The steps whose runs failed last are kept.
+func (h *health) addFailure(o *outcomes, now time.Time) {
+	h.lastFailure = now
+	x := stepFailures{outcomes: o}
+	if i := slices.IndexFunc(h.failures, func(f stepFailures) bool { return f.outcomes == o }); i >= 0 {
+		x = h.failures[i]
+		h.failures = slices.Delete(h.failures, i, i+1)
+	}
+	x.runs++
+	h.failures = append(h.failures, x)
+	h.failures = h.failures[max(len(h.failures)-maxFailedSteps, 0):]
+}
+
+// isSuspect reports whether the server may fail all that it runs. The failures of steps that fail on other servers as well do not
+// count.
+func (h *health) isSuspect(now time.Time) bool {
+	if now.Sub(h.lastFailure) >= suspicionTime {
+		return false
+	}
+	n := 0
+	for _, f := range h.failures {
+		if !f.outcomes.blamesJob() {
+			n += f.runs
 		}
 	}
+	return n >= maxConsecutiveFailures
 }
 
-func (h *health) backOff(v *serverState, now time.Time) {
-	v.pauseUntil(now.Add(min(minBackoff<<h.backoffs, maxBackoff)))
-	h.backoffs = min(h.backoffs+1, maxBackoffs)
+// admits reports whether a task may be placed on the server: one for each probeInterval while it is suspected.
+func (h *health) admits(now time.Time) bool {
+	return !h.isSuspect(now) || !now.Before(h.lastProbe.Add(probeInterval))
+}
+
+// trusted returns the servers that are not suspected.
+func trusted(l []*serverState, now time.Time) []*serverState {
+	r := []*serverState{}
+	for _, v := range l {
+		if !v.health.isSuspect(now) {
+			r = append(r, v)
+		}
+	}
+	return r
 }
 
 // recordStall pauses a server with a stalled run, unless it is paused already.
@@ -55,7 +184,8 @@
 	if now.Before(v.pausedUntil) {
 		return
 	}
-	h.backOff(v, now)
+	v.pauseUntil(now.Add(min(minBackoff<<h.backoffs, maxBackoff)))
+	h.backoffs = min(h.backoffs+1, maxBackoffs)
 }
 
 func (h *health) recordSlow(now time.Time) {
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -61,6 +61,7 @@
 	failedRun  int
 	checkpoint string
 	advice     stepAdvice
+	outcomes   *outcomes
 	// durations are the run times of the step's completed tasks.
 	durations []time.Duration
 	// foreseenEnd is when the step's tasks are foreseen to end if they are placed in the present pass.
@@ -95,6 +96,10 @@
 	recorded taskRecord
 	// avoidedServer is the ID of the server on which the task last failed, stalled or was slow.
 	avoidedServer string
+	// quickFailures counts the consecutive failed runs of a long-running task that were never proven, restartAt is when it may be
+	// placed again.
+	quickFailures int
+	restartAt     time.Time
 	// straggled is true once a run was stopped for being slow; the next run is left to finish, since the task itself may
 	// be long.
 	straggled bool
@@ -175,7 +180,7 @@
 }
 
 func (j *jobState) newStep(occurrence, i int) *stepState {
-	p := &stepState{step: &j.job.Steps[i], pendingSteps: len(j.job.Steps[i].After)}
+	p := &stepState{step: &j.job.Steps[i], pendingSteps: len(j.job.Steps[i].After), outcomes: &outcomes{}}
 	p.unfinished = p.step.Count
 	for n := range p.step.Count {
 		p.tasks = append(p.tasks, &task{
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -138,6 +138,9 @@
 	r.percent = x.Percent
 	r.metric = x.Metric
 	s.endTrial(r)
+	if r.task.step.step.LongRunning {
+		s.recordReady(r, now)
+	}
 	if x.Checkpoint != "" && r.task.step.step.Checkpointing {
 		r.task.checkpoint = x.Checkpoint
 		r.task.step.checkpoint = x.Checkpoint
--- a/fleet/scheduler/lookahead.go
+++ b/fleet/scheduler/lookahead.go
@@ -150,7 +150,7 @@
 
 func (c *candidates) Server(i int) (reservation.Server, bool) {
 	v := c.l[i]
-	if !suits(c.t, v, c.now) || v.info.ID == c.t.avoidedServer || c.now.Before(v.health.slowUntil) {
+	if !suits(c.t, v, c.now) || v.info.ID == c.t.avoidedServer || v.mayFail(c.t.step, c.now) || c.now.Before(v.health.slowUntil) {
 		return reservation.Server{}, false
 	}
 	x := reservation.Server{ID: v.info.ID, Free: v.free(), Ends: make([]reservation.End, 0, len(v.runs))}
@@ -208,7 +208,8 @@
 }
 
 // placed records that a task was placed on a server.
-func (s *Scheduler) placed(t *task, v *serverState) {
+func (s *Scheduler) placed(t *task, v *serverState, now time.Time) {
+	v.health.lastProbe = now
 	if b := s.books[s.poolOf(t.state)]; b != nil {
 		b.Placed(t.key)
 	}
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -33,7 +33,7 @@
 // suits reports whether the server satisfies the task's constraints.
 func suits(t *task, v *serverState, now time.Time) bool {
 	p := t.step.step
-	if v.isolates() || t.mayCrashServers() && !v.canTry(t, now) {
+	if v.isolates() || t.mayCrashServers() && !v.canTry(t, now) || !v.health.admits(now) {
 		return false
 	}
 	if p.Requires != "" && !v.info.HasLabel(p.Requires) {
@@ -65,8 +65,8 @@
 
 // The weights of a placement cost. Its unit is the CPU capacity of one server: the base cost is the share left free.
 const (
-	// avoidedPenalty applies to the server on which the task last failed, stalled or was slow, and to the VM of the last one
-	// that crashed under it.
+	// avoidedPenalty applies to the server on which the task last failed, stalled or was slow, to those on which its step
+	// failed, to the VM of the last one that crashed under it, and to servers that are suspected to fail all.
 	avoidedPenalty = 8
 	// companionPenalty applies to each run on the server of a task that may crash it.
 	companionPenalty    = 1
@@ -79,7 +79,7 @@
 func placementCost(t *task, v *serverState, now time.Time) float64 {
 	p := t.step.step
 	c := remainingCPUShare(v, p)
-	if v.info.ID == t.avoidedServer || t.crashes > 0 && v.info.VM == t.crashedVM {
+	if v.info.ID == t.avoidedServer || t.crashes > 0 && v.info.VM == t.crashedVM || v.mayFail(t.step, now) {
 		c += avoidedPenalty
 	}
 	if t.mayCrashServers() {
@@ -103,6 +103,11 @@
 	return c
 }
 
+// mayFail reports whether the server is suspected to fail all, or has failed runs of the step.
+func (v *serverState) mayFail(p *stepState, now time.Time) bool {
+	return p.outcomes.failedOn[v.info.ID] || v.health.isSuspect(now)
+}
+
 // remainingCPUShare returns the share of the server's CPU that stays free once a task of the step runs there.
 func remainingCPUShare(v *serverState, p *job.Step) float64 {
 	if v.info.Capacity.CPU == 0 {
@@ -132,6 +137,21 @@
 	return n
 }
 
+// gangCandidates returns the servers on which a gang may be placed now, last those that may fail it.
+func gangCandidates(p *stepState, l []*serverState, now time.Time) []*serverState {
+	good, bad := []*serverState{}, []*serverState{}
+	for _, v := range l {
+		switch {
+		case !v.health.admits(now):
+		case v.mayFail(p, now):
+			bad = append(bad, v)
+		default:
+			good = append(good, v)
+		}
+	}
+	return append(good, bad...)
+}
+
 // gangPlacement returns a server for each member in order, or nil if the gang does not fit. A colocated gang is placed
 // on a single rack if one has the capacity, otherwise across racks.
 func gangPlacement(p *stepState, l []*serverState) []*serverState {
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// nextResumption returns when the next pause of a server is over, zero if none is paused.
+// nextResumption returns when the next server that gets no new runs may get some again, zero if there is none.
 func (s *Scheduler) nextResumption(now time.Time) time.Time {
 	var next time.Time
 	for _, v := range s.serversByID() {
@@ -139,6 +139,9 @@
 		if v.fullUntil.After(t) {
 			t = v.fullUntil
 		}
+		if x := v.health.lastProbe.Add(probeInterval); v.health.isSuspect(now) && x.After(t) {
+			t = x
+		}
 		if !t.IsZero() && v.exists() && t.After(now) && (next.IsZero() || t.Before(next)) {
 			next = t
 		}
@@ -297,7 +300,7 @@
 	s.foreseeEnd(w.step, now)
 	l = s.advisedServers(w.step.tasks[0], l, now)
 	if w.step.step.Gang {
-		s.placeGang(w, l)
+		s.placeGang(w, gangCandidates(w.step, l, now), now)
 		if t := w.step.firstPending(); t != nil {
 			s.awaitsAdvice(t, all, now)
 		}
@@ -307,6 +310,10 @@
 		if t.done || t.run != nil {
 			continue
 		}
+		if now.Before(t.restartAt) {
+			s.resumeAt(t.restartAt)
+			continue
+		}
 		if !s.allowedByCap(w.step, now) {
 			return
 		}
@@ -327,7 +334,7 @@
 			return
 		}
 		s.assign(t, v, t.lastRun+1)
-		s.placed(t, v)
+		s.placed(t, v, now)
 	}
 }
 
@@ -339,7 +346,7 @@
 }
 
 // placeGang assigns all members of a gang at once, or none.
-func (s *Scheduler) placeGang(w pendingStep, l []*serverState) {
+func (s *Scheduler) placeGang(w pendingStep, l []*serverState, now time.Time) {
 	number := 0
 	for _, t := range w.step.tasks {
 		if t.run != nil || t.done {
@@ -353,6 +360,6 @@
 	}
 	for i, t := range w.step.tasks {
 		s.assign(t, chosen[i], number)
-		s.placed(t, chosen[i])
+		s.placed(t, chosen[i], now)
 	}
 }
--- a/fleet/scheduler/poolstatus.go
+++ b/fleet/scheduler/poolstatus.go
@@ -47,7 +47,7 @@
 	p.Cores += float64(v.info.Capacity.CPU) / milliPerCore
 	p.CoresUsed += float64(v.used.CPU) / milliPerCore
 	p.TasksRunning += int32(len(v.runs))
-	if v.usable(now) {
+	if v.usable(now) && !v.health.isSuspect(now) {
 		p.Usable++
 	}
 	if !v.reachable || now.Sub(v.listedAt) >= listingTimeout {
--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -226,18 +226,20 @@
 		case !advised[v]:
 			m["not allowed by the advice service"]++
 		case !eligible(t, v, p.now):
-			m[ineligibleReason(t, v)]++
+			m[ineligibleReason(t, v, p.now)]++
 		}
 	}
 	return m
 }
 
 // ineligibleReason returns why a server that accepts new runs is not eligible for the task.
-func ineligibleReason(t *task, v *serverState) string {
+func ineligibleReason(t *task, v *serverState, now time.Time) string {
 	p, free := t.step.step, v.free()
 	switch {
 	case v.isolates():
 		return "running a task alone that may crash it"
+	case !v.health.admits(now):
+		return "suspected to fail all tasks"
 	case p.Requires != "" && !v.info.HasLabel(p.Requires):
 		return "without the label " + p.Requires
 	case p.AntiAffinity > 0 && v.replicas(t) >= p.AntiAffinity:
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -47,6 +47,8 @@
 	startedAt       time.Time
 	// startPercent is the progress at startedAt, above 0 if a listing showed the run with progress first.
 	startPercent int
+	// proven is true once the run of a long-running task counts as successful.
+	proven bool
 	// metric is server.Run.Metric of the last listing.
 	metric int64
 	// isolated is true while the server gets no other runs, since the task may crash it; alone is true if it has got none
@@ -142,6 +144,9 @@
 	switch {
 	case t.step.step.LongRunning:
 		s.recordEnd(r, reason, now)
+		if reason == job.EndFailed {
+			t.delayRestart(r, now)
+		}
 	case reason == job.EndDone:
 		s.recordDuration(r, now)
 		s.recordEnd(r, reason, now)
