Count the failed runs of a gang in the gang, and across takeovers

Cause: the failure of a gang's run was counted once, in the task whose end came first; the ends of the other members were passed over. In the next run another end came first, so that no task reached the limit. Which run had been counted was known only to the owner that counted it: its successor counted the run again, in the task whose end came first there.

Change: each member counts its own failed runs, and the gang counts each of its runs in which any member failed, once; either ends the job at the limit (a task, or a gang, has failed retry-attempts times). The gang's count and the number of the run that it counted last are stored with its first task, in the commit that acknowledges the end.

Ruled out: ends taken note of too late (all were acknowledged before the next start), run numbers (equal for all members).

--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -35,7 +35,10 @@
 
 // taskRecord is the durable state of a task.
 type taskRecord struct {
-	lastRun, failures  int
+	lastRun, failures int
+	// gangFailures and failedRun are those of the gang, in the record of its first task.
+	gangFailures, failedRun int
+
 	crashes            int
 	earlyCrashes       int
 	doubtfulCrashes    int
@@ -51,6 +54,9 @@
 		lastRun: t.lastRun, failures: t.failures, crashes: t.crashes, earlyCrashes: t.earlyCrashes,
 		doubtfulCrashes: t.doubtfulCrashes, isolatedCrashes: t.isolatedCrashes, suspected: t.suspected, done: t.done,
 	}
+	if t == t.step.tasks[0] {
+		r.gangFailures, r.failedRun = t.step.gangFailures, t.step.failedRun
+	}
 	if !t.done {
 		r.checkpoint = t.checkpoint
 	}
@@ -73,6 +79,7 @@
 		Occurrence: int32(t.key.Occurrence), Step: int32(t.key.Step), Index: int32(t.key.Index),
 		LastRun: int32(r.lastRun), Failures: int32(r.failures), Done: r.done, Checkpoint: r.checkpoint, Server: r.server,
 		Crashes: int32(r.crashes), EarlyCrashes: int32(r.earlyCrashes), DoubtfulCrashes: int32(r.doubtfulCrashes), IsolatedCrashes: int32(r.isolatedCrashes), Suspected: r.suspected,
+		GangFailures: int32(r.gangFailures), FailedRun: int32(r.failedRun),
 	}
 	if r.server != "" {
 		p.BornMs = r.startedAt.UnixMilli()
@@ -85,6 +92,7 @@
 	t.recorded = taskRecord{
 		lastRun: int(m.LastRun), failures: int(m.Failures), done: m.Done, checkpoint: m.Checkpoint, server: m.Server,
 		crashes: int(m.Crashes), earlyCrashes: int(m.EarlyCrashes), doubtfulCrashes: int(m.DoubtfulCrashes), isolatedCrashes: int(m.IsolatedCrashes), suspected: m.Suspected,
+		gangFailures: int(m.GangFailures), failedRun: int(m.FailedRun),
 	}
 	if m.Server != "" {
 		t.recorded.startedAt = time.UnixMilli(m.BornMs)
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -57,8 +57,10 @@
 	// unfinished counts the tasks that are not done, pendingSteps the steps that must be done first and are not.
 	unfinished   int
 	pendingSteps int
-	// failedRun is the number of the gang's last failed run; it keeps the failure from being counted once per member.
-	failedRun  int
+	// gangFailures counts the failed runs of the gang, each once however many members failed; failedRun is the number of the
+	// last of them.
+	gangFailures, failedRun int
+
 	checkpoint string
 	advice     stepAdvice
 	outcomes   *outcomes
@@ -70,13 +72,14 @@
 
 // task is one task of a step in an occurrence.
 type task struct {
-	job        *job.Job
-	state      *jobState
-	key        job.Task
-	step       *stepState
-	done       bool
-	run        *run
-	lastRun    int
+	job     *job.Job
+	state   *jobState
+	key     job.Task
+	step    *stepState
+	done    bool
+	run     *run
+	lastRun int
+	// failures counts the runs that ended as failed; in a gang, those of the task itself.
 	failures   int
 	checkpoint string
 	// crashes counts the servers that crashed while they ran the task, earlyCrashes those of them on which it had just begun,
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -59,6 +59,9 @@
 	t.restoreRecord(m)
 	t.lastRun = int(m.LastRun)
 	t.failures = int(m.Failures)
+	if t == t.step.tasks[0] {
+		t.step.gangFailures, t.step.failedRun = int(m.GangFailures), int(m.FailedRun)
+	}
 	t.crashes, t.earlyCrashes = int(m.Crashes), int(m.EarlyCrashes)
 	t.doubtfulCrashes, t.isolatedCrashes = int(m.DoubtfulCrashes), int(m.IsolatedCrashes)
 	t.suspected, t.suspectedAt = m.Suspected, now
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -164,19 +164,17 @@
 	}
 }
 
-// countFailure counts a failed run against its task, once per run of a gang, and fails the job when no attempts are
+// countFailure counts a failed run against its task, and once against its gang, and fails the job when either has no attempts
 // left.
 func (s *Scheduler) countFailure(r *run, now time.Time) {
 	t := r.task
 	t.avoidedServer = r.server.info.ID
-	if t.step.step.Gang {
-		if t.step.failedRun == r.number {
-			return
-		}
+	t.failures++
+	if t.step.step.Gang && r.number > t.step.failedRun {
 		t.step.failedRun = r.number
+		t.step.gangFailures++
 	}
-	t.failures++
-	if t.failures >= s.maxAttempts(t.state) {
+	if max(t.failures, t.step.gangFailures) >= s.maxAttempts(t.state) {
 		s.addDecision(Decision{Job: t.job.ID, Task: t.key.String(), Pool: t.job.Pool, Reason: loss.ReasonJobFailed + "no attempts are left"})
 		s.endJob(t.state, job.Failed, now)
 	}
