Use the tickets of an answer that arrives late

Cause: the validity is counted from the request, since the owner cannot see when the service began to count; a late answer then holds only tickets that count as expired.

Change: the tickets of an answer are used for 0.5 s at least.

Evidence: the new spec fails before and passes now.

--- a/fleet/scheduler/advice.go
+++ b/fleet/scheduler/advice.go
@@ -35,6 +35,9 @@
 	adviceRetry = 500 * time.Millisecond
 	// minTicketValidity is how long a ticket must remain valid when a run is assigned.
 	minTicketValidity = 300 * time.Millisecond
+	// minAnswerValidity is how long the tickets of an answer are used however late it arrives. The time for which they are valid
+	// is counted from the request, though it begins some time after.
+	minAnswerValidity = 500 * time.Millisecond
 	// denialValidity is how long a server that a step may not use is not asked about again. Policies do not change, but the
 	// service may learn of a new server late.
 	denialValidity = 30 * time.Second
@@ -156,10 +159,9 @@
 		s.resumeAt(a.nextRequest(now))
 		return false
 	}
-	switch {
-	case now.Before(a.retryAt):
+	if now.Before(a.retryAt) {
 		s.resumeAt(a.retryAt)
-	default:
+	} else {
 		s.requestAdvice(t, candidates, now)
 	}
 	return true
@@ -260,6 +262,9 @@
 			delete(a.answers, id)
 		}
 	}
+	if least := now.Add(minAnswerValidity); until.Before(least) {
+		until = least
+	}
 	allowed := 0
 	for _, v := range r.Servers {
 		x := adviceAnswer{startedAt: v.StartedAt, ticket: tickets[v.ID], validUntil: now.Add(denialValidity)}
--- a/fleet/scheduler/advice_test.go
+++ b/fleet/scheduler/advice_test.go
@@ -244,6 +244,16 @@
 		gomega.Expect(w.takeStops()).To(gomega.HaveLen(1))
 	})
 
+	// With answers that took longer than tickets are valid, counted from the request, a step asked again and again.
+	ginkgo.It("tries the tickets of a late answer, which may still be valid", func() {
+		w := newAdvisedHarness(1)
+		w.submit(newRecord(1, 1))
+		r := w.orders.AdviceRequests[0]
+		w.AdviceReceived(r, map[string]string{r.Servers[0].ID: ticketFor(r.Servers[0])}, w.now.Add(-time.Second), w.now)
+		w.commit()
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
+
 	// Jobs that start in a burst must not fill the service's queue.
 	ginkgo.It("waits while the service has several requests to answer, and gives up none", func() {
 		w, p := newAdvisedHarness(50), allowedServers{}
