Store what a job needs of its queue with the job

Cause: whether a step needs advice, and how often a task may fail, was looked up under the queue's name at each decision. A removed queue counted as one without advice and with four attempts, though the servers and the advice service know no configuration and go on as before.

Change: a job's record has the attempts and the advice settings of its queue at acceptance (JobTerms). The queue's present values go first where they are set.

--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -20,6 +20,7 @@
 	Workspace string
 	// Excess reports whether the job exceeded the job rate of its workspace's weight when it was accepted.
 	Excess bool
+	Terms  Terms
 	Repeat Repeat
 }
 
@@ -172,7 +173,7 @@
 func New(m *schema.JobRecord) *Job {
 	j := &Job{
 		ID: m.Id, Queue: m.Queue, Pool: m.Pool, Payload: m.Payload,
-		AcceptedAt: time.UnixMilli(m.AcceptedMs), DataCentre: m.DataCentre, Workspace: m.Workspace, Excess: m.Excess,
+		AcceptedAt: time.UnixMilli(m.AcceptedMs), DataCentre: m.DataCentre, Workspace: m.Workspace, Excess: m.Excess, Terms: newTerms(m.Terms),
 	}
 	if m.Repeats > 0 {
 		j.Repeat = Repeat{
--- a/fleet/job/record.go
+++ b/fleet/job/record.go
@@ -6,7 +6,7 @@
 func (j *Job) Record() *schema.JobRecord {
 	m := &schema.JobRecord{
 		Id: j.ID, Queue: j.Queue, Pool: j.Pool, Payload: j.Payload,
-		AcceptedMs: j.AcceptedAt.UnixMilli(), DataCentre: j.DataCentre, Workspace: j.Workspace, Excess: j.Excess,
+		AcceptedMs: j.AcceptedAt.UnixMilli(), DataCentre: j.DataCentre, Workspace: j.Workspace, Excess: j.Excess, Terms: j.Terms.Record(),
 	}
 	if j.Repeat.Count > 0 {
 		m.FirstDueMs = j.Repeat.First.UnixMilli()
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/workspace"
 )
 
@@ -22,22 +23,14 @@
 	SlackFactor      float64
 	LatencyAllowance time.Duration
 	// Advice is nil if a step may run on any server, and the advice service does not decide about it.
-	Advice *Advice
+	Advice *job.Advice
 	// Public reports whether calls to the queue need no key of a workspace.
 	Public bool
 }
 
-// Advice is the configuration of the advice service for a queue. Zero durations are unknown.
-type Advice struct {
-	// Base and PerServer are what a request takes, altogether and for each server in it.
-	Base, PerServer time.Duration
-	// Validity is how long tickets are valid.
-	Validity time.Duration
-}
-
-// RequestTime returns how long the service works on a request about n servers.
-func (a *Advice) RequestTime(n int) time.Duration {
-	return a.Base + time.Duration(n)*a.PerServer
+// Terms returns the terms of the jobs that the queue accepts.
+func (q *Queue) Terms() job.Terms {
+	return job.Terms{MaxAttempts: q.MaxAttempts, Advice: q.Advice}
 }
 
 // Pool is the configuration of a pool.
--- a/fleet/scheduler/advice.go
+++ b/fleet/scheduler/advice.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/tarragonbank/tarragonbank/fleet/queue"
+	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
 )
 
@@ -65,12 +65,13 @@
 	work     time.Duration
 }
 
-// adviceSettings returns the configuration of the advice service for a job's queue, nil if the job needs no advice.
-func (s *Scheduler) adviceSettings(j *jobState) *queue.Advice {
-	if q := s.table.ByName(j.job.Queue); q != nil {
+// adviceSettings returns the configuration of the advice service for a job, nil if the job needs no advice. A job that was
+// accepted with it still needs it when its queue does not, or is removed, since servers know no configuration.
+func (s *Scheduler) adviceSettings(j *jobState) *job.Advice {
+	if q := s.table.ByName(j.job.Queue); q != nil && q.Advice != nil {
 		return q.Advice
 	}
-	return nil
+	return j.job.Terms.Advice
 }
 
 // needsAdvice reports whether the advice service decides which servers may run the job's steps.
@@ -205,7 +206,7 @@
 
 // serversPerBase returns the number of servers for which the service needs as long as for a request without any, 0 if that is
 // not known. Smaller requests hardly save time.
-func serversPerBase(q *queue.Advice) int {
+func serversPerBase(q *job.Advice) int {
 	if q.PerServer <= 0 {
 		return 0
 	}
@@ -214,7 +215,7 @@
 
 // maxServersPerRequest returns the number of servers about which the service answers in maxRequestTime, from 1 to
 // maxAdvisedServers.
-func maxServersPerRequest(q *queue.Advice) int {
+func maxServersPerRequest(q *job.Advice) int {
 	if q.PerServer <= 0 {
 		return maxAdvisedServers
 	}
@@ -223,7 +224,7 @@
 
 // maxRequestTime returns how long the service may work on unanswered requests: so short that tickets are valid for long enough
 // when they arrive. A request that would take mostly its base time may take twice that.
-func maxRequestTime(q *queue.Advice) time.Duration {
+func maxRequestTime(q *job.Advice) time.Duration {
 	d := maxAdviceTime
 	if q.Validity > 0 {
 		d = min(d, q.Validity/ticketValidityDivisor)
--- a/fleet/scheduler/advice_test.go
+++ b/fleet/scheduler/advice_test.go
@@ -53,10 +53,10 @@
 
 // newAdvisedHarness returns a harness whose queue needs advice, with n servers named in the order of their IDs.
 func newAdvisedHarness(n int) *harness {
-	return newHarnessWithAdvice(n, &queue.Advice{})
+	return newHarnessWithAdvice(n, &job.Advice{})
 }
 
-func newHarnessWithAdvice(n int, a *queue.Advice) *harness {
+func newHarnessWithAdvice(n int, a *job.Advice) *harness {
 	w := newHarness()
 	w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", Advice: a, MaxAttempts: 3, SlackFactor: 2, LatencyAllowance: time.Second}},
 		map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{}))
@@ -197,7 +197,7 @@
 	})
 
 	// A request about a hundred servers took a slow service longer than the owner waited, or than its tickets were valid.
-	ginkgo.DescribeTable("asks a slow service about so few servers that their tickets are valid when they arrive", func(a queue.Advice) {
+	ginkgo.DescribeTable("asks a slow service about so few servers that their tickets are valid when they arrive", func(a job.Advice) {
 		w, p := newHarnessWithAdvice(300, &a), allowedServers{serverName(299): true}
 		w.submit(newRecord(1, 1))
 		busy := time.Duration(0)
@@ -214,10 +214,10 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 		gomega.Expect(busy).To(gomega.BeNumerically("<=", 2*3*a.RequestTime(100)), "small requests take longer than needed")
 	},
-		ginkgo.Entry("fast", queue.Advice{Base: 5 * time.Millisecond, PerServer: 100 * time.Microsecond, Validity: 3 * time.Second}),
-		ginkgo.Entry("slow for each server", queue.Advice{Base: 50 * time.Millisecond, PerServer: 30 * time.Millisecond, Validity: 3 * time.Second}),
-		ginkgo.Entry("short validity", queue.Advice{Base: 20 * time.Millisecond, PerServer: 4 * time.Millisecond, Validity: 400 * time.Millisecond}),
-		ginkgo.Entry("slow for each request", queue.Advice{Base: 300 * time.Millisecond, PerServer: 2 * time.Millisecond, Validity: 2 * time.Second}))
+		ginkgo.Entry("fast", job.Advice{Base: 5 * time.Millisecond, PerServer: 100 * time.Microsecond, Validity: 3 * time.Second}),
+		ginkgo.Entry("slow for each server", job.Advice{Base: 50 * time.Millisecond, PerServer: 30 * time.Millisecond, Validity: 3 * time.Second}),
+		ginkgo.Entry("short validity", job.Advice{Base: 20 * time.Millisecond, PerServer: 4 * time.Millisecond, Validity: 400 * time.Millisecond}),
+		ginkgo.Entry("slow for each request", job.Advice{Base: 300 * time.Millisecond, PerServer: 2 * time.Millisecond, Validity: 2 * time.Second}))
 
 	// A task was stopped for a server that is to be maintained, though its policy allowed none of the others with capacity.
 	ginkgo.It("leaves a server that is to be maintained only for one that the policy allows", func() {
@@ -254,6 +254,31 @@
 		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
 	})
 
+	// Once its queue was removed, a job's starts were ordered without a ticket, rejected and ordered again, or failed later than
+	// its queue allows.
+	ginkgo.DescribeTable("keeps the terms of its queue when that is removed", func(takeover bool) {
+		x, p := newStored(), allowedServers{serverName(0): true}
+		w := newAdvisedHarness(2)
+		w.Submit(newRecord(1, 1), w.now, func(scheduler.Reply) {})
+		w.commitTo(x)
+		if takeover {
+			w = x.successor(w.now)
+			w.addServers(serverName(0), serverName(1))
+		}
+		w.SetTable(queue.New(9, nil, map[string]queue.Pool{"carving": {Name: "carving"}}, queue.Limits{}))
+		for range 3 {
+			w.commit()
+			p.answerAll(w)
+			l := w.acceptStarts()
+			gomega.Expect(l).To(gomega.HaveLen(1))
+			gomega.Expect(l[0].Ticket).To(gomega.Equal(ticketFor(l[0].Server)))
+			w.reportEnd(l[0].Server.ID, l[0].Task, l[0].Number, job.EndFailed)
+		}
+		w.commit()
+		gomega.Expect(w.JobPhase(newRecord(1, 1).Id).Phase).To(gomega.Equal(job.Failed))
+	},
+		ginkgo.Entry("under the same owner", false), ginkgo.Entry("before a takeover", true))
+
 	// Jobs that start in a burst must not fill the service's queue.
 	ginkgo.It("waits while the service has several requests to answer, and gives up none", func() {
 		w, p := newAdvisedHarness(50), allowedServers{}
--- a/fleet/scheduler/explain_test.go
+++ b/fleet/scheduler/explain_test.go
@@ -76,7 +76,7 @@
 	})
 
 	ginkgo.It("reports a pending request to the advice service", func() {
-		w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", Advice: &queue.Advice{}, SlackFactor: 2, LatencyAllowance: time.Second}},
+		w.SetTable(queue.New(2, []queue.Queue{{Name: "plans", Pool: "carving", Advice: &job.Advice{}, SlackFactor: 2, LatencyAllowance: time.Second}},
 			map[string]queue.Pool{"carving": {}}, queue.Limits{}))
 		w.addServers("s-1")
 		w.submit(chain())
--- a/fleet/scheduler/preview_test.go
+++ b/fleet/scheduler/preview_test.go
@@ -140,7 +140,7 @@
 		ginkgo.Entry("too much work", func() *schema.JobRecord { return newRecord(9, 100, cores(20)) }, func(*harness) {}),
 		ginkgo.Entry("a task that is too large", func() *schema.JobRecord { return newRecord(9, 1, cores(65)) }, func(*harness) {}),
 		ginkgo.Entry("an advised step", func() *schema.JobRecord { return newRecord(9, 1) }, func(w *harness) {
-			w.SetTable(queue.New(3, []queue.Queue{{Name: "plans", Pool: "carving", Advice: &queue.Advice{}, SlackFactor: 2, LatencyAllowance: time.Second}},
+			w.SetTable(queue.New(3, []queue.Queue{{Name: "plans", Pool: "carving", Advice: &job.Advice{}, SlackFactor: 2, LatencyAllowance: time.Second}},
 				table.Pools, queue.Limits{}, queue.WithWorkspaces(must(workspace.New([]workspace.Definition{{Workspace: dev}})))))
 		}),
 		ginkgo.Entry("a job right after another, with fresh caches", func() *schema.JobRecord {
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -180,15 +180,18 @@
 	}
 }
 
-// defaultMaxAttempts applies to jobs whose queue is no longer configured.
+// defaultMaxAttempts applies to jobs whose queue is no longer configured and whose terms are not known.
 const defaultMaxAttempts = 4
 
+// maxAttempts returns the number of attempts that the job's queue allows, or allowed when it accepted the job.
 func (s *Scheduler) maxAttempts(j *jobState) int {
-	q := s.table.ByName(j.job.Queue)
-	if q == nil || q.MaxAttempts < 1 {
-		return defaultMaxAttempts
+	if q := s.table.ByName(j.job.Queue); q != nil && q.MaxAttempts > 0 {
+		return q.MaxAttempts
 	}
-	return q.MaxAttempts
+	if n := j.job.Terms.MaxAttempts; n > 0 {
+		return n
+	}
+	return defaultMaxAttempts
 }
 
 // StartAnswer is a server's answer to a start order.
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -169,7 +169,7 @@
 		reply(Reply{Result: Refused, Reason: "the owner does not know the queue yet", RetryAfter: unknownQueueRetry, Cause: CauseQueue})
 		return
 	}
-	m.Pool = q.Pool
+	m.Pool, m.Terms = q.Pool, q.Terms().Record()
 	// The acceptance time is taken from the owner's clock, since the clocks of the entries may differ.
 	m.AcceptedMs = now.UnixMilli()
 	n := job.New(m)
