Let steps that have not failed on a suspected server go before those that have

Cause: a suspected server gets one start a second whoever asks, and long-running tasks are placed first. On the only server of a pool a hopeless step cannot be told from a faulty server.

Change: a step that has failed on a suspected server waits 0.25 s longer for its next start than others do; long-running tasks of steps that have not failed there are started at once.

--- a/fleet/scheduler/health.go
+++ b/fleet/scheduler/health.go
@@ -40,9 +40,12 @@
 	maxConsecutiveFailures = 3
 	// suspicionTime is how long a server is suspected after its last failed run. Server disruptions last a few seconds.
 	suspicionTime = 16 * time.Second
-	// probeInterval is the time between the starts on a suspected server, so that little work fails if it is faulty and none
+	// probeInterval is the time between the starts on a suspected server, so that little work fails if it is faulty, and none
 	// waits for long if it is not.
 	probeInterval = time.Second
+	// probePrecedence is how much longer steps that have failed on a suspected server wait, several placement passes, so that they
+	// do not keep the others from it.
+	probePrecedence = 250 * time.Millisecond
 	// maxFailedSteps and maxFailedServers bound the failures that are kept for a server and for a step.
 	maxFailedSteps   = 8
 	maxFailedServers = 16
@@ -163,9 +166,34 @@
 	return n >= maxConsecutiveFailures
 }
 
-// admits reports whether a task may be placed on the server: one for each probeInterval while it is suspected.
-func (h *health) admits(now time.Time) bool {
-	return !h.isSuspect(now) || !now.Before(h.lastProbe.Add(probeInterval))
+// admitsStep reports whether a task of the step may be placed on the server now, as far as its health is concerned. A suspected
+// server always takes long-running tasks of steps that have not failed there, since their failures use up no attempts.
+func (v *serverState) admitsStep(p *stepState, now time.Time) bool {
+	if !v.health.isSuspect(now) {
+		return true
+	}
+	hasFailed := p.outcomes.failedOn[v.info.ID]
+	return p.step.LongRunning && !hasFailed || !now.Before(v.health.nextProbe(hasFailed))
+}
+
+// nextProbe returns when the next task may be placed on the server while it is suspected. Steps that have failed there come
+// after the others.
+func (h *health) nextProbe(hasFailed bool) time.Time {
+	t := h.lastProbe.Add(probeInterval)
+	if hasFailed {
+		t = t.Add(probePrecedence)
+	}
+	return t
+}
+
+// resumesAt returns when a suspected server may get the next task, zero if it may now or is not suspected.
+func (h *health) resumesAt(now time.Time) time.Time {
+	for _, hasFailed := range []bool{false, true} {
+		if t := h.nextProbe(hasFailed); t.After(now) && h.isSuspect(now) {
+			return t
+		}
+	}
+	return time.Time{}
 }
 
 // trusted returns the servers that are not suspected.
--- a/fleet/scheduler/health_test.go
+++ b/fleet/scheduler/health_test.go
@@ -208,6 +208,25 @@
 		gomega.Expect(len(w.starts)).To(gomega.BeNumerically(">=", 2*8))
 	})
 
+	// On the only server of a pool, the restarts of hopeless tasks took every start that a suspected server gets.
+	ginkgo.It("of hopeless long-running jobs leave others the only server of a pool", func() {
+		w := newWorkplace(hopeless(1000, 1001, 1002), "a")
+		for i := range 3 {
+			w.submit(newRecord(1000+i, 1, longRunning))
+		}
+		w.work(10 * second)
+		from := w.now
+		for i := range 3 {
+			w.submit(newRecord(1010+i, 1, longRunning))
+			w.submit(newRecord(i+1, 2))
+		}
+		w.work(6 * second)
+		for i := range 3 {
+			gomega.Expect(w.longestGap(newRecord(1010+i, 1).Id, from, time.Hour)).To(gomega.BeNumerically("<", maxIdle))
+			gomega.Expect(w.JobPhase(newRecord(i+1, 1).Id).Phase).To(gomega.Equal(job.Completed))
+		}
+	})
+
 	// The first member's failure sent a gang to the same faulty server again until it had no attempts left.
 	ginkgo.It("of a gang lead it to other servers", func() {
 		w := newWorkplace(faulty("a"), "a", "b", "c")
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -33,7 +33,7 @@
 // suits reports whether the server satisfies the task's constraints.
 func suits(t *task, v *serverState, now time.Time) bool {
 	p := t.step.step
-	if v.isolates() || t.mayCrashServers() && !v.canTry(t, now) || !v.health.admits(now) {
+	if v.isolates() || t.mayCrashServers() && !v.canTry(t, now) || !v.admitsStep(t.step, now) {
 		return false
 	}
 	if p.Requires != "" && !v.info.HasLabel(p.Requires) {
@@ -142,7 +142,7 @@
 	good, bad := []*serverState{}, []*serverState{}
 	for _, v := range l {
 		switch {
-		case !v.health.admits(now):
+		case !v.admitsStep(p, now):
 		case v.mayFail(p, now):
 			bad = append(bad, v)
 		default:
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// fullness holds the demands of tasks without constraints for which a pass has found no server with capacity in a pool.
+// fullness holds the demands of tasks without constraints, of steps that have not failed, for which a pass has found no server with capacity in a pool.
 // While a turn asks for several times the pool's capacity, hundreds of steps wait, and a search for each of them in each
 // pass would scan all of the pool's servers.
 type fullness struct {
@@ -139,7 +139,7 @@
 		if v.fullUntil.After(t) {
 			t = v.fullUntil
 		}
-		if x := v.health.lastProbe.Add(probeInterval); v.health.isSuspect(now) && x.After(t) {
+		if x := v.health.resumesAt(now); x.After(t) {
 			t = x
 		}
 		if !t.IsZero() && v.exists() && t.After(now) && (next.IsZero() || t.Before(next)) {
@@ -326,7 +326,7 @@
 			continue
 		}
 		if v == nil {
-			if len(l) == len(all) {
+			if len(l) == len(all) && len(w.step.outcomes.failedOn) == 0 {
 				full.add(w.step.step)
 			}
 			s.noteUnplaced(w, now)
--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -238,7 +238,7 @@
 	switch {
 	case v.isolates():
 		return "running a task alone that may crash it"
-	case !v.health.admits(now):
+	case !v.admitsStep(t.step, now):
 		return "suspected to fail all tasks"
 	case p.Requires != "" && !v.info.HasLabel(p.Requires):
 		return "without the label " + p.Requires
