Report a change as accepted where a section of another entry's change is missing

Cause: an operator's change keeps the state sections of the newest head in the store. An entry that has not received the controller's last change yet lacks such a section: the change was committed, its activation in this entry failed, and the caller was told of an internal error though the change was accepted.

Change: an accepted change is reported as accepted; the entry activates it when the watch or a peer brings the section, as with other entries' changes.

Evidence: the new spec fails before with the same error and passes now.

--- a/entry/operator/change.go
+++ b/entry/operator/change.go
@@ -127,11 +127,13 @@
 	return nil, trace.Wrap(&UnknownOutcomeError{Mark: c.Mark, Detail: "the store did not answer"})
 }
 
-// activate activates the head in this entry, unless a newer one is active already.
+// activate activates the head of an accepted change in this entry, unless a newer one is active already or a section of another
+// entry's change has not arrived here. Then the head follows with that section.
 func (p *Publisher) activate(h *schema.Head, c Change) error {
 	err := p.active.Activate(time.Now(), h, c.Sections.ByDigest())
 	var stale *config.StaleError
-	if errors.As(err, &stale) {
+	var missing *config.MissingSectionError
+	if errors.As(err, &stale) || errors.As(err, &missing) {
 		return nil
 	}
 	return err
--- a/entry/operator/change_test.go
+++ b/entry/operator/change_test.go
@@ -184,6 +184,18 @@
 		gomega.Expect([]any{first, second, names}).To(gomega.Equal([]any{2, 3, []string{"pool/cups", "state/dc-1/r1"}}))
 	})
 
+	// A change that was accepted was answered as an internal error by an entry that had not learned of a change before it.
+	ginkgo.It("reports a change as accepted at an entry that lacks a section of another entry's change", func() {
+		other := operator.NewPublisher(m, activeconfig.New())
+		_, err := other.Publish(ctx, newChange(0, "first", 0))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		x := operator.Change{Base: 1, Mark: "controller", Sections: config.Sections{"state/dc-1/r1": []byte{}}, FromController: true}
+		gomega.Expect(publish(x)).To(gomega.Equal(2))
+		h, err := other.Publish(ctx, newChange(1, "b", 1))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(h.Revision).To(gomega.Equal(uint64(3)))
+	})
+
 	ginkgo.It("refuses a controller's change after a later change by an operator", func() {
 		publish(newChange(1, "b", 1))
 		x := operator.Change{Base: 1, Mark: "controller", Sections: config.Sections{"state/dc-1/r1": []byte{}}, FromController: true}
