Account for the owner's time, and say what it goes to while little is left

Change: package processor sums up the time of the owner's activities (listings, answers, submissions, passes, commits, ticks, pools, orders, log lines, frames). No decision changes.

--- a/entry/channel/channel.go
+++ b/entry/channel/channel.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/peer"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
@@ -41,6 +42,7 @@
 	stop        context.CancelFunc
 	wakeup      chan struct{}
 	active      atomic.Int64
+	account     *processor.Account
 
 	// lock guards the fields below and is not held during I/O.
 	lock    sync.Mutex
@@ -74,6 +76,11 @@
 	return func(c *Channel) { c.onPanic = f }
 }
 
+// WithAccount counts the time that the coding of frames takes.
+func WithAccount(a *processor.Account) Option {
+	return func(c *Channel) { c.account = a }
+}
+
 // New starts the channel over a stream. It closes when the stream fails, the context ends, or nothing arrives for
 // readTimeout.
 func New(ctx context.Context, stream net.Conn, readTimeout time.Duration, h Handler, l ...Option) *Channel {
@@ -178,14 +185,38 @@
 		case <-t.C:
 		}
 		for b := c.nextBatch(); b != nil; b = c.nextBatch() {
-			_ = c.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := peer.WriteFrame(c.stream, &schema.Envelope{Body: &schema.Envelope_CallBatch{CallBatch: b}}); err != nil {
+			if !c.writeBatch(b) {
 				return
 			}
 		}
 	}
 }
 
+// writeBatch writes a frame and reports whether that succeeded.
+func (c *Channel) writeBatch(m *schema.CallBatch) bool {
+	began := time.Now()
+	b, err := peer.EncodeFrame(&schema.Envelope{Body: &schema.Envelope_CallBatch{CallBatch: m}})
+	c.account.Since(processor.Frame, began)
+	if err != nil {
+		return false
+	}
+	_ = c.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err = c.stream.Write(b)
+	return err == nil
+}
+
+// readBatch reads a frame.
+func (c *Channel) readBatch() (*schema.CallBatch, error) {
+	_ = c.stream.SetReadDeadline(time.Now().Add(c.readTimeout))
+	b, err := peer.ReadEncoded(c.stream)
+	if err != nil {
+		return nil, err
+	}
+	defer c.account.Since(processor.Frame, time.Now())
+	m, err := peer.DecodeFrame(b)
+	return m.GetCallBatch(), err
+}
+
 // nextBatch returns the messages of the next frame, replies first, or nil if none wait.
 func (c *Channel) nextBatch() *schema.CallBatch {
 	c.lock.Lock()
@@ -217,15 +248,14 @@
 func (c *Channel) read() {
 	defer c.stop()
 	for {
-		_ = c.stream.SetReadDeadline(time.Now().Add(c.readTimeout))
-		e, _, err := peer.ReadFrame(c.stream)
+		b, err := c.readBatch()
 		if err != nil || c.ctx.Err() != nil {
 			return
 		}
-		for _, r := range e.GetCallBatch().GetReplies() {
+		for _, r := range b.GetReplies() {
 			c.deliver(r)
 		}
-		for _, m := range e.GetCallBatch().GetCalls() {
+		for _, m := range b.GetCalls() {
 			if c.active.Load() >= maxConcurrentCalls {
 				continue
 			}
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 )
 
 const (
@@ -75,16 +77,28 @@
 	lock       sync.Mutex
 	recent     [recentCount]Record
 	nextRecent int
+	account    *processor.Account
+}
+
+// Option configures a new Log.
+type Option func(l *Log)
+
+// WithAccount counts the time that the lines take.
+func WithAccount(a *processor.Account) Option {
+	return func(l *Log) { l.account = a }
 }
 
 // New creates a log that writes JSON lines to w. Close must be called to stop it.
-func New(w io.Writer, level logrus.Level) *Log {
+func New(w io.Writer, level logrus.Level, opts ...Option) *Log {
 	b := bufio.NewWriterSize(w, bufferBytes)
 	g := logrus.New()
 	g.SetOutput(wholeLines{b})
 	g.SetLevel(level)
 	g.SetFormatter(lineFormatter{})
 	l := &Log{logger: g, buffer: b, queue: make(chan Record, queueCapacity), done: make(chan struct{})}
+	for _, o := range opts {
+		o(l)
+	}
 	go l.run()
 	return l
 }
@@ -160,6 +174,7 @@
 }
 
 func (l *Log) write(r Record) {
+	defer l.account.Since(processor.Log, time.Now())
 	l.addRecent(r)
 	l.written.Add(1)
 	level := logrus.InfoLevel
--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -62,7 +63,7 @@
 // fails, and if it does so later, the orders expire.
 func (r *term) applyCommitted(ctx context.Context, b *scheduler.Batch) {
 	for applied := false; !applied && ctx.Err() == nil; {
-		r.update(func(s *scheduler.Scheduler, now time.Time) {
+		r.update(processor.Stored, func(s *scheduler.Scheduler, now time.Time) {
 			if applied = r.confirmationAge() <= scheduler.MaxUnconfirmedRenewal; applied {
 				s.BatchCommitted(b, now)
 			}
@@ -76,7 +77,7 @@
 // nextBatch places pending tasks and returns the next batch to commit, or nil if nothing has changed.
 func (r *term) nextBatch() *scheduler.Batch {
 	var b *scheduler.Batch
-	r.sendOrders(r.apply(func(s *scheduler.Scheduler, now time.Time) {
+	r.sendOrders(r.apply(processor.Pass, func(s *scheduler.Scheduler, now time.Time) {
 		s.Plan(now)
 		b = s.NextBatch(maxBatchKeys, now)
 	}))
@@ -144,6 +145,7 @@
 }
 
 func (r *term) buildTransaction(b *scheduler.Batch, mark store.Revision) (store.Transaction, error) {
+	defer r.owner.deps.Account.Since(processor.Batch, time.Now())
 	t := store.Transaction{Expected: map[string]store.Revision{ownerKey: r.token, commitMarkKey: mark}}
 	lease, renewal := r.scheduler.LeaseTerms()
 	m := &schema.CommitMark{
--- a/entry/owner/controller.go
+++ b/entry/owner/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
@@ -34,7 +35,7 @@
 
 // Update changes the scheduler's state and sends the orders that follow.
 func (o controllerTerm) Update(f func(s *scheduler.Scheduler, now time.Time)) {
-	o.term.update(f)
+	o.term.update(processor.Pools, f)
 }
 
 // FencingToken returns the term's fencing token and whether the store has confirmed the ownership within
--- a/entry/owner/jobservice.go
+++ b/entry/owner/jobservice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/fleet/loss"
 	"github.com/tarragonbank/tarragonbank/fleet/overload"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
@@ -85,7 +86,7 @@
 // callScheduler calls f and waits for its reply. The outcome is unknown if the context or the term ends first.
 func (r *term) callScheduler(ctx context.Context, f func(*scheduler.Scheduler, time.Time, func(scheduler.Reply))) scheduler.Reply {
 	c := make(chan scheduler.Reply, 1)
-	r.update(func(s *scheduler.Scheduler, now time.Time) {
+	r.update(processor.Submission, func(s *scheduler.Scheduler, now time.Time) {
 		f(s, now, func(x scheduler.Reply) { c <- x })
 	})
 	select {
--- a/entry/owner/load.go
+++ b/entry/owner/load.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -59,7 +60,7 @@
 		}
 		entries = append(entries, m)
 	}
-	r.update(func(s *scheduler.Scheduler, _ time.Time) { s.RestoreLog(entries) })
+	r.update(processor.Other, func(s *scheduler.Scheduler, _ time.Time) { s.RestoreLog(entries) })
 }
 
 // restore adds the stored jobs to the scheduler and skips records that are malformed.
@@ -68,7 +69,7 @@
 	for _, i := range progress {
 		progressByJob[strings.TrimPrefix(i.Key, progressPrefix)] = i
 	}
-	r.update(func(s *scheduler.Scheduler, now time.Time) {
+	r.update(processor.Other, func(s *scheduler.Scheduler, now time.Time) {
 		for _, i := range jobs {
 			m := &schema.JobRecord{}
 			if err := proto.Unmarshal(i.Value, m); err != nil || m.Id == "" {
@@ -118,7 +119,7 @@
 	if err := proto.Unmarshal(i.Value, m); err != nil {
 		r.owner.logDecision(decision.Ownership, "malformed commit mark: "+err.Error(), i.Revision)
 	}
-	r.update(func(s *scheduler.Scheduler, now time.Time) {
+	r.update(processor.Other, func(s *scheduler.Scheduler, now time.Time) {
 		s.SetPredecessor(r.predecessor(m))
 		s.RestoreLearning(m.Learning, now)
 	})
@@ -132,7 +133,7 @@
 	m := &schema.DurationRecord{}
 	errs := []error{proto.Unmarshal(i.Value, m)}
 	if errs[0] == nil {
-		r.update(func(s *scheduler.Scheduler, now time.Time) { errs = s.RestoreDurations(m, now) })
+		r.update(processor.Other, func(s *scheduler.Scheduler, now time.Time) { errs = s.RestoreDurations(m, now) })
 	}
 	for _, err := range errs {
 		r.owner.logDecision(decision.Job, "learned durations not restored: "+err.Error(), i.Revision)
@@ -169,7 +170,7 @@
 			r.owner.logDecision(decision.Ownership, "malformed lease record: "+err.Error(), i.Revision)
 			continue
 		}
-		r.update(func(s *scheduler.Scheduler, _ time.Time) { s.RestoreLeases(m) })
+		r.update(processor.Other, func(s *scheduler.Scheduler, _ time.Time) { s.RestoreLeases(m) })
 	}
 }
 
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
@@ -22,6 +23,7 @@
 
 // sendOrders sends each order in a goroutine of its own, and logs the decisions.
 func (r *term) sendOrders(o scheduler.Orders) {
+	defer r.owner.deps.Account.Since(processor.Orders, time.Now())
 	for _, n := range o.Decisions {
 		r.logSchedulerDecision(n)
 	}
@@ -96,7 +98,7 @@
 		a, clock = scheduler.NoAnswer, 0
 	}
 	r.owner.deps.Metrics.Event("starts", a.String())
-	r.update(func(s *scheduler.Scheduler, now time.Time) { s.StartAnswered(x, a, clock, now) })
+	r.update(processor.StartAnswer, func(s *scheduler.Scheduler, now time.Time) { s.StartAnswered(x, a, clock, now) })
 }
 
 // sendOrder sends an order whose effect the server's listing shows.
@@ -174,9 +176,9 @@
 	if err != nil {
 		r.owner.deps.Metrics.Event("advice", "failed")
 		r.owner.logDecision(decision.Dependency, "no advice for step "+x.Task.StepName()+": "+err.Error(), r.token)
-		r.update(func(s *scheduler.Scheduler, now time.Time) { s.AdviceFailed(x, now) })
+		r.update(processor.Other, func(s *scheduler.Scheduler, now time.Time) { s.AdviceFailed(x, now) })
 		return
 	}
 	r.owner.deps.Metrics.Event("advice", "answered")
-	r.update(func(s *scheduler.Scheduler, now time.Time) { s.AdviceReceived(x, m, asked.Add(valid), now) })
+	r.update(processor.Other, func(s *scheduler.Scheduler, now time.Time) { s.AdviceReceived(x, m, asked.Add(valid), now) })
 }
--- a/entry/owner/outage.go
+++ b/entry/owner/outage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/fleet/loss"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
@@ -27,7 +28,7 @@
 	if !r.storeAway() {
 		return
 	}
-	r.update(func(s *scheduler.Scheduler, now time.Time) {
+	r.update(processor.Other, func(s *scheduler.Scheduler, now time.Time) {
 		s.RefuseUnsent(storeUnavailableReason, storeUnavailableRetry, now)
 	})
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -83,6 +84,8 @@
 	// ConfigAge returns how long ago this entry sent the last call by which the store proved that the configuration in force
 	// is the stored one. It is nil if nothing depends on that.
 	ConfigAge func() time.Duration
+	// Account sums up what the owner spends its time on. It may be nil.
+	Account *processor.Account
 }
 
 // Metrics counts events, observes durations and sets gauges.
@@ -159,7 +162,7 @@
 	o.table = t
 	o.lock.Unlock()
 	if r != nil {
-		r.update(func(s *scheduler.Scheduler, _ time.Time) { s.SetTable(t) })
+		r.update(processor.Other, func(s *scheduler.Scheduler, _ time.Time) { s.SetTable(t) })
 	}
 }
 
--- a/entry/owner/polls.go
+++ b/entry/owner/polls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/server"
@@ -98,7 +99,7 @@
 		return false, err
 	}
 	restarted = !l.StartedAt.IsZero() && !l.StartedAt.Equal(h.Server.StartedAt)
-	r.update(func(s *scheduler.Scheduler, now time.Time) {
+	r.update(processor.Listing, func(s *scheduler.Scheduler, now time.Time) {
 		if restarted {
 			s.ServerRestarted(h.Server.ID, l.StartedAt, now)
 			return
@@ -126,7 +127,7 @@
 	if missed < unreachableAfter || r.ctx.Err() != nil {
 		return
 	}
-	r.update(func(s *scheduler.Scheduler, now time.Time) {
+	r.update(processor.Listing, func(s *scheduler.Scheduler, now time.Time) {
 		s.ServerUnreachable(h.Server.ID, h.Server.StartedAt, now, err.Error())
 	})
 	wait.For(r.ctx, pollRetryInterval)
@@ -169,7 +170,7 @@
 		seen[k.term.owner.deps.Registry.ID(i.Key)] = true
 		k.Changed(store.Event{Item: i})
 	}
-	k.term.update(func(s *scheduler.Scheduler, now time.Time) {
+	k.term.update(processor.Registration, func(s *scheduler.Scheduler, now time.Time) {
 		for _, v := range s.Servers() {
 			if !seen[v.ID] {
 				s.Unregister(v.ID, now)
@@ -183,7 +184,7 @@
 	r := k.term
 	id := r.owner.deps.Registry.ID(e.Key)
 	if e.Deleted {
-		r.update(func(s *scheduler.Scheduler, now time.Time) { s.Unregister(id, now) })
+		r.update(processor.Registration, func(s *scheduler.Scheduler, now time.Time) { s.Unregister(id, now) })
 		return
 	}
 	v, err := r.owner.deps.Registry.Decode(e.Item)
@@ -192,7 +193,7 @@
 		return
 	}
 	r.owner.rememberServer(v)
-	r.update(func(s *scheduler.Scheduler, now time.Time) { s.Register(v, now) })
+	r.update(processor.Registration, func(s *scheduler.Scheduler, now time.Time) { s.Register(v, now) })
 	r.ensurePolling(v)
 }
 
@@ -218,7 +219,7 @@
 	o.servers = map[string]server.Server{}
 	o.lock.Unlock()
 	l := []server.Server{}
-	r.update(func(s *scheduler.Scheduler, _ time.Time) {
+	r.update(processor.Registration, func(s *scheduler.Scheduler, _ time.Time) {
 		for _, v := range s.Servers() {
 			if k, ok := known[v.ID]; ok && s.Recall(k) {
 				l = append(l, k)
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -12,6 +12,7 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/mirror"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/fleet/loss"
 	"github.com/tarragonbank/tarragonbank/fleet/outage"
 	"github.com/tarragonbank/tarragonbank/fleet/overload"
@@ -62,9 +63,10 @@
 	orderTimeout adaptiveTimeout
 	// pollTurns spreads the polls of servers that have not answered lately.
 	pollTurns pollTurns
-	// reportedAt and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
+	// reportedAt, operations, those of the scheduler at the last report, and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
 	// process has too little processor.
 	reportedAt time.Time
+	operations scheduler.Operations
 	delays     overload.Detector
 	overloaded atomic.Bool
 }
@@ -214,17 +216,18 @@
 	}
 }
 
-// update changes the scheduler's state, sends the orders that follow and requests a commit.
-func (r *term) update(f func(s *scheduler.Scheduler, now time.Time)) {
-	r.sendOrders(r.apply(f))
+// update changes the scheduler's state, sends the orders that follow and requests a commit. Its time counts for the activity.
+func (r *term) update(a processor.Activity, f func(s *scheduler.Scheduler, now time.Time)) {
+	r.sendOrders(r.apply(a, f))
 	r.requestCommit()
 }
 
 // apply changes the scheduler's state and returns the orders that follow. A panic ends the term, since the state may be
 // half changed then; the next term, here or at another entry, begins from what is stored.
-func (r *term) apply(f func(s *scheduler.Scheduler, now time.Time)) scheduler.Orders {
+func (r *term) apply(a processor.Activity, f func(s *scheduler.Scheduler, now time.Time)) scheduler.Orders {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	defer r.owner.deps.Account.Since(a, time.Now())
 	defer func() {
 		if x := recover(); x != nil {
 			r.stepDown(fmt.Sprintf("unexpected error: %v at %s", x, debug.Stack()))
@@ -264,7 +267,7 @@
 		case <-t.C:
 			r.detectOverload(time.Now())
 			r.limitUrgentPolls()
-			r.update(func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
+			r.update(processor.Tick, func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
 			r.handOverToLarger(time.Now())
 			r.reportGauges(time.Now())
 		}
@@ -302,6 +305,21 @@
 	r.owner.setGauges(t)
 	r.owner.workspaces.report(r.Workspaces().Workspaces)
 	r.owner.deps.Metrics.Gauge("owner_delay_seconds", r.delays.Delay().Seconds())
+	r.reportOperations()
+}
+
+// reportOperations counts what the scheduler has looked at since the last report, by kind.
+func (r *term) reportOperations() {
+	r.lock.Lock()
+	o := r.scheduler.Operations()
+	r.lock.Unlock()
+	d := o.Sub(r.operations)
+	r.operations = o
+	for k, n := range map[string]int64{
+		"passes": d.Passes, "waiting": d.Waiting, "jobs": d.Jobs, "steps": d.Steps, "tasks": d.Tasks, "servers": d.Servers, "runs": d.Runs, "comparisons": d.Comparisons,
+	} {
+		r.owner.deps.Metrics.TaggedCount("scheduler_operations", map[string]string{"kind": k}, n)
+	}
 }
 
 // setGauges sets the gauges that only the owner reports; they are 0 at the other entries.
--- a/entry/relay/ownerconn.go
+++ b/entry/relay/ownerconn.go
@@ -29,7 +29,7 @@
 type ownerConn struct {
 	// handle answers the owner's calls.
 	handle  channel.Handler
-	onPanic func(x any)
+	options []channel.Option
 
 	// lock guards the fields up to failed.
 	lock    sync.Mutex
@@ -163,7 +163,7 @@
 		s.Close()
 		return nil, err
 	}
-	x := channel.New(context.Background(), t, silenceTimeout, o.handle, channel.WithOnPanic(o.onPanic))
+	x := channel.New(context.Background(), t, silenceTimeout, o.handle, o.options...)
 	go func() {
 		<-x.Done()
 		s.Close()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/entry/executor"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
+	"github.com/tarragonbank/tarragonbank/entry/processor"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
@@ -51,10 +52,11 @@
 	owner     *ownerConn
 	// predecessor is the connection to the owner before this entry.
 	predecessor *ownerConn
-	onPanic     func(x any)
-	proof       ConfigProof
-	follower    configFollower
-	clock       func() time.Duration
+	// channelOptions are those of all channels to other entries.
+	channelOptions []channel.Option
+	proof          ConfigProof
+	follower       configFollower
+	clock          func() time.Duration
 }
 
 const (
@@ -86,11 +88,11 @@
 // New returns a relay for this entry. Entries that call it join the executors; handle answers the calls that the owner
 // makes on this entry's connection.
 func New(o Ownership, self owner.Identity, x Executors, handle channel.Handler, l ...Option) *Relay {
-	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, predecessor: &ownerConn{handle: handle}, onPanic: func(any) {}, clock: boottime.Now, follower: newConfigFollower()}
+	r := &Relay{ownership: o, self: self, executors: x, owner: &ownerConn{handle: handle}, predecessor: &ownerConn{handle: handle}, clock: boottime.Now, follower: newConfigFollower()}
 	for _, f := range l {
 		f(r)
 	}
-	r.owner.onPanic, r.predecessor.onPanic = r.onPanic, r.onPanic
+	r.owner.options, r.predecessor.options = r.channelOptions, r.channelOptions
 	return r
 }
 
@@ -99,7 +101,12 @@
 
 // WithOnPanic reports unexpected errors in the handling of a call to f. The call gets no reply.
 func WithOnPanic(f func(x any)) Option {
-	return func(r *Relay) { r.onPanic = f }
+	return func(r *Relay) { r.channelOptions = append(r.channelOptions, channel.WithOnPanic(f)) }
+}
+
+// WithAccount counts the time that the coding of frames takes.
+func WithAccount(a *processor.Account) Option {
+	return func(r *Relay) { r.channelOptions = append(r.channelOptions, channel.WithAccount(a)) }
 }
 
 // WithConfigProof passes the proof of this entry's configuration to the entries that ping it, and takes over the owner's proof
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -36,7 +36,7 @@
 		return
 	}
 	x := &entryChannel{relay: r, ready: make(chan struct{})}
-	x.channel = channel.New(ctx, t, silenceTimeout, x.answer, channel.WithOnPanic(r.onPanic))
+	x.channel = channel.New(ctx, t, silenceTimeout, x.answer, r.channelOptions...)
 	close(x.ready)
 	<-x.channel.Done()
 }
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -75,6 +75,7 @@
 	s.offer(n, q.Pool, work, now)
 	d := demand{Demand: backlog.Demand{Due: due, Work: n.Work() * s.durationRatio(n.Queue)}, amount: work, job: n}
 	accepted := s.acceptedDemands(q.Pool, now)
+	s.operations.Jobs += int64(len(accepted.guaranteed))
 	shortfall := backlog.Shortfall(now, accepted.competing(n), d.Demand, supply)
 	if shortfall <= 0 {
 		if r := s.refuseForShare(d, q.Pool, supply, now); r != nil {
@@ -161,11 +162,13 @@
 // below what its long-running tasks hold has none.
 func (s *Scheduler) finiteWorkCores(pool string, now time.Time) float64 {
 	c := 0.0
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
 		if v.info.Pool != pool || !v.usable(now) || s.cordonedVMs[v.info.VM] {
 			continue
 		}
 		free := v.info.Capacity.CPU
+		s.operations.Runs += int64(len(v.runs))
 		for _, r := range v.runs {
 			if p := r.task.step.step; p.LongRunning {
 				free -= p.Demand().CPU
--- a/fleet/scheduler/demand.go
+++ b/fleet/scheduler/demand.go
@@ -30,6 +30,7 @@
 	x := s.poolDemandCache[pool]
 	if x == nil || now.Sub(x.at) > cacheLifetime {
 		x = &cachedDemands{at: now}
+		s.operations.Jobs += int64(len(s.active))
 		for _, j := range s.active {
 			if !j.job.Scheduled() && !j.job.LongRunning() && s.poolOf(j) == pool {
 				x.append(s.demandOf(j, now))
@@ -100,6 +101,7 @@
 // of the other resources for the jobs of workspaces.
 func (s *Scheduler) cachedRemainingWork(j *jobState, now time.Time) float64 {
 	if now.Sub(j.cachedWorkAt) > cacheLifetime {
+		s.operations.Tasks += int64(j.countTasks())
 		j.cachedWork, j.cachedWorkAt = s.remainingWork(j, now), now
 		if s.usage.Enforced(j.job.Workspace) {
 			j.cachedAmount = s.remainingAmount(j, now)
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -51,6 +51,8 @@
 		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore, UsedCores: float64(v.used.CPU) / milliPerCore,
 		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now) && !v.health.isSuspect(now),
 	}
+	s.operations.Servers++
+	s.operations.Runs += int64(len(v.runs))
 	for _, r := range v.runs {
 		if r.task.step.step.LongRunning {
 			l.LongRunning++
@@ -189,6 +191,7 @@
 	for p, c := range cores {
 		m[p] = PoolNeed{Cores: c, Slack: s.slack(p)}
 	}
+	s.operations.Jobs += int64(2 * len(s.active))
 	for _, j := range s.active {
 		p := s.poolOf(j)
 		n := m[p]
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -96,6 +96,7 @@
 // registration alone is no proof, since anyone may have written it.
 func (s *Scheduler) dropReplaced(now time.Time) {
 	var newest map[string]*serverState
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
 		if len(v.runs) == 0 && len(v.lost) == 0 || v.info.VM == "" {
 			continue
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -16,7 +16,9 @@
 // expireLeases drops the runs on unreachable servers whose lease has surely expired, whether this owner or a previous
 // one renewed it, and removes servers that no longer exist.
 func (s *Scheduler) expireLeases(now time.Time) {
+	s.operations.Servers += int64(len(s.servers))
 	for id, v := range s.servers {
+		s.operations.Runs += int64(len(v.runs))
 		for _, r := range v.runs {
 			if s.leaseExpired(v, r, now) {
 				s.lose(r, now, loss.ReasonLeaseExpired)
@@ -61,7 +63,9 @@
 // checkRuns stops the runs that stall or are much slower than elsewhere, moves runs off draining servers, and drops the
 // speculative runs of unreachable ones.
 func (s *Scheduler) checkRuns(now time.Time) {
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
+		s.operations.Runs += int64(len(v.runs))
 		for _, r := range v.runs {
 			s.checkRun(v, r, now)
 		}
--- a/fleet/scheduler/lease.go
+++ b/fleet/scheduler/lease.go
@@ -83,6 +83,7 @@
 // updateLeaseRecord requests a new lease record if the servers in it have changed or it is too old.
 func (s *Scheduler) updateLeaseRecord(now time.Time) {
 	n := 0
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
 		listed := v.belongsInLeaseRecord(now)
 		if listed {
--- a/fleet/scheduler/load_bench_test.go
+++ b/fleet/scheduler/load_bench_test.go
@@ -45,52 +45,68 @@
 
 func benchmarkPeakLoad(b *testing.B, o peakLoad) {
 	gomega.RegisterTestingT(b)
+	p := newPeak(o)
+	b.ResetTimer()
+	for range b.N {
+		p.second()
+	}
+}
+
+// peak drives a scheduler at peak load.
+type peak struct {
+	*harness
+	load    peakLoad
+	names   []string
+	runs    map[string][]activeRun
+	id, due int
+}
+
+func newPeak(o peakLoad) *peak {
 	limits := bounds
 	limits.LookAhead = o.lookAhead
-	w := newHarnessWith(limits)
+	p := &peak{harness: newHarnessWith(limits), load: o, runs: map[string][]activeRun{}}
 	if o.workspaces > 0 {
 		l := []workspace.Workspace{}
 		for i := range o.workspaces {
 			l = append(l, workspace.Workspace{Name: workspaceName(i), Weight: float64(o.servers), Cap: job.Size{CPU: int64(o.servers) * 32000}})
 		}
-		w.SetTable(withWorkspaces(2, l...))
+		p.SetTable(withWorkspaces(2, l...))
 	}
-	names := []string{}
 	for i := range o.servers {
-		names = append(names, fmt.Sprintf("s%03d", i))
+		p.names = append(p.names, fmt.Sprintf("s%03d", i))
 	}
-	w.addServers(names...)
-	runs := map[string][]activeRun{}
-	id, due := 0, 0
-	b.ResetTimer()
-	for range b.N {
-		for step := range 50 {
-			w.now = w.now.Add(20 * time.Millisecond)
-			// Of 400 parts, a second has 50 times servers/2 parts: a quarter of the servers in jobs.
-			for due += o.servers * o.factor / 2; due >= 100; due -= 100 {
-				id++
-				m := newRecord(id, 8)
-				m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: o.cores * 1000, EstimateMs: 1000, After: []int32{0}})
-				if o.workspaces > 0 {
-					m.Workspace = workspaceName(id % o.workspaces)
-				}
-				w.submit(m)
-			}
-			if step%5 == 0 {
-				w.Tick(w.now)
-			}
-			w.commit()
-			for _, s := range w.acceptStarts() {
-				runs[s.Server.ID] = append(runs[s.Server.ID], activeRun{s, w.now.Add(time.Second)})
+	p.addServers(p.names...)
+	return p
+}
+
+// second simulates one second.
+func (p *peak) second() {
+	for step := range 50 {
+		p.now = p.now.Add(20 * time.Millisecond)
+		// Of 400 parts, a second has 50 times servers/2 parts: a quarter of the servers in jobs.
+		for p.due += p.load.servers * p.load.factor / 2; p.due >= 100; p.due -= 100 {
+			p.id++
+			m := newRecord(p.id, 8)
+			m.Steps = append(m.Steps, &schema.StepRecord{Count: 8, CpuMilli: p.load.cores * 1000, EstimateMs: 1000, After: []int32{0}})
+			if p.load.workspaces > 0 {
+				m.Workspace = workspaceName(p.id % p.load.workspaces)
 			}
-			w.orders = scheduler.Orders{}
-			for i, name := range names {
-				if i%10 == step%10 {
-					runs[name] = w.reportActiveRuns(name, runs[name])
-				}
+			p.submit(m)
+		}
+		if step%5 == 0 {
+			p.Tick(p.now)
+		}
+		p.commit()
+		for _, s := range p.acceptStarts() {
+			p.runs[s.Server.ID] = append(p.runs[s.Server.ID], activeRun{s, p.now.Add(time.Second)})
+		}
+		p.orders = scheduler.Orders{}
+		for i, name := range p.names {
+			if i%10 == step%10 {
+				p.runs[name] = p.reportActiveRuns(name, p.runs[name])
 			}
-			w.commit()
 		}
+		p.commit()
 	}
 }
 
--- a/fleet/scheduler/pace.go
+++ b/fleet/scheduler/pace.go
@@ -20,7 +20,9 @@
 // pace throttles best-effort runs on servers whose serving tasks approach their target latency, and restores their
 // speed in steps.
 func (s *Scheduler) pace(now time.Time) {
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
+		s.operations.Runs += int64(2 * len(v.runs))
 		worst := v.worstTailPercent()
 		for _, r := range v.runs {
 			if !r.task.step.step.BestEffort || r.phase != working || v.listedAt.Sub(r.pacedAt) < minPaceInterval {
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -53,9 +53,11 @@
 		return
 	}
 	s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
+	s.operations.Passes++
 	s.beginReservations(now)
 	defer s.endReservations(now)
 	l := s.pendingSteps(now)
+	s.operations.Waiting += int64(len(l))
 	if len(l) == 0 {
 		return
 	}
@@ -113,6 +115,7 @@
 // usableServers returns the servers of each pool that accept new runs.
 func (s *Scheduler) usableServers(now time.Time) map[string][]*serverState {
 	m := map[string][]*serverState{}
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.serversByID() {
 		if v.usable(now) && !s.cordonedVMs[v.info.VM] {
 			m[v.info.Pool] = append(m[v.info.Pool], v)
@@ -134,6 +137,7 @@
 // nextResumption returns when the next server that gets no new runs may get some again, zero if there is none.
 func (s *Scheduler) nextResumption(now time.Time) time.Time {
 	var next time.Time
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.serversByID() {
 		t := v.pausedUntil
 		if v.fullUntil.After(t) {
@@ -163,19 +167,28 @@
 // pendingSteps returns the steps with tasks to place, most urgent first.
 func (s *Scheduler) pendingSteps(now time.Time) []pendingStep {
 	l := []pendingStep{}
+	s.operations.Jobs += int64(len(s.active))
 	for _, j := range s.active {
 		for _, o := range j.occurrences {
 			if o.unfinished == 0 || !s.isDue(j.job, o.number, now) {
 				continue
 			}
+			s.operations.Steps += int64(len(o.steps))
 			for _, p := range o.steps {
-				if p.isOpen() && p.hasPendingTask() {
+				if !p.isOpen() {
+					continue
+				}
+				s.operations.Tasks += int64(len(p.tasks))
+				if p.hasPendingTask() {
 					l = append(l, s.newPendingStep(j, o, p, now))
 				}
 			}
 		}
 	}
-	slices.SortFunc(l, comparePendingSteps)
+	slices.SortFunc(l, func(a, b pendingStep) int {
+		s.operations.Comparisons++
+		return comparePendingSteps(a, b)
+	})
 	return l
 }
 
@@ -317,6 +330,7 @@
 		if !s.allowedByCap(w.step, now) {
 			return
 		}
+		s.operations.Servers += int64(len(l))
 		v := bestServer(t, l, now)
 		if v == nil && s.awaitsAdvice(t, all, now) {
 			return
@@ -354,6 +368,7 @@
 		}
 		number = max(number, t.lastRun+1)
 	}
+	s.operations.Servers += int64(len(l) * len(w.step.tasks))
 	chosen := gangPlacement(w.step, l)
 	if chosen == nil {
 		return
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -39,8 +39,9 @@
 	// restarts counts the restarts of servers by ID, also of those that are no longer known.
 	restarts map[string]int
 	// startedAt is when the owner took over.
-	startedAt time.Time
-	advice    adviceLoad
+	startedAt  time.Time
+	advice     adviceLoad
+	operations Operations
 
 	output
 	previousOwner
@@ -86,6 +87,7 @@
 
 // openDueOccurrences opens the occurrences of scheduled jobs that are due.
 func (s *Scheduler) openDueOccurrences(now time.Time) {
+	s.operations.Jobs += int64(len(s.active))
 	for _, j := range s.active {
 		if j.openedOccurrences < j.job.Occurrences() && j.job.Scheduled() {
 			s.openOccurrences(j, now)
@@ -95,6 +97,7 @@
 
 // purgeEndedJobs removes the jobs whose end is stored and older than the retention.
 func (s *Scheduler) purgeEndedJobs(now time.Time) {
+	s.operations.Jobs += int64(len(s.jobs))
 	for id, j := range s.jobs {
 		if j.phase.Ended() && j.committedVersion == j.version && !j.dirty && now.Sub(j.endedAt) > s.limits.JobRetention {
 			delete(s.jobs, id)
@@ -228,6 +231,7 @@
 // PendingJobs counts the stored jobs of a queue of which no task has started.
 func (s *Scheduler) PendingJobs(queue string) Reply {
 	n := 0
+	s.operations.Jobs += int64(len(s.active))
 	for _, j := range s.active {
 		if j.job.Queue == queue && j.stored && !j.started {
 			n++
--- a/fleet/scheduler/stray.go
+++ b/fleet/scheduler/stray.go
@@ -64,7 +64,9 @@
 // countRecordedStrays returns the number of strays that a lease record written now holds.
 func (s *Scheduler) countRecordedStrays() int {
 	n := 0
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
+		s.operations.Runs += int64(len(v.runs))
 		n += len(v.strays.All()) + v.countEndedRuns()
 	}
 	return n
