Keep the steps that wait instead of looking for them in each pass

Cause: a pass went through each task of each job to find what waits, 6,000 long-running tasks that run among them, sorted all of it anew, put all servers of all pools into new lists, and for each step that its record of demands did not rule out it searched the servers of a full pool.

Change: a step is added to those that wait when a task of it may start or loses its run (waiting.go), and dropped by the pass that finds none; they stay in the order of the last pass, so that putting them in order costs about one comparison each. A pass looks at the servers of the pools in which something waits, and knows the most that is free on any of them, which rules out most steps of a full pool at once. Critical paths are computed once a job. Same decisions: after each fifth pass of all tests that drive a scheduler (each pass in a trial), a look at all jobs must find no task that should have been placed, and the same steps.

--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -22,6 +22,9 @@
 	Excess bool
 	Terms  Terms
 	Repeat Repeat
+	// criticalPath is that of the whole job, criticalPaths those that begin with each step. Placement asks for them all the time.
+	criticalPath  time.Duration
+	criticalPaths []time.Duration
 }
 
 // Repeat is the schedule of a job; the zero value runs the steps once and immediately.
@@ -137,6 +140,23 @@
 
 // CriticalPath returns the estimated duration of the longest chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration {
+	return j.criticalPath
+}
+
+// CriticalPathFrom returns the estimated duration of the longest chain of dependent steps that begins with the step.
+func (j *Job) CriticalPathFrom(step int) time.Duration {
+	return j.criticalPaths[step]
+}
+
+// setCriticalPaths computes the critical paths once the steps are known.
+func (j *Job) setCriticalPaths() {
+	j.criticalPath = j.longestChain()
+	for i := range j.Steps {
+		j.criticalPaths = append(j.criticalPaths, j.longestChainFrom(i))
+	}
+}
+
+func (j *Job) longestChain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i := range j.Steps {
@@ -149,6 +169,22 @@
 	return longest
 }
 
+func (j *Job) longestChainFrom(step int) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := step; i < len(j.Steps); i++ {
+		for _, a := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if i > step && ends[i] == 0 {
+			continue
+		}
+		ends[i] += j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // Work returns the estimated core-seconds of one occurrence.
 func (j *Job) Work() float64 {
 	w := 0.0
@@ -185,6 +221,7 @@
 	for _, s := range m.Steps {
 		j.Steps = append(j.Steps, newStep(s))
 	}
+	j.setCriticalPaths()
 	return j
 }
 
--- a/fleet/scheduler/advice.go
+++ b/fleet/scheduler/advice.go
@@ -234,7 +234,7 @@
 
 // requestSize returns the number of servers in the next request for the step: about as many as it has asked about before.
 func (a *stepAdvice) requestSize(p *stepState) int {
-	return min(max(minAdvisedServers, advisedServersPerTask*p.countPending(), len(a.answers)), maxAdvisedServers)
+	return min(max(minAdvisedServers, advisedServersPerTask*p.pendingTasks, len(a.answers)), maxAdvisedServers)
 }
 
 // nextRequest returns when the service may be asked again about a server without a ticket, zero if there is none.
--- a/fleet/scheduler/explain.go
+++ b/fleet/scheduler/explain.go
@@ -104,7 +104,7 @@
 	if r := s.explainCap(t, now); r != "" {
 		return r
 	}
-	usable := s.usableServers(now)[pool]
+	usable := s.usableServers(pool, now)
 	if len(usable) == 0 {
 		return "a server of pool " + pool + " that takes new work: " + s.unusableReasons(pool, now)
 	}
--- /dev/null
+++ b/fleet/scheduler/export_test.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+)
+
+// MissedPlacement goes through all jobs, as passes did before they kept the steps that wait, and describes a task that the last pass should
+// have placed, or a step that is not kept as it should be. It returns an empty string if there is none, or something has changed since.
+func (s *Scheduler) MissedPlacement(now time.Time) string {
+	if s.needsPlan || s.table == nil || len(s.books) > 0 {
+		return ""
+	}
+	for _, j := range s.active {
+		for _, o := range j.occurrences {
+			for _, p := range o.steps {
+				if x := s.missedInStep(j, o, p, now); x != "" {
+					return fmt.Sprintf("job %s, occurrence %d, step %d: %s", j.job.ID, o.number, p.tasks[0].key.Step, x)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func (s *Scheduler) missedInStep(j *jobState, o *occurrence, p *stepState, now time.Time) string {
+	pending := 0
+	for _, t := range p.tasks {
+		if t.isPending() {
+			pending++
+		}
+	}
+	switch {
+	case pending != p.pendingTasks:
+		return fmt.Sprintf("%d tasks wait, %d are counted", pending, p.pendingTasks)
+	case pending == 0 || p.pendingSteps > 0:
+		return ""
+	case !p.awaited:
+		return "it waits and is not among those that do"
+	case !s.isDue(j.job, o.number, now) || !s.allowedByCap(p, now):
+		return ""
+	}
+	l := s.advisedServers(p.tasks[0], s.usableServers(s.poolOf(j), now), now)
+	if p.step.Gang {
+		if pending == len(p.tasks) && gangPlacement(p, gangCandidates(p, l, now)) != nil {
+			return "the gang fits"
+		}
+		return ""
+	}
+	for _, t := range p.tasks {
+		if !t.isPending() || now.Before(t.restartAt) || t.mayCrashServers() {
+			continue
+		}
+		if v := bestServer(t, l, now); v != nil {
+			return fmt.Sprintf("task %d fits on %s", t.key.Index, v.info.ID)
+		}
+	}
+	return ""
+}
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -82,7 +82,6 @@
 // whether the VM has no runs left.
 func (s *Scheduler) Evacuate(name string, now time.Time) bool {
 	empty := true
-	pools := s.usableServers(now)
 	for _, v := range s.servers {
 		if v.info.VM != name || !v.exists() {
 			continue
@@ -90,7 +89,7 @@
 		for _, r := range v.runs {
 			empty = false
 			if r.task.step.step.LongRunning && r.phase == working && s.canInterrupt(r.task, now) {
-				s.evacuate(r, pools[v.info.Pool], now)
+				s.evacuate(r, s.usableServers(v.info.Pool, now), now)
 			}
 		}
 	}
@@ -205,7 +204,7 @@
 	}
 	for p, at := range s.unplacedAt {
 		if n := m[p]; now.Sub(at) < unplacedWindow {
-			n.Servers = max(n.Servers, len(trusted(s.usableServers(now)[p], now))+1)
+			n.Servers = max(n.Servers, len(trusted(s.usableServers(p, now), now))+1)
 			m[p] = n
 		}
 	}
--- a/fleet/scheduler/health.go
+++ b/fleet/scheduler/health.go
@@ -155,7 +155,7 @@
 // isSuspect reports whether the server may fail all that it runs. The failures of a job that fails on other servers as well count
 // once.
 func (h *health) isSuspect(now time.Time) bool {
-	if now.Sub(h.lastFailure) >= suspicionTime {
+	if len(h.failures) == 0 || now.Sub(h.lastFailure) >= suspicionTime {
 		return false
 	}
 	n := 0
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -37,7 +37,7 @@
 	if stopped {
 		r.phase = stopping
 	}
-	t.run = r
+	t.setRun(r)
 	v.strays.Remove(r.id())
 	v.addRun(r)
 }
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -54,9 +54,13 @@
 type stepState struct {
 	step  *job.Step
 	tasks []*task
-	// unfinished counts the tasks that are not done, pendingSteps the steps that must be done first and are not.
+	// unfinished counts the tasks that are not done, pendingSteps the steps that must be done first and are not, pendingTasks the tasks
+	// that wait for a server or for those steps.
 	unfinished   int
 	pendingSteps int
+	pendingTasks int
+	// awaited is true while the step is among those that wait.
+	awaited bool
 	// gangFailures counts the failed runs of the gang, each once however many members failed; failedRun is the number of the
 	// last of them.
 	gangFailures, failedRun int
@@ -136,7 +140,7 @@
 func (j *jobState) hasWaitingTask() bool {
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
-			if p.isOpen() && p.hasPendingTask() {
+			if p.waits() {
 				return true
 			}
 		}
@@ -189,13 +193,14 @@
 	}
 	o.unfinished = len(o.steps)
 	j.occurrences = append(j.occurrences, o)
+	s.awaitSteps(o)
 	j.openedOccurrences++
 	s.needsPlan = true
 }
 
 func (j *jobState) newStep(occurrence, i int) *stepState {
 	p := &stepState{step: &j.job.Steps[i], pendingSteps: len(j.job.Steps[i].After), outcomes: &outcomes{job: j.job.ID}}
-	p.unfinished = p.step.Count
+	p.unfinished, p.pendingTasks = p.step.Count, p.step.Count
 	for n := range p.step.Count {
 		p.tasks = append(p.tasks, &task{
 			job: j.job, state: j, step: p,
@@ -224,7 +229,7 @@
 	if t.done {
 		return
 	}
-	t.done = true
+	t.setDone()
 	t.step.unfinished--
 	if t.step.unfinished > 0 {
 		return
@@ -238,6 +243,7 @@
 			}
 		}
 	}
+	s.awaitSteps(o)
 	if o.unfinished--; o.unfinished > 0 {
 		return
 	}
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -31,7 +31,7 @@
 			v.explainLost()
 			s.clearStrays(v)
 			delete(s.servers, id)
-			s.sortedServers = nil
+			s.serversChanged()
 		}
 	}
 }
@@ -83,7 +83,7 @@
 		return
 	}
 	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now)) {
-		s.evacuate(r, s.usableServers(now)[v.info.Pool], now)
+		s.evacuate(r, s.usableServers(v.info.Pool, now), now)
 		return
 	}
 	if r.phase != working || !v.reachable || r.pace < fullPace || now.Sub(v.listedAt) > speculationDelay {
--- a/fleet/scheduler/load_bench_test.go
+++ b/fleet/scheduler/load_bench_test.go
@@ -65,6 +65,7 @@
 	limits := bounds
 	limits.LookAhead = o.lookAhead
 	p := &peak{harness: newHarnessWith(limits), load: o, runs: map[string][]activeRun{}}
+	p.checked = false
 	if o.workspaces > 0 {
 		l := []workspace.Workspace{}
 		for i := range o.workspaces {
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -27,7 +27,7 @@
 // eligible reports whether the server satisfies the task's constraints and has capacity for it.
 func eligible(t *task, v *serverState, now time.Time) bool {
 	d := t.step.step.Demand()
-	return suits(t, v, now) && d.Fits(v.free()) && v.admits(t, d)
+	return d.Fits(v.free()) && suits(t, v, now) && v.admits(t, d)
 }
 
 // suits reports whether the server satisfies the task's constraints.
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -15,10 +14,10 @@
 	// awaitingTrial is true if a task that may crash servers waited for an empty server in the last pass.
 	awaitingTrial bool
 	// resumesAt is when the next pass is due though nothing has changed, zero if there is no such time.
-	resumesAt time.Time
-	// sortedServers caches the servers sorted by ID; nil after the set of servers has changed.
-	sortedServers []*serverState
-	cordonedVMs   map[string]bool
+	resumesAt   time.Time
+	cordonedVMs map[string]bool
+	waiting     waitingSteps
+	lists       serverLists
 }
 
 // rank is the class of a pending step. Lower ranks are placed first.
@@ -40,6 +39,7 @@
 type pendingStep struct {
 	step     *stepState
 	state    *jobState
+	pool     string
 	rank     rank
 	priority int
 	// aboveShare is 1 for on-time work of a workspace that uses more than its fair share of a busy pool, 0 otherwise.
@@ -56,47 +56,24 @@
 	s.operations.Passes++
 	s.beginReservations(now)
 	defer s.endReservations(now)
-	l := s.pendingSteps(now)
+	l := s.orderedSteps(now)
 	s.operations.Waiting += int64(len(l))
-	if len(l) == 0 {
-		return
-	}
-	s.resumesAt = s.nextResumption(now)
-	pools := s.usableServers(now)
-	full := map[string]*fullness{}
+	rooms := map[string]*room{}
 	for _, w := range l {
-		pool := s.poolOf(w.state)
-		if full[pool] == nil {
-			full[pool] = &fullness{}
+		x := rooms[w.pool]
+		if x == nil {
+			x = s.newRoom(w.pool, now)
+			s.resumeServers(w.pool, now)
+			rooms[w.pool] = x
 		}
-		s.place(w, pools[pool], full[pool], now)
+		s.place(w, x, now)
 	}
 }
 
-// fullness holds the demands of tasks without constraints, of steps that have not failed, for which a pass has found no server with capacity in a pool.
-// While a turn asks for several times the pool's capacity, hundreds of steps wait, and a search for each of them in each
-// pass would scan all of the pool's servers.
-type fullness struct {
-	demands []job.Size
-}
-
-// maxFullDemands is the number of demands that fullness compares.
-const maxFullDemands = 8
-
-// rulesOut reports whether a demand surely finds no server, since it is no smaller than one that found none.
-func (f *fullness) rulesOut(d job.Size) bool {
-	for _, x := range f.demands {
-		if x.Fits(d) {
-			return true
-		}
-	}
-	return false
-}
-
-// add records that a task of the step found no server.
-func (f *fullness) add(p *job.Step) {
-	if p.Requires == "" && p.AntiAffinity == 0 && len(f.demands) < maxFullDemands {
-		f.demands = append(f.demands, p.Demand())
+// resumeServers makes a pass due at the time at which the next server of a pool that gets no new runs may get some again.
+func (s *Scheduler) resumeServers(pool string, now time.Time) {
+	for _, v := range s.serversOf(pool) {
+		s.resumeAt(v.resumesAt(now))
 	}
 }
 
@@ -112,19 +89,18 @@
 	return j.job.Pool
 }
 
-// usableServers returns the servers of each pool that accept new runs.
-func (s *Scheduler) usableServers(now time.Time) map[string][]*serverState {
-	m := map[string][]*serverState{}
-	s.operations.Servers += int64(len(s.servers))
-	for _, v := range s.serversByID() {
+// usableServers returns the servers of a pool that accept new runs.
+func (s *Scheduler) usableServers(pool string, now time.Time) []*serverState {
+	all := s.serversOf(pool)
+	s.operations.Servers += int64(len(all))
+	l := make([]*serverState, 0, len(all))
+	for _, v := range all {
 		if v.usable(now) && !s.cordonedVMs[v.info.VM] {
-			m[v.info.Pool] = append(m[v.info.Pool], v)
+			l = append(l, v)
 		}
 	}
-	for _, l := range m {
-		countTrials(l)
-	}
-	return m
+	countTrials(l)
+	return l
 }
 
 // resumeAt makes a pass due at the time, if it is not zero.
@@ -134,62 +110,19 @@
 	}
 }
 
-// nextResumption returns when the next server that gets no new runs may get some again, zero if there is none.
-func (s *Scheduler) nextResumption(now time.Time) time.Time {
-	var next time.Time
-	s.operations.Servers += int64(len(s.servers))
-	for _, v := range s.serversByID() {
-		t := v.pausedUntil
-		if v.fullUntil.After(t) {
-			t = v.fullUntil
-		}
-		if x := v.health.resumesAt(now); x.After(t) {
-			t = x
-		}
-		if !t.IsZero() && v.exists() && t.After(now) && (next.IsZero() || t.Before(next)) {
-			next = t
-		}
+// resumesAt returns when a server that gets no new runs may get some again, zero if it may now or that is not known.
+func (v *serverState) resumesAt(now time.Time) time.Time {
+	t := v.pausedUntil
+	if v.fullUntil.After(t) {
+		t = v.fullUntil
 	}
-	return next
-}
-
-// serversByID returns the servers sorted by ID, so that placement does not depend on map iteration order.
-func (s *Scheduler) serversByID() []*serverState {
-	if s.sortedServers == nil {
-		for _, v := range s.servers {
-			s.sortedServers = append(s.sortedServers, v)
-		}
-		slices.SortFunc(s.sortedServers, func(a, b *serverState) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	if x := v.health.resumesAt(now); x.After(t) {
+		t = x
 	}
-	return s.sortedServers
-}
-
-// pendingSteps returns the steps with tasks to place, most urgent first.
-func (s *Scheduler) pendingSteps(now time.Time) []pendingStep {
-	l := []pendingStep{}
-	s.operations.Jobs += int64(len(s.active))
-	for _, j := range s.active {
-		for _, o := range j.occurrences {
-			if o.unfinished == 0 || !s.isDue(j.job, o.number, now) {
-				continue
-			}
-			s.operations.Steps += int64(len(o.steps))
-			for _, p := range o.steps {
-				if !p.isOpen() {
-					continue
-				}
-				s.operations.Tasks += int64(len(p.tasks))
-				if p.hasPendingTask() {
-					l = append(l, s.newPendingStep(j, o, p, now))
-				}
-			}
-		}
+	if !v.exists() || !t.After(now) {
+		return time.Time{}
 	}
-	slices.SortFunc(l, func(a, b pendingStep) int {
-		s.operations.Comparisons++
-		return comparePendingSteps(a, b)
-	})
-	return l
+	return t
 }
 
 func comparePendingSteps(a, b pendingStep) int {
@@ -203,13 +136,11 @@
 	)
 }
 
-// hasPendingTask reports whether a task of the step waits for a server.
-func (p *stepState) hasPendingTask() bool {
-	return p.firstPending() != nil
-}
-
 // firstPending returns the first task of the step that waits for a server, nil if there is none.
 func (p *stepState) firstPending() *task {
+	if p.pendingTasks == 0 {
+		return nil
+	}
 	for _, t := range p.tasks {
 		if t.isPending() {
 			return t
@@ -218,26 +149,15 @@
 	return nil
 }
 
-// countPending counts the step's tasks that wait for a server.
-func (p *stepState) countPending() int {
-	n := 0
-	for _, t := range p.tasks {
-		if t.isPending() {
-			n++
-		}
-	}
-	return n
-}
-
 // isPending reports whether the task waits for a server.
 func (t *task) isPending() bool {
 	return !t.done && t.run == nil
 }
 
 func (s *Scheduler) newPendingStep(j *jobState, o *occurrence, p *stepState, now time.Time) pendingStep {
-	w := pendingStep{step: p, state: j, rank: rankOnTime}
+	w := pendingStep{step: p, state: j, pool: j.job.Pool, rank: rankOnTime}
 	if q := s.table.ByName(j.job.Queue); q != nil {
-		w.priority = q.Priority
+		w.priority, w.pool = q.Priority, q.Pool
 	}
 	w.latestStart = s.latestStart(j, o, p)
 	switch {
@@ -250,7 +170,7 @@
 	case w.latestStart.Before(now):
 		w.rank = rankOverdue
 	}
-	if w.rank == rankOnTime && s.isAboveShare(j.job, s.poolOf(j), now) {
+	if w.rank == rankOnTime && s.isAboveShare(j.job, w.pool, now) {
 		w.aboveShare = 1
 	}
 	return w
@@ -262,7 +182,7 @@
 	if o.openedAt.After(begin) && j.job.Scheduled() {
 		begin = o.openedAt
 	}
-	return begin.Add(s.targetDuration(j.job)).Add(-s.criticalPath(j, o, p))
+	return begin.Add(s.targetDuration(j.job)).Add(-s.criticalPath(j, p))
 }
 
 // targetDuration returns the time from acceptance within which a job should finish: its expected duration times the
@@ -276,34 +196,21 @@
 }
 
 // criticalPath returns the expected duration of the longest chain of steps that begins with the step.
-func (s *Scheduler) criticalPath(j *jobState, o *occurrence, p *stepState) time.Duration {
-	from := p.tasks[0].key.Step
-	ends := make([]time.Duration, len(o.steps))
-	var longest time.Duration
-	for i := from; i < len(o.steps); i++ {
-		x := o.steps[i].step
-		for _, a := range x.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		if i > from && ends[i] == 0 {
-			continue
-		}
-		ends[i] += x.Estimate
-		longest = max(longest, ends[i])
-	}
-	return time.Duration(float64(longest) * s.durationRatio(j.job.Queue))
+func (s *Scheduler) criticalPath(j *jobState, p *stepState) time.Duration {
+	return time.Duration(float64(j.job.CriticalPathFrom(p.tasks[0].key.Step)) * s.durationRatio(j.job.Queue))
 }
 
 // place assigns the step's pending tasks to servers until one finds no capacity.
-func (s *Scheduler) place(w pendingStep, l []*serverState, full *fullness, now time.Time) {
-	if len(l) == 0 {
+func (s *Scheduler) place(w pendingStep, x *room, now time.Time) {
+	all := x.servers
+	if len(all) == 0 {
 		return
 	}
 	if !s.allowedByCap(w.step, now) {
 		return
 	}
-	all := l
-	if full.rulesOut(w.step.step.Demand()) {
+	l := all
+	if x.rulesOut(w.step.step.Demand()) {
 		if l = s.heldServersFor(w); len(l) == 0 {
 			s.noteUnplaced(w, now)
 			s.reserve(w, all, now)
@@ -313,7 +220,7 @@
 	s.foreseeEnd(w.step, now)
 	l = s.advisedServers(w.step.tasks[0], l, now)
 	if w.step.step.Gang {
-		s.placeGang(w, gangCandidates(w.step, l, now), now)
+		s.placeGang(w, x, l, now)
 		if t := w.step.firstPending(); t != nil {
 			s.awaitsAdvice(t, all, now)
 		}
@@ -330,8 +237,7 @@
 		if !s.allowedByCap(w.step, now) {
 			return
 		}
-		s.operations.Servers += int64(len(l))
-		v := bestServer(t, l, now)
+		v := s.findServer(t, l, x, now)
 		if v == nil && s.awaitsAdvice(t, all, now) {
 			return
 		}
@@ -341,7 +247,7 @@
 		}
 		if v == nil {
 			if len(l) == len(all) && len(w.step.outcomes.failedOn) == 0 {
-				full.add(w.step.step)
+				x.add(w.step.step)
 			}
 			s.noteUnplaced(w, now)
 			s.reserve(w, all, now)
@@ -349,18 +255,36 @@
 		}
 		s.assign(t, v, t.lastRun+1)
 		s.placed(t, v, now)
+		x.taken = true
+	}
+}
+
+// findServer returns the best server for a task, nil if it has to wait.
+func (s *Scheduler) findServer(t *task, l []*serverState, x *room, now time.Time) *serverState {
+	d := t.step.step.Demand()
+	if !x.mayFit(d) {
+		return nil
+	}
+	s.operations.Servers += int64(len(l))
+	v := bestServer(t, l, now)
+	if v == nil {
+		s.operations.Servers += int64(x.measure())
 	}
+	return v
 }
 
 // noteUnplaced records that a pool lacks a server for a long-running task.
 func (s *Scheduler) noteUnplaced(w pendingStep, now time.Time) {
 	if w.step.step.LongRunning {
-		s.unplacedAt[s.poolOf(w.state)] = now
+		s.unplacedAt[w.pool] = now
 	}
 }
 
 // placeGang assigns all members of a gang at once, or none.
-func (s *Scheduler) placeGang(w pendingStep, l []*serverState, now time.Time) {
+func (s *Scheduler) placeGang(w pendingStep, x *room, l []*serverState, now time.Time) {
+	if !x.mayFit(w.step.step.Demand()) {
+		return
+	}
 	number := 0
 	for _, t := range w.step.tasks {
 		if t.run != nil || t.done {
@@ -369,7 +293,7 @@
 		number = max(number, t.lastRun+1)
 	}
 	s.operations.Servers += int64(len(l) * len(w.step.tasks))
-	chosen := gangPlacement(w.step, l)
+	chosen := gangPlacement(w.step, gangCandidates(w.step, l, now))
 	if chosen == nil {
 		return
 	}
@@ -377,4 +301,5 @@
 		s.assign(t, chosen[i], number)
 		s.placed(t, chosen[i], now)
 	}
+	x.taken = true
 }
--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -53,9 +53,8 @@
 	scheduler *Scheduler
 	pool      string
 	now       time.Time
-	// full and waitsAhead are what the steps that are placed before the job's have found: demands without room, and whether
-	// there were any.
-	full       fullness
+	// room and waitsAhead are what the steps that are placed before the job's leave: the room, and whether any of them waits.
+	room       *room
 	waitsAhead bool
 	result     *schema.JobPreview
 }
@@ -66,15 +65,16 @@
 		p.previewSchedule(j)
 		return
 	}
-	usable := p.scheduler.usableServers(p.now)[p.pool]
-	for _, w := range p.scheduler.pendingSteps(p.now) {
+	p.room = p.scheduler.newRoom(p.pool, p.now)
+	l, ordered := p.scheduler.pendingSteps(p.now)
+	for _, w := range p.scheduler.order(l, ordered) {
 		switch {
 		case len(p.result.Tasks) >= maxPreviewTasks:
 			return
 		case w.state == j:
-			p.previewStep(w, usable)
-		case p.scheduler.poolOf(w.state) == p.pool:
-			p.occupy(w, usable)
+			p.previewStep(w)
+		case w.pool == p.pool:
+			p.occupy(w)
 		}
 	}
 }
@@ -96,8 +96,8 @@
 }
 
 // occupy gives another job's waiting step the room that it gets before the previewed job. It places copies of the tasks.
-func (p *preview) occupy(w pendingStep, l []*serverState) {
-	if p.full.rulesOut(w.step.step.Demand()) {
+func (p *preview) occupy(w pendingStep) {
+	if p.room.rulesOut(w.step.step.Demand()) {
 		p.waitsAhead = true
 		return
 	}
@@ -109,21 +109,21 @@
 		x.tasks = append(x.tasks, &k)
 	}
 	w.step = &x
-	p.scheduler.place(w, l, &p.full, p.now)
-	p.waitsAhead = p.waitsAhead || x.hasPendingTask()
+	p.scheduler.place(w, p.room, p.now)
+	p.waitsAhead = p.waitsAhead || x.pendingTasks > 0
 }
 
 // previewStep places the step's tasks, all of a gang or each by itself, and lists them.
-func (p *preview) previewStep(w pendingStep, l []*serverState) {
+func (p *preview) previewStep(w pendingStep) {
 	if w.step.step.Gang {
-		p.previewTasks(w, l)
+		p.previewTasks(w)
 		return
 	}
 	for _, t := range w.step.tasks {
 		x := *w.step
 		x.tasks = []*task{t}
 		w.step = &x
-		p.previewTasks(w, l)
+		p.previewTasks(w)
 		if len(p.result.Tasks) >= maxPreviewTasks {
 			return
 		}
@@ -131,14 +131,14 @@
 }
 
 // previewTasks places the step's tasks at once, and lists them.
-func (p *preview) previewTasks(w pendingStep, l []*serverState) {
+func (p *preview) previewTasks(w pendingStep) {
 	if p.sameWait(w.step.tasks[0]) {
 		return
 	}
 	first := w.step.tasks[0]
-	allowed := p.scheduler.advisedServers(first, l, p.now)
+	allowed := p.scheduler.advisedServers(first, p.room.servers, p.now)
 	costs, excluded := p.costs(first, allowed), p.excluded(first, allowed)
-	p.scheduler.place(w, l, &p.full, p.now)
+	p.scheduler.place(w, p.room, p.now)
 	for _, t := range w.step.tasks[:min(len(w.step.tasks), maxPreviewTasks-len(p.result.Tasks))] {
 		m := &schema.TaskPreview{Task: t.key.String(), Excluded: excluded}
 		if t.run == nil {
@@ -181,7 +181,7 @@
 
 // waitsFor returns what a task waits for that was not placed. Room for single members does not place a gang.
 func (p *preview) waitsFor(w pendingStep, t *task) string {
-	if w.step.step.Gang && bestServer(t, p.scheduler.usableServers(p.now)[p.pool], p.now) != nil {
+	if w.step.step.Gang && bestServer(t, p.scheduler.usableServers(p.pool, p.now), p.now) != nil {
 		return "room for all tasks of the gang at once"
 	}
 	return p.scheduler.waitsFor(t, w.state.occurrences[t.key.Occurrence], p.now)
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -69,7 +69,9 @@
 	if m.Checkpoint != "" {
 		t.step.checkpoint = m.Checkpoint
 	}
-	t.done = m.Done
+	if m.Done {
+		t.setDone()
+	}
 	if m.Server == "" {
 		return
 	}
@@ -122,6 +124,7 @@
 				}
 			}
 		}
+		s.awaitSteps(o)
 	}
 	if s.isComplete(j) {
 		s.endJob(j, job.Completed, now)
--- /dev/null
+++ b/fleet/scheduler/room.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tarragonbank/tarragonbank/fleet/job"
+)
+
+// room is what a pass knows of the room in a pool. While a turn asks for several times the pool's capacity, hundreds of steps wait, and a
+// search for each of them in each pass would go through all of the pool's servers.
+type room struct {
+	// servers are those that accept new runs.
+	servers []*serverState
+	fullness
+	// most has of each resource at least what is free on any of the servers. It may be too large once taken is true.
+	most  job.Size
+	taken bool
+}
+
+// newRoom returns the room in a pool at the beginning of a pass.
+func (s *Scheduler) newRoom(pool string, now time.Time) *room {
+	x := &room{servers: s.usableServers(pool, now), taken: true}
+	x.measure()
+	return x
+}
+
+// measure updates what is free at most, and returns the number of servers that it has looked at.
+func (x *room) measure() int {
+	if !x.taken {
+		return 0
+	}
+	x.most, x.taken = job.Size{}, false
+	for _, v := range x.servers {
+		x.most = x.most.Max(v.free())
+	}
+	return len(x.servers)
+}
+
+// mayFit reports whether a server may have the capacity for a demand.
+func (x *room) mayFit(d job.Size) bool {
+	return d.Fits(x.most)
+}
+
+// fullness holds the demands of tasks without constraints, of steps that have not failed, for which a pass has found no server with capacity
+// in a pool.
+type fullness struct {
+	demands []job.Size
+}
+
+// maxFullDemands is the number of demands that fullness compares.
+const maxFullDemands = 8
+
+// rulesOut reports whether a demand surely finds no server, since it is no smaller than one that found none.
+func (f *fullness) rulesOut(d job.Size) bool {
+	for _, x := range f.demands {
+		if x.Fits(d) {
+			return true
+		}
+	}
+	return false
+}
+
+// add records that a task of the step found no server.
+func (f *fullness) add(p *job.Step) {
+	if p.Requires == "" && p.AntiAffinity == 0 && len(f.demands) < maxFullDemands {
+		f.demands = append(f.demands, p.Demand())
+	}
+}
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -68,7 +68,7 @@
 		r.setIsolated(true)
 		v.trials.running++
 	}
-	t.run = r
+	t.setRun(r)
 	v.addRun(r)
 	s.markDirty(t.state)
 	r.version = t.state.version
@@ -86,7 +86,8 @@
 		r.server.idleSince = now
 	}
 	if r.task.run == r {
-		r.task.run = nil
+		r.task.setRun(nil)
+		s.awaitStep(r.task.step)
 	}
 	s.needsPlan = true
 }
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/reservation"
@@ -11,7 +12,9 @@
 // on s. Jobs and servers are copied one level deep, so the copy must not change the tasks and runs of s.
 func (s *Scheduler) scratch(queue, pool string, now time.Time) *Scheduler {
 	c := *s
-	c.dirtyJobs, c.removedJobs, c.orders, c.sortedServers = nil, nil, Orders{}, nil
+	c.dirtyJobs, c.removedJobs, c.orders = nil, nil, Orders{}
+	c.waiting.steps = slices.Clone(s.waiting.steps)
+	c.serversChanged()
 	c.jobs, c.active, c.activeOf = maps.Clone(s.jobs), make(map[string]*jobState, len(s.active)+1), map[string]map[string]*jobState{}
 	for id, j := range s.active {
 		x := *j
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -195,7 +195,8 @@
 	}
 	i.Restarts = s.restarts[i.ID]
 	if v != nil && v.terminated {
-		v.info, v.registered = i, true
+		v.registered = true
+		s.setInfo(v, i)
 		return
 	}
 	if v == nil {
@@ -210,7 +211,7 @@
 	if v.info.Address != i.Address {
 		v.addressTaken = false
 	}
-	v.info = i
+	s.setInfo(v, i)
 	v.largestCapacity = v.largestCapacity.Max(i.Capacity)
 	v.registered = true
 	v.unregisteredStart = false
@@ -226,7 +227,7 @@
 		info: i, runs: map[job.Task]*run{}, unreachableSince: now, knownSince: now, usage: s.usage, strays: usage.NewStrays(s.usage),
 	}
 	s.servers[i.ID] = v
-	s.sortedServers = nil
+	s.serversChanged()
 	return v
 }
 
@@ -241,10 +242,18 @@
 	// Whether it drains is known once it is registered.
 	i.Draining = false
 	i.Restarts = s.restarts[i.ID]
-	v.info = i
+	s.setInfo(v, i)
 	return true
 }
 
+// setInfo sets what is known of an incarnation of a server.
+func (s *Scheduler) setInfo(v *serverState, i server.Server) {
+	if v.info.Pool != i.Pool {
+		s.serversChanged()
+	}
+	v.info = i
+}
+
 // Unregister records that a server's registration was removed. Its runs may continue until their lease expires.
 func (s *Scheduler) Unregister(id string, now time.Time) {
 	v := s.servers[id]
--- /dev/null
+++ b/fleet/scheduler/serverlist.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+)
+
+// serverLists caches lists of the servers. They are nil after the set of servers or their pools have changed.
+type serverLists struct {
+	byID   []*serverState
+	byPool map[string][]*serverState
+}
+
+// serversByID returns the servers sorted by ID, so that placement does not depend on map iteration order.
+func (s *Scheduler) serversByID() []*serverState {
+	if s.lists.byID == nil {
+		for _, v := range s.servers {
+			s.lists.byID = append(s.lists.byID, v)
+		}
+		slices.SortFunc(s.lists.byID, func(a, b *serverState) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return s.lists.byID
+}
+
+// serversOf returns the servers of a pool sorted by ID.
+func (s *Scheduler) serversOf(pool string) []*serverState {
+	if s.lists.byPool == nil {
+		s.lists.byPool = map[string][]*serverState{}
+		for _, v := range s.serversByID() {
+			s.lists.byPool[v.info.Pool] = append(s.lists.byPool[v.info.Pool], v)
+		}
+	}
+	return s.lists.byPool[pool]
+}
+
+// serversChanged records that the set of servers or their pools have changed.
+func (s *Scheduler) serversChanged() {
+	s.lists = serverLists{}
+}
