Check by time only what the time can change

Cause: each tick went through all runs for stalls, for stragglers, for leases and for the pace, though a listing had to come before any of it could change; through all jobs to find those due and those to purge; through all runs to count the ones of ended jobs; and it put the newest server of each VM into a new map. PendingJobs went through all jobs for each caller.

Change: the speed of runs is checked with the listing that shows it, and the median of a step is only computed for runs whose rest is long enough at all. Ticks look at the runs of unreachable and draining servers, at servers with best-effort runs, at scheduled jobs, and at the jobs that ended first. Runs of ended jobs and pending jobs are counted where they change.

--- a/fleet/scheduler/allot.go
+++ b/fleet/scheduler/allot.go
@@ -52,6 +52,9 @@
 // activate adds a job to the active ones.
 func (s *Scheduler) activate(j *jobState) {
 	s.active[j.job.ID] = j
+	if j.job.Scheduled() {
+		s.scheduled[j.job.ID] = j
+	}
 	n := j.job.Workspace
 	if n == "" {
 		return
@@ -65,6 +68,8 @@
 // deactivate removes a job from the active ones.
 func (s *Scheduler) deactivate(j *jobState) {
 	delete(s.active, j.job.ID)
+	delete(s.scheduled, j.job.ID)
+	s.countPendingJob(j)
 	if m := s.activeOf[j.job.Workspace]; m != nil {
 		delete(m, j.job.ID)
 		if len(m) == 0 {
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -129,6 +129,7 @@
 func (s *Scheduler) BatchCommitted(b *Batch, now time.Time) {
 	for _, m := range b.versions {
 		m.job.stored = true
+		s.countPendingJob(m.job)
 		m.job.committedVersion = m.version
 		m.job.updateReportedPhase()
 		m.job.answerWaiters()
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -73,7 +73,11 @@
 
 // newestByVM returns, by VM, the server that started last among those that have answered this owner.
 func (s *Scheduler) newestByVM() map[string]*serverState {
+	if s.lists.newest != nil {
+		return s.lists.newest
+	}
 	m := map[string]*serverState{}
+	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
 		if v.info.VM == "" || v.fencedAt.IsZero() {
 			continue
@@ -82,6 +86,7 @@
 			m[v.info.VM] = v
 		}
 	}
+	s.lists.newest = m
 	return m
 }
 
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -18,6 +18,8 @@
 	// sent is true once a transaction has included the job, whether or not it was answered.
 	sent    bool
 	started bool
+	// countedPending is true while the job is among its queue's pending jobs.
+	countedPending bool
 	// version counts the changes, committedVersion is the newest version in the store.
 	version          uint64
 	committedVersion uint64
--- a/fleet/scheduler/lapse.go
+++ b/fleet/scheduler/lapse.go
@@ -18,11 +18,8 @@
 func (s *Scheduler) expireLeases(now time.Time) {
 	s.operations.Servers += int64(len(s.servers))
 	for id, v := range s.servers {
-		s.operations.Runs += int64(len(v.runs))
-		for _, r := range v.runs {
-			if s.leaseExpired(v, r, now) {
-				s.lose(r, now, loss.ReasonLeaseExpired)
-			}
+		if !v.reachable {
+			s.loseExpired(v, now)
 		}
 		if v.leaseSurelyExpired(s.previousExpiry(v), now) {
 			s.clearStrays(v)
@@ -36,6 +33,16 @@
 	}
 }
 
+// loseExpired drops the runs on an unreachable server whose lease has surely expired.
+func (s *Scheduler) loseExpired(v *serverState, now time.Time) {
+	s.operations.Runs += int64(len(v.runs))
+	for _, r := range v.runs {
+		if s.leaseExpired(v, r, now) {
+			s.lose(r, now, loss.ReasonLeaseExpired)
+		}
+	}
+}
+
 // leaseExpired reports whether a run on an unreachable server must have ended because its lease has expired.
 func (s *Scheduler) leaseExpired(v *serverState, r *run, now time.Time) bool {
 	if r.phase == assigned || v.reachable {
@@ -55,16 +62,17 @@
 	stallEstimateDivisor = 20
 	// startupTimeout is how long a long-running task may take to report that it is ready.
 	startupTimeout = 4 * time.Second
-	// speculationDelay is the age of a server's last listing from which its speculative tasks are started elsewhere too, and
-	// from which its runs are not checked for stalls.
+	// speculationDelay is the age of a server's last listing from which its speculative tasks are started elsewhere too.
 	speculationDelay = time.Second
 )
 
-// checkRuns stops the runs that stall or are much slower than elsewhere, moves runs off draining servers, and drops the
-// speculative runs of unreachable ones.
+// checkRuns moves runs off draining servers, and drops the speculative runs of unreachable ones.
 func (s *Scheduler) checkRuns(now time.Time) {
 	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
+		if v.reachable && !v.info.Draining {
+			continue
+		}
 		s.operations.Runs += int64(len(v.runs))
 		for _, r := range v.runs {
 			s.checkRun(v, r, now)
@@ -82,13 +90,28 @@
 		s.addStray(v, r)
 		return
 	}
-	if v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now)) {
+	if v.mustEvacuate(s, r, now) {
 		s.evacuate(r, s.usableServers(v.info.Pool, now), now)
-		return
 	}
-	if r.phase != working || !v.reachable || r.pace < fullPace || now.Sub(v.listedAt) > speculationDelay {
-		return
+}
+
+// mustEvacuate reports whether a run must leave a draining server now.
+func (v *serverState) mustEvacuate(s *Scheduler, r *run, now time.Time) bool {
+	return v.info.Draining && r.phase == working && v.reachable && s.mustMove(v, r, now) && (s.canInterrupt(r.task, now) || v.leavesSoon(now))
+}
+
+// checkSpeed stops the runs of a server that stall or are much slower than elsewhere, as its new listing shows. What it shows does not
+// change before the next one.
+func (s *Scheduler) checkSpeed(v *serverState, now time.Time) {
+	s.operations.Runs += int64(len(v.runs))
+	for _, r := range v.runs {
+		if r.phase == working && r.pace == fullPace && !v.mustEvacuate(s, r, now) {
+			s.checkRunSpeed(v, r, now)
+		}
 	}
+}
+
+func (s *Scheduler) checkRunSpeed(v *serverState, r *run, now time.Time) {
 	switch {
 	case s.isStalled(v, r):
 		s.addDecision(r.decision(loss.ReasonStalled))
@@ -155,11 +178,14 @@
 	if p.LongRunning || p.Gang || r.task.straggled || r.server.listedAt.Sub(r.startedAt) < stragglerMinRuntime || r.percent <= r.startPercent {
 		return false
 	}
+	rest := r.projectedDuration() * time.Duration(100-r.percent) / 100
+	if rest <= stragglerSlack {
+		return false
+	}
 	restart := r.task.step.medianDuration(r.server)
 	if restart == 0 {
 		return false
 	}
-	rest := r.projectedDuration() * time.Duration(100-r.percent) / 100
 	if p.Checkpointing {
 		restart = restart * time.Duration(100-r.percent) / 100
 	}
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -32,6 +32,7 @@
 			v.leaseUntil = max(v.leaseUntil, l.Clock+s.limits.MaxLease)
 		}
 		v.fencedAt = now
+		s.lists.newest = nil
 	}
 	v.reachable = true
 	if v.leaseRecorded {
@@ -46,6 +47,15 @@
 	if !l.HasMore {
 		s.dropMissing(v, l, present, now)
 	}
+	s.checkSpeed(v, now)
+}
+
+// jobStarted records that a task of the job has started.
+func (s *Scheduler) jobStarted(j *jobState) {
+	if !j.started {
+		j.started = true
+		s.countPendingJob(j)
+	}
 }
 
 // applyEnds processes the ends that have not been processed yet.
@@ -129,9 +139,7 @@
 		r.setWorking(r.server.listingClock, now)
 		r.startPercent = x.Percent
 	}
-	if !r.task.state.started {
-		r.task.state.started = true
-	}
+	s.jobStarted(r.task.state)
 	if x.Percent > r.percent {
 		r.progressedClock = r.server.listingClock
 	}
--- a/fleet/scheduler/pace.go
+++ b/fleet/scheduler/pace.go
@@ -22,6 +22,9 @@
 func (s *Scheduler) pace(now time.Time) {
 	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
+		if v.bestEffortRuns == 0 {
+			continue
+		}
 		s.operations.Runs += int64(2 * len(v.runs))
 		worst := v.worstTailPercent()
 		for _, r := range v.runs {
--- a/fleet/scheduler/preview_test.go
+++ b/fleet/scheduler/preview_test.go
@@ -76,6 +76,16 @@
 		gomega.Expect(p.Tasks[0].ExpectedStartMs).To(gomega.Equal(w.now.Add(3 * time.Second).UnixMilli()))
 	})
 
+	ginkgo.It("leaves a scheduled job that waits for its time as it is", func() {
+		w := newHarness()
+		w.addServers("a")
+		m := newRecord(1, 1)
+		m.Repeats, m.FirstDueMs = 1, w.now.Add(time.Second).UnixMilli()
+		w.submit(m)
+		w.Preview(newRecord(2, 1), w.now)
+		w.advance(time.Second)
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+	})
 	ginkgo.It("tells when a scheduled job is due", func() {
 		w := busyHarness()
 		m := newRecord(9, 2)
--- a/fleet/scheduler/restore.go
+++ b/fleet/scheduler/restore.go
@@ -25,6 +25,7 @@
 		j.endedAt = time.UnixMilli(p.EndedMs)
 		j.reportedPhase = j.phase
 		s.deactivate(j)
+		s.ended.add(j)
 		return
 	}
 	s.openOccurrences(j, now)
@@ -33,6 +34,7 @@
 	}
 	s.recountUnfinished(j, now)
 	j.updateReportedPhase()
+	s.countPendingJob(j)
 	s.seedShare(j, now)
 	s.needsPlan = true
 }
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -54,6 +54,8 @@
 	// isolated is true while the server gets no other runs, since the task may crash it; alone is true if it has got none
 	// since the run was assigned.
 	isolated, alone bool
+	// countedEnded is true while the run is among its server's runs of ended jobs.
+	countedEnded bool
 	// pace is the percentage of full speed to which the run is throttled.
 	pace    int
 	pacedAt time.Time
@@ -132,7 +134,7 @@
 		s.orders.EndCounts = map[job.EndReason]int{}
 	}
 	s.orders.EndCounts[reason]++
-	t.state.started = true
+	s.jobStarted(t.state)
 	s.release(r, now)
 	if checkpoint != "" && t.step.step.Checkpointing {
 		t.checkpoint = checkpoint
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -36,6 +36,11 @@
 	jobs    map[string]*jobState
 	active  map[string]*jobState
 	servers map[string]*serverState
+	// scheduled holds the active jobs that run at set times, ended those that have ended.
+	scheduled map[string]*jobState
+	ended     endedJobs
+	// pendingJobs counts, by queue, the stored jobs of which no task has started.
+	pendingJobs map[string]int
 	// restarts counts the restarts of servers by ID, also of those that are no longer known.
 	restarts map[string]int
 	// startedAt is when the owner took over.
@@ -55,7 +60,7 @@
 // New returns an empty scheduler for an owner that took over at the time now.
 func New(x Limits, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, servers: map[string]*serverState{}, restarts: map[string]int{},
+		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, scheduled: map[string]*jobState{}, pendingJobs: map[string]int{}, servers: map[string]*serverState{}, restarts: map[string]int{},
 		lookAhead: newLookAhead(), estimates: newEstimates(), pass: pass{cordonedVMs: map[string]bool{}}, supplies: newSupplies(), accounts: newAccounts(),
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
@@ -87,22 +92,18 @@
 
 // openDueOccurrences opens the occurrences of scheduled jobs that are due.
 func (s *Scheduler) openDueOccurrences(now time.Time) {
-	s.operations.Jobs += int64(len(s.active))
-	for _, j := range s.active {
-		if j.openedOccurrences < j.job.Occurrences() && j.job.Scheduled() {
-			s.openOccurrences(j, now)
-		}
+	s.operations.Jobs += int64(len(s.scheduled))
+	for _, j := range s.scheduled {
+		s.openOccurrences(j, now)
 	}
 }
 
 // purgeEndedJobs removes the jobs whose end is stored and older than the retention.
 func (s *Scheduler) purgeEndedJobs(now time.Time) {
-	s.operations.Jobs += int64(len(s.jobs))
-	for id, j := range s.jobs {
-		if j.phase.Ended() && j.committedVersion == j.version && !j.dirty && now.Sub(j.endedAt) > s.limits.JobRetention {
-			delete(s.jobs, id)
-			s.removedJobs = append(s.removedJobs, id)
-		}
+	for _, j := range s.ended.takeBefore(now.Add(-s.limits.JobRetention)) {
+		s.operations.Jobs++
+		delete(s.jobs, j.job.ID)
+		s.removedJobs = append(s.removedJobs, j.job.ID)
 	}
 }
 
@@ -230,14 +231,21 @@
 
 // PendingJobs counts the stored jobs of a queue of which no task has started.
 func (s *Scheduler) PendingJobs(queue string) Reply {
-	n := 0
-	s.operations.Jobs += int64(len(s.active))
-	for _, j := range s.active {
-		if j.job.Queue == queue && j.stored && !j.started {
-			n++
+	return Reply{Result: Done, Pending: s.pendingJobs[queue]}
+}
+
+// countPendingJob counts or no longer counts a job as pending after a change of it.
+func (s *Scheduler) countPendingJob(j *jobState) {
+	pending := j.stored && !j.started && s.active[j.job.ID] == j
+	switch {
+	case pending && !j.countedPending:
+		s.pendingJobs[j.job.Queue]++
+	case !pending && j.countedPending:
+		if s.pendingJobs[j.job.Queue]--; s.pendingJobs[j.job.Queue] == 0 {
+			delete(s.pendingJobs, j.job.Queue)
 		}
 	}
-	return Reply{Result: Done, Pending: n}
+	j.countedPending = pending
 }
 
 // logCompletion logs whether a finite job was completed within its target duration.
@@ -257,12 +265,16 @@
 		s.logCompletion(j, now)
 	}
 	s.deactivate(j)
+	s.ended.add(j)
 	for _, o := range j.occurrences {
 		for _, t := range o.tasks() {
 			if t.run != nil {
 				s.recordStray(t.run)
 				s.stop(t.run, now)
 			}
+			if t.run != nil {
+				t.run.countEnded()
+			}
 		}
 	}
 	s.markDirty(j)
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -64,6 +64,8 @@
 	endedByList bool
 	shownOnVM   bool
 	knownSince  time.Time
+	// bestEffortRuns counts the runs of best-effort tasks, endedRuns those that the lease record lists since their job has ended.
+	bestEffortRuns, endedRuns int
 	// isolatedRuns counts the isolated runs, trials those of the pool's usable servers.
 	isolatedRuns int
 	trials       *trials
@@ -143,6 +145,10 @@
 
 func (v *serverState) addRun(r *run) {
 	v.runs[r.task.key] = r
+	if r.task.step.step.BestEffort {
+		v.bestEffortRuns++
+	}
+	r.countEnded()
 	v.used = v.used.Add(r.task.step.step.Demand())
 	v.usage.Add(r.task.job.Workspace, r.task.step.step.Size)
 }
@@ -152,6 +158,13 @@
 		return
 	}
 	delete(v.runs, r.task.key)
+	if r.task.step.step.BestEffort {
+		v.bestEffortRuns--
+	}
+	if r.countedEnded {
+		r.countedEnded = false
+		v.endedRuns--
+	}
 	v.used = v.used.Sub(r.task.step.step.Demand())
 	v.usage.Remove(r.task.job.Workspace, r.task.step.step.Size)
 }
@@ -248,7 +261,7 @@
 
 // setInfo sets what is known of an incarnation of a server.
 func (s *Scheduler) setInfo(v *serverState, i server.Server) {
-	if v.info.Pool != i.Pool {
+	if v.info.Pool != i.Pool || v.info.VM != i.VM {
 		s.serversChanged()
 	}
 	v.info = i
--- a/fleet/scheduler/serverlist.go
+++ b/fleet/scheduler/serverlist.go
@@ -5,10 +5,12 @@
 	"slices"
 )
 
-// serverLists caches lists of the servers. They are nil after the set of servers or their pools have changed.
+// serverLists caches lists of the servers. They are nil after the set of servers, their pools or their VMs have changed.
 type serverLists struct {
 	byID   []*serverState
 	byPool map[string][]*serverState
+	// newest holds the newest server on each VM that has listed its runs. It is nil after another one has.
+	newest map[string]*serverState
 }
 
 // serversByID returns the servers sorted by ID, so that placement does not depend on map iteration order.
@@ -33,7 +35,7 @@
 	return s.lists.byPool[pool]
 }
 
-// serversChanged records that the set of servers or their pools have changed.
+// serversChanged records that the set of servers, their pools or their VMs have changed.
 func (s *Scheduler) serversChanged() {
 	s.lists = serverLists{}
 }
--- a/fleet/scheduler/stray.go
+++ b/fleet/scheduler/stray.go
@@ -66,21 +66,17 @@
 	n := 0
 	s.operations.Servers += int64(len(s.servers))
 	for _, v := range s.servers {
-		s.operations.Runs += int64(len(v.runs))
-		n += len(v.strays.All()) + v.countEndedRuns()
+		n += len(v.strays.All()) + v.endedRuns
 	}
 	return n
 }
 
-// countEndedRuns returns the number of runs on the server whose job has ended.
-func (v *serverState) countEndedRuns() int {
-	n := 0
-	for _, r := range v.runs {
-		if r.isRecordedStray() {
-			n++
-		}
+// countEnded counts a run among its server's runs of ended jobs, if it is one that the lease record lists.
+func (r *run) countEnded() {
+	if !r.countedEnded && r.isRecordedStray() {
+		r.countedEnded = true
+		r.server.endedRuns++
 	}
-	return n
 }
 
 // strayRecords returns the server's strays and the runs of ended jobs.
