Decide about a submission by its own pool

Cause: every 40 ms the demands of a pool were computed anew from all active jobs of all pools, long-running ones among them, and task by task, with the learned ratio of the queue looked up for each task; the cores of a pool from all runs of all servers.

Change: the active finite jobs are kept by queue, and a pool's demands are computed from its queues' alone; a step of which no task has a server counts as a whole. A server keeps what its long-running tasks hold, and a pool's cores are those of its own servers. Same figures, but for the rounding of sums.

Evidence: the specs of admission, shares and caps pass unchanged.

--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -162,19 +162,12 @@
 // below what its long-running tasks hold has none.
 func (s *Scheduler) finiteWorkCores(pool string, now time.Time) float64 {
 	c := 0.0
-	s.operations.Servers += int64(len(s.servers))
-	for _, v := range s.servers {
-		if v.info.Pool != pool || !v.usable(now) || s.cordonedVMs[v.info.VM] {
-			continue
-		}
-		free := v.info.Capacity.CPU
-		s.operations.Runs += int64(len(v.runs))
-		for _, r := range v.runs {
-			if p := r.task.step.step; p.LongRunning {
-				free -= p.Demand().CPU
-			}
+	l := s.serversOf(pool)
+	s.operations.Servers += int64(len(l))
+	for _, v := range l {
+		if v.usable(now) && !s.cordonedVMs[v.info.VM] {
+			c += float64(max(v.info.Capacity.CPU-v.longRunning.CPU, 0)) / milliPerCore
 		}
-		c += float64(max(free, 0)) / milliPerCore
 	}
 	return c
 }
@@ -182,33 +175,47 @@
 // remainingWork returns the expected core-seconds that the job's finite tasks still need.
 func (s *Scheduler) remainingWork(j *jobState, now time.Time) float64 {
 	w := 0.0
-	j.eachUnfinished(func(t *task) { w += s.remainingTaskWork(t, now) })
+	j.eachUnfinished(func(p *stepState) {
+		w += s.remainingStepTime(p, now).Seconds() * float64(p.step.Size.CPU) / milliPerCore
+	})
 	return w
 }
 
 // remainingAmount returns the expected resource-seconds that the job's finite tasks still need.
 func (s *Scheduler) remainingAmount(j *jobState, now time.Time) job.Amount {
 	a := job.Amount{}
-	j.eachUnfinished(func(t *task) { a = a.Add(t.step.step.Size.Amount().Times(s.remainingTaskTime(t, now).Seconds())) })
+	j.eachUnfinished(func(p *stepState) { a = a.Add(p.step.Size.Amount().Times(s.remainingStepTime(p, now).Seconds())) })
 	return a
 }
 
-// eachUnfinished calls f with each finite task that is not done.
-func (j *jobState) eachUnfinished(f func(t *task)) {
+// eachUnfinished calls f with each step of finite tasks that is not done.
+func (j *jobState) eachUnfinished(f func(p *stepState)) {
 	for _, o := range j.occurrences {
 		for _, p := range o.steps {
-			if p.step.LongRunning || p.unfinished == 0 {
-				continue
-			}
-			for _, t := range p.tasks {
-				if !t.done {
-					f(t)
-				}
+			if !p.step.LongRunning && p.unfinished > 0 {
+				f(p)
 			}
 		}
 	}
 }
 
+// remainingStepTime returns the sum of the expected times that the step's unfinished tasks still need. While none of them has a server,
+// they need the same.
+func (s *Scheduler) remainingStepTime(p *stepState, now time.Time) time.Duration {
+	e := s.expectedDuration(p.tasks[0])
+	if p.pendingTasks == p.unfinished {
+		return e * time.Duration(p.unfinished)
+	}
+	s.operations.Tasks += int64(len(p.tasks))
+	var sum time.Duration
+	for _, t := range p.tasks {
+		if !t.done {
+			sum += t.remainingTime(e, now)
+		}
+	}
+	return sum
+}
+
 // remainingTaskWork returns the expected core-seconds that a task still needs. A run that exceeds its expected
 // duration counts as needing a tenth of it.
 func (s *Scheduler) remainingTaskWork(t *task, now time.Time) float64 {
@@ -217,9 +224,13 @@
 
 // remainingTaskTime returns the expected time that a task still needs.
 func (s *Scheduler) remainingTaskTime(t *task, now time.Time) time.Duration {
-	e := s.expectedDuration(t)
+	return t.remainingTime(s.expectedDuration(t), now)
+}
+
+// remainingTime returns the time that a task still needs if it takes the duration e in all.
+func (t *task) remainingTime(e time.Duration, now time.Time) time.Duration {
 	if t.run != nil && t.run.phase == working {
-		e = max(e-now.Sub(t.run.startedAt), e/10)
+		return max(e-now.Sub(t.run.startedAt), e/10)
 	}
 	return e
 }
--- a/fleet/scheduler/allot.go
+++ b/fleet/scheduler/allot.go
@@ -52,8 +52,14 @@
 // activate adds a job to the active ones.
 func (s *Scheduler) activate(j *jobState) {
 	s.active[j.job.ID] = j
-	if j.job.Scheduled() {
+	switch {
+	case j.job.Scheduled():
 		s.scheduled[j.job.ID] = j
+	case !j.job.LongRunning():
+		if s.finite[j.job.Queue] == nil {
+			s.finite[j.job.Queue] = map[string]*jobState{}
+		}
+		s.finite[j.job.Queue][j.job.ID] = j
 	}
 	n := j.job.Workspace
 	if n == "" {
@@ -69,6 +75,12 @@
 func (s *Scheduler) deactivate(j *jobState) {
 	delete(s.active, j.job.ID)
 	delete(s.scheduled, j.job.ID)
+	if m := s.finite[j.job.Queue]; m != nil {
+		delete(m, j.job.ID)
+		if len(m) == 0 {
+			delete(s.finite, j.job.Queue)
+		}
+	}
 	s.countPendingJob(j)
 	if m := s.activeOf[j.job.Workspace]; m != nil {
 		delete(m, j.job.ID)
--- a/fleet/scheduler/demand.go
+++ b/fleet/scheduler/demand.go
@@ -30,9 +30,16 @@
 	x := s.poolDemandCache[pool]
 	if x == nil || now.Sub(x.at) > cacheLifetime {
 		x = &cachedDemands{at: now}
-		s.operations.Jobs += int64(len(s.active))
-		for _, j := range s.active {
-			if !j.job.Scheduled() && !j.job.LongRunning() && s.poolOf(j) == pool {
+		for _, jobs := range s.finite {
+			for _, j := range jobs {
+				if s.poolOf(j) != pool {
+					// The jobs of a queue have the same pool, unless it is no longer configured.
+					if s.table.ByName(j.job.Queue) != nil {
+						break
+					}
+					continue
+				}
+				s.operations.Jobs++
 				x.append(s.demandOf(j, now))
 			}
 		}
@@ -101,7 +108,6 @@
 // of the other resources for the jobs of workspaces.
 func (s *Scheduler) cachedRemainingWork(j *jobState, now time.Time) float64 {
 	if now.Sub(j.cachedWorkAt) > cacheLifetime {
-		s.operations.Tasks += int64(j.countTasks())
 		j.cachedWork, j.cachedWorkAt = s.remainingWork(j, now), now
 		if s.usage.Enforced(j.job.Workspace) {
 			j.cachedAmount = s.remainingAmount(j, now)
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -122,17 +122,6 @@
 	return l
 }
 
-// countTasks returns the number of tasks of the job's open occurrences.
-func (j *jobState) countTasks() int {
-	n := 0
-	for _, o := range j.occurrences {
-		for _, p := range o.steps {
-			n += len(p.tasks)
-		}
-	}
-	return n
-}
-
 // isOpen reports whether the step has unfinished tasks that may start.
 func (s *stepState) isOpen() bool {
 	return s.pendingSteps == 0 && s.unfinished > 0
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -36,8 +36,9 @@
 	jobs    map[string]*jobState
 	active  map[string]*jobState
 	servers map[string]*serverState
-	// scheduled holds the active jobs that run at set times, ended those that have ended.
+	// scheduled holds the active jobs that run at set times, finite the other finite ones by queue, ended those that have ended.
 	scheduled map[string]*jobState
+	finite    map[string]map[string]*jobState
 	ended     endedJobs
 	// pendingJobs counts, by queue, the stored jobs of which no task has started.
 	pendingJobs map[string]int
@@ -60,7 +61,7 @@
 // New returns an empty scheduler for an owner that took over at the time now.
 func New(x Limits, now time.Time) *Scheduler {
 	s := &Scheduler{
-		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, scheduled: map[string]*jobState{}, pendingJobs: map[string]int{}, servers: map[string]*serverState{}, restarts: map[string]int{},
+		limits: x, startedAt: now, jobs: map[string]*jobState{}, active: map[string]*jobState{}, scheduled: map[string]*jobState{}, finite: map[string]map[string]*jobState{}, pendingJobs: map[string]int{}, servers: map[string]*serverState{}, restarts: map[string]int{},
 		lookAhead: newLookAhead(), estimates: newEstimates(), pass: pass{cordonedVMs: map[string]bool{}}, supplies: newSupplies(), accounts: newAccounts(),
 	}
 	s.SetPredecessor(Predecessor{Lease: x.leaseDuration(), Renewal: MaxUnconfirmedRenewal})
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -16,7 +16,8 @@
 	c.waiting.steps = slices.Clone(s.waiting.steps)
 	c.serversChanged()
 	c.jobs, c.active, c.activeOf = maps.Clone(s.jobs), make(map[string]*jobState, len(s.active)+1), map[string]map[string]*jobState{}
-	c.scheduled, c.pendingJobs, c.ended = map[string]*jobState{}, maps.Clone(s.pendingJobs), endedJobs{}
+	c.scheduled, c.finite = map[string]*jobState{}, map[string]map[string]*jobState{}
+	c.pendingJobs, c.ended = maps.Clone(s.pendingJobs), endedJobs{}
 	for id, j := range s.active {
 		x := *j
 		c.activate(&x)
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -43,11 +43,13 @@
 	previousExpiry time.Time
 	// fencedAt is when the first listing arrived. The server has seen this owner's fencing token since then and refuses
 	// previous owners.
-	fencedAt   time.Time
-	runs       map[job.Task]*run
-	used       job.Size
-	unassigned unassignedRuns
-	endLog     endLog
+	fencedAt time.Time
+	runs     map[job.Task]*run
+	used     job.Size
+	// longRunning is what the runs of long-running tasks hold, a part of used.
+	longRunning job.Size
+	unassigned  unassignedRuns
+	endLog      endLog
 	// held is the reservation of the server in the present pass, nil if there is none.
 	held        *reservation.Reservation
 	fullUntil   time.Time
@@ -148,6 +150,9 @@
 	if r.task.step.step.BestEffort {
 		v.bestEffortRuns++
 	}
+	if r.task.step.step.LongRunning {
+		v.longRunning = v.longRunning.Add(r.task.step.step.Demand())
+	}
 	r.countEnded()
 	v.used = v.used.Add(r.task.step.step.Demand())
 	v.usage.Add(r.task.job.Workspace, r.task.step.step.Size)
@@ -161,6 +166,9 @@
 	if r.task.step.step.BestEffort {
 		v.bestEffortRuns--
 	}
+	if r.task.step.step.LongRunning {
+		v.longRunning = v.longRunning.Sub(r.task.step.step.Demand())
+	}
 	if r.countedEnded {
 		r.countedEnded = false
 		v.endedRuns--
