Place only new steps while no server has more room

Cause: any submission let the next pass go through all that waits, although nothing had changed for it: a server has no more room for a job having come.

Change: a submission and an opened occurrence no longer ask for a pass over all steps. A pass that finds only steps that no pass has tried places those alone; all else (an end, a listing, a registration, a configuration, a time that was waited for) lets the next pass go through all, as before. With reservations all steps are gone through, since their order matters there.

Evidence: the look at all jobs after passes, in all tests, finds nothing missed.

--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -186,7 +186,6 @@
 	j.occurrences = append(j.occurrences, o)
 	s.awaitSteps(o)
 	j.openedOccurrences++
-	s.needsPlan = true
 }
 
 func (j *jobState) newStep(occurrence, i int) *stepState {
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -47,36 +47,36 @@
 	latestStart time.Time
 }
 
-// plan places pending tasks, the most urgent first, if anything changed since the last pass.
+// plan places pending tasks, the most urgent first, if anything changed since the last pass. If only steps were added that wait, it places
+// those alone: the others have found no server, and no server has more room than then.
 func (s *Scheduler) plan(now time.Time) {
-	if !s.needsPlan || s.table == nil {
-		return
+	switch {
+	case s.table == nil:
+	case s.needsPlan || len(s.books) > 0 && s.waiting.hasNew():
+		s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
+		s.beginReservations(now)
+		defer s.endReservations(now)
+		s.placeSteps(s.orderedSteps(now), now)
+	case s.waiting.hasNew():
+		s.placeSteps(s.newSteps(now), now)
 	}
-	s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
+}
+
+// placeSteps places the tasks of steps, the most urgent first.
+func (s *Scheduler) placeSteps(l []pendingStep, now time.Time) {
 	s.operations.Passes++
-	s.beginReservations(now)
-	defer s.endReservations(now)
-	l := s.orderedSteps(now)
 	s.operations.Waiting += int64(len(l))
 	rooms := map[string]*room{}
 	for _, w := range l {
 		x := rooms[w.pool]
 		if x == nil {
 			x = s.newRoom(w.pool, now)
-			s.resumeServers(w.pool, now)
 			rooms[w.pool] = x
 		}
 		s.place(w, x, now)
 	}
 }
 
-// resumeServers makes a pass due at the time at which the next server of a pool that gets no new runs may get some again.
-func (s *Scheduler) resumeServers(pool string, now time.Time) {
-	for _, v := range s.serversOf(pool) {
-		s.resumeAt(v.resumesAt(now))
-	}
-}
-
 // Plan places pending tasks if anything changed since the last pass.
 func (s *Scheduler) Plan(now time.Time) {
 	s.plan(now)
--- a/fleet/scheduler/preview.go
+++ b/fleet/scheduler/preview.go
@@ -66,7 +66,7 @@
 		return
 	}
 	p.room = p.scheduler.newRoom(p.pool, p.now)
-	l, ordered := p.scheduler.pendingSteps(p.now)
+	l, ordered := p.scheduler.pendingSteps(0, p.now)
 	for _, w := range p.scheduler.order(l, ordered) {
 		switch {
 		case len(p.result.Tasks) >= maxPreviewTasks:
--- a/fleet/scheduler/room.go
+++ b/fleet/scheduler/room.go
@@ -17,10 +17,16 @@
 	taken bool
 }
 
-// newRoom returns the room in a pool at the beginning of a pass.
+// newRoom returns the room in a pool at the beginning of a pass. It makes another pass due when the next server of the pool that gets no
+// new runs may get some again.
 func (s *Scheduler) newRoom(pool string, now time.Time) *room {
-	x := &room{servers: s.usableServers(pool, now), taken: true}
-	x.measure()
+	x := &room{servers: s.usableServers(pool, now)}
+	for _, v := range x.servers {
+		x.most = x.most.Max(v.free())
+	}
+	for _, v := range s.serversOf(pool) {
+		s.resumeAt(v.resumesAt(now))
+	}
 	return x
 }
 
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -188,7 +188,6 @@
 	s.openOccurrences(j, now)
 	s.markDirty(j)
 	j.await(reply)
-	s.needsPlan = true
 	reason := loss.ReasonAdmitted
 	if n.Scheduled() || n.LongRunning() {
 		reason = loss.ReasonAdmittedLasting
--- a/fleet/scheduler/waiting.go
+++ b/fleet/scheduler/waiting.go
@@ -9,8 +9,14 @@
 // next pass.
 type waitingSteps struct {
 	steps []*stepState
-	// ordered is the number of the first ones that are in the order of the last pass.
-	ordered int
+	// ordered is the number of the first ones that are in the order of the last pass over all of them, tried the number of those that a pass
+	// has tried to place.
+	ordered, tried int
+}
+
+// hasNew reports whether there are steps that no pass has tried to place.
+func (x *waitingSteps) hasNew() bool {
+	return len(x.steps) > x.tried
 }
 
 // setRun sets or clears the run of a task.
@@ -72,14 +78,14 @@
 		}
 	}
 	clear(s.waiting.steps[len(kept):])
-	s.waiting = waitingSteps{kept, ordered}
+	s.waiting = waitingSteps{kept, ordered, len(kept)}
 	s.operations.Steps += int64(len(kept))
 }
 
 // orderedSteps returns the steps with tasks to place, most urgent first, and keeps that order for the next pass.
 func (s *Scheduler) orderedSteps(now time.Time) []pendingStep {
 	s.dropWaiting()
-	l, ordered := s.pendingSteps(now)
+	l, ordered := s.pendingSteps(0, now)
 	l = s.order(l, ordered)
 	if len(l) == len(s.waiting.steps) {
 		for i, w := range l {
@@ -90,10 +96,20 @@
 	return l
 }
 
-// pendingSteps returns the steps with tasks to place that are due, and how many of the first ones were ordered in the last pass.
-func (s *Scheduler) pendingSteps(now time.Time) (l []pendingStep, ordered int) {
-	l = make([]pendingStep, 0, len(s.waiting.steps))
-	for i, p := range s.waiting.steps {
+// newSteps returns the steps with tasks to place that no pass has tried to place, most urgent first.
+func (s *Scheduler) newSteps(now time.Time) []pendingStep {
+	l, _ := s.pendingSteps(s.waiting.tried, now)
+	s.operations.Steps += int64(len(l))
+	s.waiting.tried = len(s.waiting.steps)
+	return s.order(l, 0)
+}
+
+// pendingSteps returns the steps from the given one on with tasks to place that are due, and how many of the first ones were ordered in the
+// last pass.
+func (s *Scheduler) pendingSteps(from int, now time.Time) (l []pendingStep, ordered int) {
+	l = make([]pendingStep, 0, len(s.waiting.steps)-from)
+	for i := from; i < len(s.waiting.steps); i++ {
+		p := s.waiting.steps[i]
 		k := p.tasks[0].key
 		j := s.active[k.Job]
 		if j == nil || !p.waits() || !s.isDue(j.job, k.Occurrence, now) {
