Go through all that waits when a server takes work again

Also, a pass over new steps alone could have begun reservations that it did not end, where reservations are on.

The new spec fails without the change to listings: the task is placed with the next end or registration only.

--- a/fleet/scheduler/fullness_test.go
+++ b/fleet/scheduler/fullness_test.go
@@ -42,3 +42,16 @@
 		gomega.Expect(w.PoolNeeds(w.now)["carving"].Cores).To(gomega.BeNumerically("~", 10*32, 1))
 	})
 })
+
+// A pass over new steps alone must not be the only one that sees a server which takes work again.
+var _ = ginkgo.It("a task that waits is placed once a server lists its runs again, though nothing else happens", func() {
+	w := newHarness()
+	w.addServers("a")
+	w.now = w.now.Add(3 * time.Second)
+	w.submit(newRecord(1, 1))
+	gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
+	w.submit(newRecord(2, 1, func(s *schema.StepRecord) { s.Requires = "other" }))
+	w.reportRuns("a")
+	w.commit()
+	gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+})
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -34,6 +34,10 @@
 		v.fencedAt = now
 		s.lists.newest = nil
 	}
+	if v.addressTaken || now.Sub(v.listedAt) >= listingTimeout {
+		// It may get new runs again.
+		s.needsPlan = true
+	}
 	v.reachable = true
 	if v.leaseRecorded {
 		s.leaseRecord.due = true
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -48,11 +48,11 @@
 }
 
 // plan places pending tasks, the most urgent first, if anything changed since the last pass. If only steps were added that wait, it places
-// those alone: the others have found no server, and no server has more room than then.
+// those alone: the others have found no server, and no server has more room than then. Reservations need a pass over all.
 func (s *Scheduler) plan(now time.Time) {
 	switch {
 	case s.table == nil:
-	case s.needsPlan || len(s.books) > 0 && s.waiting.hasNew():
+	case s.needsPlan || s.limits.LookAhead && s.waiting.hasNew():
 		s.needsPlan, s.awaitingTrial, s.resumesAt = false, false, time.Time{}
 		s.beginReservations(now)
 		defer s.endReservations(now)
