Wake the polls that wait for a commit when it is stored

Cause: after a listing with ends the poll of its server asked every 10 ms, under the scheduler's lock, whether they are stored, up to 30 times. At a peak an owner has hundreds of such polls, and its commits take longest then.

Change: the polls wait for the commit that is applied next.

Evidence: the owner's tests pass; a poll that waits asks once a commit now.

--- a/entry/owner/commit.go
+++ b/entry/owner/commit.go
@@ -66,6 +66,8 @@
 		r.update(processor.Stored, func(s *scheduler.Scheduler, now time.Time) {
 			if applied = r.confirmationAge() <= scheduler.MaxUnconfirmedRenewal; applied {
 				s.BatchCommitted(b, now)
+				close(r.applied)
+				r.applied = make(chan struct{})
 			}
 		})
 		if !applied {
--- a/entry/owner/polls.go
+++ b/entry/owner/polls.go
@@ -29,9 +29,7 @@
 	// pollRetryInterval is the time between polls of an unreachable server.
 	pollRetryInterval = 200 * time.Millisecond
 	// endsStoredTimeout bounds the wait until listed ends are stored. Before that, a poll would list them again at once.
-	// endsStoredInterval is the time between the checks.
-	endsStoredTimeout  = 300 * time.Millisecond
-	endsStoredInterval = 10 * time.Millisecond
+	endsStoredTimeout = 300 * time.Millisecond
 )
 
 // pollServer renews a server's lease and applies its listings until the scheduler needs no further polls.
@@ -148,15 +146,26 @@
 
 // awaitEndsStored waits until the server's listed ends are stored, so that the next poll acknowledges them.
 func (r *term) awaitEndsStored(id string) {
-	deadline := time.Now().Add(endsStoredTimeout)
-	for r.ctx.Err() == nil && time.Now().Before(deadline) {
+	var timeout <-chan time.Time
+	for {
 		r.lock.Lock()
-		pending := r.scheduler.HasUnstoredEnds(id)
+		pending, applied := r.scheduler.HasUnstoredEnds(id), r.applied
 		r.lock.Unlock()
 		if !pending {
 			return
 		}
-		wait.For(r.ctx, endsStoredInterval)
+		if timeout == nil {
+			t := time.NewTimer(endsStoredTimeout)
+			defer t.Stop()
+			timeout = t.C
+		}
+		select {
+		case <-applied:
+		case <-timeout:
+			return
+		case <-r.ctx.Done():
+			return
+		}
 	}
 }
 
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -27,9 +27,11 @@
 	token store.Revision
 	lease store.LeaseID
 
-	// lock guards the scheduler and pollers. It is released before orders are sent.
+	// lock guards the scheduler, applied and pollers. It is released before orders are sent.
 	lock      sync.Mutex
 	scheduler *scheduler.Scheduler
+	// applied is closed, and replaced, when the scheduler is told that a batch is stored.
+	applied chan struct{}
 	// ready is true once the stored jobs are loaded.
 	ready atomic.Bool
 	// confirmedAt is when the store last confirmed the ownership.
@@ -94,7 +96,7 @@
 	r := &term{
 		owner: o, token: a.token, lease: a.lease, startedAt: now, released: a.released, vacantSince: a.vacantSince, previousAddress: a.predecessor,
 		previousEnded: a.released != nil || o.previousOwnerEnded(previous, now),
-		scheduler:     scheduler.New(o.limits, now), pollers: map[string]bool{},
+		scheduler:     scheduler.New(o.limits, now), applied: make(chan struct{}), pollers: map[string]bool{},
 		commitRequests: make(chan struct{}, 1),
 		commitTimeout:  adaptiveTimeout{minimum: minCommitTimeout, maximum: storeTimeout},
 		orderTimeout:   adaptiveTimeout{minimum: minOrderTimeout, maximum: maxOrderTimeout},
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -82,10 +82,11 @@
 // whether the VM has no runs left.
 func (s *Scheduler) Evacuate(name string, now time.Time) bool {
 	empty := true
-	for _, v := range s.servers {
-		if v.info.VM != name || !v.exists() {
+	for _, v := range s.serversOn(name) {
+		if !v.exists() {
 			continue
 		}
+		s.operations.Runs += int64(len(v.runs))
 		for _, r := range v.runs {
 			empty = false
 			if r.task.step.step.LongRunning && r.phase == working && s.canInterrupt(r.task, now) {
--- a/fleet/scheduler/serverlist.go
+++ b/fleet/scheduler/serverlist.go
@@ -9,6 +9,7 @@
 type serverLists struct {
 	byID   []*serverState
 	byPool map[string][]*serverState
+	byVM   map[string][]*serverState
 	// newest holds the newest server on each VM that has listed its runs. It is nil after another one has.
 	newest map[string]*serverState
 }
@@ -35,6 +36,17 @@
 	return s.lists.byPool[pool]
 }
 
+// serversOn returns the servers on a VM, of which all but one have ended.
+func (s *Scheduler) serversOn(vm string) []*serverState {
+	if s.lists.byVM == nil {
+		s.lists.byVM = map[string][]*serverState{}
+		for _, v := range s.serversByID() {
+			s.lists.byVM[v.info.VM] = append(s.lists.byVM[v.info.VM], v)
+		}
+	}
+	return s.lists.byVM[vm]
+}
+
 // serversChanged records that the set of servers, their pools or their VMs have changed.
 func (s *Scheduler) serversChanged() {
 	s.lists = serverLists{}
