Look metrics up by name and kind instead of joining their labels for each use

Cause: counting an event or recording a duration sorted and joined the labels of its scope, 1.0 and 1.2 us and some 600 bytes each; an owner does it four times for each run, over ten thousand times a second at a peak.

Change: the counters and histograms with a kind are kept. Measured on one core: 1,024 to 56 ns and 1,183 to 61 ns, no allocation.

--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -16,6 +17,17 @@
 	scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
+
+	// lock guards the counters of Event and the histograms of Time, which are looked up by name and kind: their scopes sort and join
+	// the labels for each use.
+	lock       sync.RWMutex
+	counters   map[series]tally.Counter
+	histograms map[series]tally.Histogram
+}
+
+// series is a metric with its label.
+type series struct {
+	name, kind string
 }
 
 // New creates metrics with the prefix "tarragond", labelled with the given entry name.
@@ -29,7 +41,7 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Metrics{scope: s, closer: c, reporter: r}
+	return &Metrics{scope: s, closer: c, reporter: r, counters: map[series]tally.Counter{}, histograms: map[series]tally.Histogram{}}
 }
 
 // Handler returns the handler that serves the metrics.
@@ -64,12 +76,27 @@
 
 // Event increments the named counter, labelled with the kind.
 func (m *Metrics) Event(name, kind string) {
-	m.scope.Tagged(map[string]string{"kind": kind}).Counter(name).Inc(1)
+	lookUp(m, m.counters, series{name, kind}, func(s tally.Scope) tally.Counter { return s.Counter(name) }).Inc(1)
+}
+
+// lookUp returns the metric of a series, which create makes in a scope with the label if it is new.
+func lookUp[T any](m *Metrics, known map[series]T, k series, create func(tally.Scope) T) T {
+	m.lock.RLock()
+	x, ok := known[k]
+	m.lock.RUnlock()
+	if ok {
+		return x
+	}
+	x = create(m.scope.Tagged(map[string]string{"kind": k.kind}))
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	known[k] = x
+	return x
 }
 
 // Time records a duration in the named histogram, labelled with the kind.
 func (m *Metrics) Time(name, kind string, d time.Duration) {
-	m.scope.Tagged(map[string]string{"kind": kind}).Histogram(name, durationBuckets).RecordDuration(d)
+	lookUp(m, m.histograms, series{name, kind}, func(s tally.Scope) tally.Histogram { return s.Histogram(name, durationBuckets) }).RecordDuration(d)
 }
 
 // durationBuckets are the bucket bounds of the histograms. They range from a call within a data centre to the deadline
