Search the room of a pool without going through its servers

Cause: for each task a pass visited all servers of the pool, each several cache lines of its own, though most have no room for it or leave more free than the best one found so far.

Change: a pass keeps what each server has free, and its CPU capacity, side by side in the room of the pool, and visits only servers that have room and would leave a smaller share free than the best one. Same choice: after each fifth commit of all tests that drive a scheduler, the search for each task is compared with one through all servers.

--- a/fleet/scheduler/export_test.go
+++ b/fleet/scheduler/export_test.go
@@ -57,3 +57,27 @@
 	}
 	return ""
 }
+
+// SearchMismatch compares the searches of a pass with one through all servers, for all tasks that wait, and describes a task for which they
+// differ. It returns an empty string if there is none.
+func (s *Scheduler) SearchMismatch(now time.Time) string {
+	if s.table == nil {
+		return ""
+	}
+	rooms := map[string]*room{}
+	for _, j := range s.active {
+		x := rooms[s.poolOf(j)]
+		if x == nil {
+			x = s.newRoom(s.poolOf(j), now)
+			rooms[s.poolOf(j)] = x
+		}
+		for _, o := range j.occurrences {
+			for _, t := range o.tasks() {
+				if v, w := x.best(t, now), bestServer(t, x.servers, now); v != w {
+					return fmt.Sprintf("task %s: %v instead of %v", t.key, v, w)
+				}
+			}
+		}
+	}
+	return ""
+}
--- a/fleet/scheduler/place.go
+++ b/fleet/scheduler/place.go
@@ -115,10 +115,15 @@
 
 // remainingCPUShare returns the share of the server's CPU that stays free once a task of the step runs there.
 func remainingCPUShare(v *serverState, p *job.Step) float64 {
-	if v.info.Capacity.CPU == 0 {
+	return cpuShare(v.free().CPU-p.Demand().CPU, v.info.Capacity.CPU)
+}
+
+// cpuShare returns the share that an amount is of a server's CPU capacity, 0 if it has none.
+func cpuShare(amount, capacity int64) float64 {
+	if capacity == 0 {
 		return 0
 	}
-	return float64(v.free().CPU-p.Demand().CPU) / float64(v.info.Capacity.CPU)
+	return float64(amount) / float64(capacity)
 }
 
 // isServing reports whether the step has a target latency.
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -255,7 +255,7 @@
 		}
 		s.assign(t, v, t.lastRun+1)
 		s.placed(t, v, now)
-		x.taken = true
+		x.take(v)
 	}
 }
 
@@ -266,7 +266,10 @@
 		return nil
 	}
 	s.operations.Servers += int64(len(l))
-	v := bestServer(t, l, now)
+	if len(l) != len(x.servers) {
+		return bestServer(t, l, now)
+	}
+	v := x.best(t, now)
 	if v == nil {
 		s.operations.Servers += int64(x.measure())
 	}
@@ -300,6 +303,6 @@
 	for i, t := range w.step.tasks {
 		s.assign(t, chosen[i], number)
 		s.placed(t, chosen[i], now)
+		x.take(chosen[i])
 	}
-	x.taken = true
 }
--- a/fleet/scheduler/room.go
+++ b/fleet/scheduler/room.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -9,8 +10,11 @@
 // room is what a pass knows of the room in a pool. While a turn asks for several times the pool's capacity, hundreds of steps wait, and a
 // search for each of them in each pass would go through all of the pool's servers.
 type room struct {
-	// servers are those that accept new runs.
+	// servers are those that accept new runs, free what each of them has free, kept side by side since most searches end there.
 	servers []*serverState
+	free    []job.Size
+	// cpu has the CPU capacity of each server.
+	cpu []int64
 	fullness
 	// most has of each resource at least what is free on any of the servers. It may be too large once taken is true.
 	most  job.Size
@@ -21,8 +25,11 @@
 // new runs may get some again.
 func (s *Scheduler) newRoom(pool string, now time.Time) *room {
 	x := &room{servers: s.usableServers(pool, now)}
-	for _, v := range x.servers {
-		x.most = x.most.Max(v.free())
+	x.free, x.cpu = make([]job.Size, len(x.servers)), make([]int64, len(x.servers))
+	for i, v := range x.servers {
+		x.cpu[i] = v.info.Capacity.CPU
+		x.free[i] = v.free()
+		x.most = x.most.Max(x.free[i])
 	}
 	for _, v := range s.serversOf(pool) {
 		s.resumeAt(v.resumesAt(now))
@@ -36,10 +43,38 @@
 		return 0
 	}
 	x.most, x.taken = job.Size{}, false
-	for _, v := range x.servers {
-		x.most = x.most.Max(v.free())
+	for _, d := range x.free {
+		x.most = x.most.Max(d)
 	}
-	return len(x.servers)
+	return len(x.free)
+}
+
+// take records that a task was placed on a server.
+func (x *room) take(v *serverState) {
+	x.taken = true
+	if i := slices.Index(x.servers, v); i >= 0 {
+		x.free[i] = v.free()
+	}
+}
+
+// best returns the eligible server with the lowest placement cost for a task, nil if there is none.
+func (x *room) best(t *task, now time.Time) *serverState {
+	var found *serverState
+	least, d := 0.0, t.step.step.Demand()
+	for i, f := range x.free {
+		if !d.Fits(f) || found != nil && !t.step.step.BestEffort && cpuShare(f.CPU-d.CPU, x.cpu[i]) >= least {
+			// The share of the CPU that stays free is the least that placement may cost, other than that of best-effort tasks.
+			continue
+		}
+		v := x.servers[i]
+		if !suits(t, v, now) || !v.admits(t, d) {
+			continue
+		}
+		if c := placementCost(t, v, now); found == nil || c < least {
+			found, least = v, c
+		}
+	}
+	return found
 }
 
 // mayFit reports whether a server may have the capacity for a demand.
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -108,6 +108,9 @@
 		if x := w.MissedPlacement(w.now); x != "" {
 			panic("left by the pass: " + x)
 		}
+		if x := w.SearchMismatch(w.now); x != "" {
+			panic("found by the pass: " + x)
+		}
 	}
 	for {
 		b := w.NextBatch(batchLimit, w.now)
