--- a/fleet/scheduler/allot.go
+++ b/fleet/scheduler/allot.go
@@ -234,7 +234,7 @@
 	}
 	accepted := s.acceptedDemands(pool, now)
 	expected := x.of(n).Expected(n.Workspace, d.Due.Sub(now), accepted.amounts(d.Due, n.Excess))
-	if s.hasRoomBeside(d, accepted, expected, supply, x.capacity, now) {
+	if s.hasRoomBeside(d, accepted, expected, supply, x.capacity) {
 		return nil
 	}
 	share, cause := x.of(n)[n.Workspace], CauseShare
@@ -248,7 +248,7 @@
 }
 
 // hasRoomBeside reports whether the job fits beside the accepted and the expected work in each resource.
-func (s *Scheduler) hasRoomBeside(d demand, accepted *cachedDemands, expected job.Amount, supply backlog.Supply, capacity job.Amount, now time.Time) bool {
+func (s *Scheduler) hasRoomBeside(d demand, accepted *cachedDemands, expected job.Amount, supply backlog.Supply, capacity job.Amount) bool {
 	n := d.Demand
 	n.Work += expected.Cores
 	if accepted.competing(d.job).Shortfall(accepted.at, n, supply) > 0 {
