Store the ends of completed jobs in the log where a commit has no keys left

Callers waited for over a second for the answer to a submission, 409 of them until their deadline, and jobs that had been done came too late.

Cause: a transaction has 32 entries, of which 25 are left for jobs; a new job takes one and an ended one two. So the jobs a second are bounded by the commits a second, which fall when the owner is short of processor: the second way in which an overload fed itself.

Change: the log entry of a commit, which takes any number of changes, tells that all tasks of a job are done; that is enough for a successor to complete it. A completed job for which no keys are left is stored so, shown as completed, and its record is replaced by that of its end when a commit has keys to spare. Failed and cancelled jobs take keys as before, since the log does not tell their end.

--- a/fleet/scheduler/changelog.go
+++ b/fleet/scheduler/changelog.go
@@ -161,9 +161,9 @@
 	}
 }
 
-// needsLog reports whether the job's tasks are still needed: until a batch holds the job's end.
+// needsLog reports whether the job's tasks are still needed: until a batch holds the job's end, other than in the log.
 func (j *jobState) needsLog() bool {
-	return j.stored && (!j.phase.Ended() || j.dirty)
+	return j.stored && (!j.phase.Ended() || j.dirty || j.endLogged)
 }
 
 // RestoreLog takes over the log of the previous owner. It must be called before the jobs are restored.
--- a/fleet/scheduler/changelog_random_test.go
+++ b/fleet/scheduler/changelog_random_test.go
@@ -16,9 +16,13 @@
 
 // A successor must know of each task all that was committed, whichever of the log's entries hold it.
 var _ = ginkgo.It("a successor restores what was committed, at any moment", func() {
-	for seed := range uint64(6) {
+	for seed := range uint64(8) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		w, x := newHarness(), newStored()
+		if seed >= 6 {
+			// The ends of most jobs are in the log alone.
+			w.batchLimit = 2
+		}
 		names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 		w.addServers(names...)
 		running := []scheduler.StartOrder{}
--- a/fleet/scheduler/changelog_test.go
+++ b/fleet/scheduler/changelog_test.go
@@ -43,7 +43,7 @@
 
 // successor returns a scheduler that has restored what is stored.
 func (x *stored) successor(now time.Time) *harness {
-	w := &harness{Scheduler: scheduler.New(bounds, now), now: now, endSequences: map[string]uint64{}}
+	w := &harness{Scheduler: scheduler.New(bounds, now), now: now, endSequences: map[string]uint64{}, batchLimit: batchLimit}
 	w.SetTable(table)
 	l := []*schema.LogEntry{}
 	for _, e := range x.log {
@@ -62,7 +62,7 @@
 // commitTo commits all changes to x.
 func (w *harness) commitTo(x *stored) {
 	w.Plan(w.now)
-	for b := w.NextBatch(batchLimit, w.now); b != nil; b = w.NextBatch(batchLimit, w.now) {
+	for b := w.NextBatch(w.batchLimit, w.now); b != nil; b = w.NextBatch(w.batchLimit, w.now) {
 		x.apply(b)
 		w.BatchCommitted(b, w.now)
 	}
@@ -95,6 +95,48 @@
 		}
 	})
 
+	// An owner that was nearly out of processor, so that its commits were few, had hundreds of ends and new jobs wait for their keys.
+	ginkgo.It("holds the ends of completed jobs for which a commit has no keys left", func() {
+		w, x := newHarness(), newStored()
+		w.addServers("a", "b", "c", "d", "e", "f", "g", "h")
+		const jobs = 3 * batchLimit
+		for i := range jobs {
+			w.Submit(newRecord(i+1, 1, func(s *schema.StepRecord) { s.CpuMilli = 1000 }), w.now, func(scheduler.Reply) {})
+		}
+		w.commitTo(x)
+		for _, o := range w.acceptStarts() {
+			w.reportEnd(o.Server.ID, o.Task, o.Number, job.EndDone)
+		}
+		accepted := 0
+		for i := range batchLimit {
+			w.Submit(newRecord(jobs+i+1, 1), w.now, func(scheduler.Reply) { accepted++ })
+		}
+		w.Plan(w.now)
+		b := w.NextBatch(batchLimit, w.now)
+		x.apply(b)
+		w.BatchCommitted(b, w.now)
+		gomega.Expect(accepted).To(gomega.Equal(batchLimit), "new jobs")
+		s := x.successor(w.now)
+		for i := range jobs {
+			for _, n := range []*harness{w, s} {
+				if n == s {
+					n.commit()
+				}
+				gomega.Expect(n.JobPhase(newRecord(i+1, 1).Id).Phase).To(gomega.Equal(job.Completed), "job %d", i+1)
+			}
+		}
+		w.commitTo(x)
+		gomega.Expect(x.ended).To(gomega.HaveLen(jobs))
+		w.now = w.now.Add(bounds.JobRetention + time.Second)
+		w.Tick(w.now)
+		w.commitTo(x)
+		removed := 0
+		for _, b := range x.batches {
+			removed += len(b.Removed)
+		}
+		gomega.Expect(removed).To(gomega.Equal(jobs))
+	})
+
 	ginkgo.It("tells a successor everything, however many entries have replaced others", func() {
 		w, x := newHarness(), newStored()
 		w.addServers("a", "b")
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -13,7 +13,9 @@
 
 // output is what the owner takes from the scheduler: changes to store and orders to send.
 type output struct {
-	dirtyJobs   []*jobState
+	dirtyJobs []*jobState
+	// loggedEnds are the completed jobs whose end is in the log alone. Their records are deleted when a batch has keys to spare.
+	loggedEnds  []*jobState
 	removedJobs []string
 	orders      Orders
 	log         changelog
@@ -56,9 +58,10 @@
 }
 
 // NextBatch returns the next batch to store, or nil if nothing has changed. It has at most limit keys of jobs and
-// learned durations; jobs that do not fit wait for the following batch.
+// learned durations; jobs that do not fit wait for the following batch. The ends of completed jobs always fit: where no keys are left for them
+// they are stored in the log, which tells that all tasks are done.
 func (s *Scheduler) NextBatch(limit int, now time.Time) *Batch {
-	if len(s.dirtyJobs) == 0 && len(s.removedJobs) == 0 && !s.leaseRecord.due {
+	if len(s.dirtyJobs) == 0 && len(s.removedJobs) == 0 && len(s.loggedEnds) == 0 && !s.leaseRecord.due {
 		return nil
 	}
 	s.lastBatch++
@@ -66,18 +69,31 @@
 	if s.leaseRecord.due {
 		b.Leases = s.buildLeaseRecord(b.Number, now)
 	}
-	waiting := s.dirtyJobs[:0]
+	waiting, completed := s.dirtyJobs[:0], []*jobState{}
 	for _, j := range s.dirtyJobs {
-		if b.keyCount()+j.keyCount() > limit || b.loggedTasks > maxLoggedTasks {
+		switch {
+		case b.loggedTasks > maxLoggedTasks:
 			waiting = append(waiting, j)
-			continue
+		case j.endFitsLog():
+			completed = append(completed, j)
+		case b.keyCount()+j.keyCount() > limit:
+			waiting = append(waiting, j)
+		default:
+			s.addToBatch(b, j)
 		}
-		s.addToBatch(b, j)
 	}
 	clear(s.dirtyJobs[len(waiting):])
 	s.dirtyJobs = waiting
+	for _, j := range completed {
+		if b.keyCount()+j.keyCount() > limit {
+			s.logEnd(b, j)
+			continue
+		}
+		s.addToBatch(b, j)
+	}
 	s.cleanLog(b)
-	k := min(len(s.removedJobs), (limit-b.keyCount())/keysPerEndedJob)
+	s.dropLoggedEnds(b, limit)
+	k := min(len(s.removedJobs), max(limit-b.keyCount(), 0)/keysPerEndedJob)
 	b.Removed = slices.Clone(s.removedJobs[:k])
 	s.removedJobs = s.removedJobs[k:]
 	return b
@@ -124,6 +140,29 @@
 	b.versions = append(b.versions, jobVersion{j, j.version})
 }
 
+// endFitsLog reports whether the log can tell that the job has ended: a successor finds all its tasks done.
+func (j *jobState) endFitsLog() bool {
+	return j.stored && j.phase == job.Completed
+}
+
+// logEnd adds the end of a completed job to the batch's log entry.
+func (s *Scheduler) logEnd(b *Batch, j *jobState) {
+	j.dirty, j.sent, j.endLogged = false, true, true
+	s.addChange(b, j, false)
+	s.loggedEnds = append(s.loggedEnds, j)
+	b.versions = append(b.versions, jobVersion{j, j.version})
+}
+
+// dropLoggedEnds replaces the records of completed jobs by that of their end, as far as the batch has keys to spare.
+func (s *Scheduler) dropLoggedEnds(b *Batch, limit int) {
+	n := min(len(s.loggedEnds), max(limit-b.keyCount(), 0)/keysPerEndedJob)
+	for _, j := range s.loggedEnds[:n] {
+		j.endLogged = false
+		b.Ended = append(b.Ended, Write[*schema.JobProgress]{j.job.ID, j.progress()})
+	}
+	s.loggedEnds = s.loggedEnds[n:]
+}
+
 // BatchCommitted records that a batch is stored, answers the callers that waited for it and sends the start orders
 // of the stored assignments.
 func (s *Scheduler) BatchCommitted(b *Batch, now time.Time) {
@@ -231,6 +270,7 @@
 		Reason: loss.ReasonStartOrdered, Age: now.Sub(v.listedAt),
 	})
 	s.orders.Starts = append(s.orders.Starts, o)
+	s.operations.Starts++
 }
 
 // startOrderLifetime is how long a start order is valid. Delayed orders arrive at least two seconds late, and therefore
--- a/fleet/scheduler/endedjobs.go
+++ b/fleet/scheduler/endedjobs.go
@@ -37,5 +37,5 @@
 
 // isEndStored reports whether the job has ended and the store has its last version.
 func (j *jobState) isEndStored() bool {
-	return j.phase.Ended() && j.committedVersion == j.version && !j.dirty
+	return j.phase.Ended() && j.committedVersion == j.version && !j.dirty && !j.endLogged
 }
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -24,6 +24,8 @@
 	version          uint64
 	committedVersion uint64
 	dirty            bool
+	// endLogged is true while the log alone has the job's end.
+	endLogged bool
 	// wholeSince is the sequence number of the log entry that has all of the job's tasks. Older entries say nothing more.
 	wholeSince        uint64
 	openedOccurrences int
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -12,7 +12,7 @@
 // on s. Jobs and servers are copied one level deep, so the copy must not change the tasks and runs of s.
 func (s *Scheduler) scratch(queue, pool string, now time.Time) *Scheduler {
 	c := *s
-	c.dirtyJobs, c.removedJobs, c.orders = nil, nil, Orders{}
+	c.dirtyJobs, c.loggedEnds, c.removedJobs, c.orders = nil, nil, nil, Orders{}
 	c.waiting.steps = slices.Clone(s.waiting.steps)
 	c.serversChanged()
 	c.jobs, c.active, c.activeOf = maps.Clone(s.jobs), make(map[string]*jobState, len(s.active)+1), map[string]map[string]*jobState{}
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -43,6 +43,8 @@
 	// checked is true if commits check what the passes leave.
 	checked bool
 	commits int
+	// batchLimit is the number of keys in the batches of commitTo.
+	batchLimit int
 }
 
 // checkedCommits is the number of commits of which one is checked.
@@ -53,7 +55,7 @@
 }
 
 func newHarnessWith(l scheduler.Limits) *harness {
-	w := &harness{Scheduler: scheduler.New(l, start), now: start, endSequences: map[string]uint64{}, checked: true}
+	w := &harness{Scheduler: scheduler.New(l, start), now: start, endSequences: map[string]uint64{}, checked: true, batchLimit: batchLimit}
 	w.SetTable(table)
 	return w
 }
