Accept what an owner nearly out of processor can start in time

Cause: admission goes by the room in the pools. The owner's own core is a resource of every job, too, and nothing bounded it: the detector by the delay of the loop never took effect, since the Go scheduler runs ticks on time while hundreds of callers wait for the lock. Overdue work then takes the core from work that could still be on time.

Change: the owner learns from its processor time and its starts how many runs a second it can start (overload.Throughput). While it uses over 0.8 of its cores, a finite job is accepted only if the runs of all accepted jobs can be started in half of the time that is left to them, and refused otherwise at once as not run, with the time to come back; a pass places what can be started in 50 ms, most urgent first.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -84,6 +84,8 @@
 	// ConfigAge returns how long ago this entry sent the last call by which the store proved that the configuration in force
 	// is the stored one. It is nil if nothing depends on that.
 	ConfigAge func() time.Duration
+	// Usage returns the processor time that the process has used. It is nil if that is not known.
+	Usage func() time.Duration
 	// Account sums up what the owner spends its time on. It may be nil.
 	Account *processor.Account
 }
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -65,11 +65,12 @@
 	orderTimeout adaptiveTimeout
 	// pollTurns spreads the polls of servers that have not answered lately.
 	pollTurns pollTurns
-	// reportedAt, operations, those of the scheduler at the last report, and delays belong to the goroutine of tick. overloaded is true while new jobs are refused because this
+	// reportedAt, operations, those of the scheduler at the last report, and delays and throughput belong to the goroutine of tick. overloaded is true while new jobs are refused because this
 	// process has too little processor.
 	reportedAt time.Time
 	operations scheduler.Operations
 	delays     overload.Detector
+	throughput throughputMeter
 	overloaded atomic.Bool
 }
 
@@ -101,6 +102,7 @@
 		commitTimeout:  adaptiveTimeout{minimum: minCommitTimeout, maximum: storeTimeout},
 		orderTimeout:   adaptiveTimeout{minimum: minOrderTimeout, maximum: maxOrderTimeout},
 		pollTurns:      newPollTurns(o.self.Cores),
+		throughput:     throughputMeter{learned: overload.NewThroughput(o.self.Cores)},
 	}
 	r.confirmOwnership(a.askedAt)
 	return r
@@ -268,6 +270,7 @@
 			return
 		case <-t.C:
 			r.detectOverload(time.Now())
+			r.boundStarts(time.Now())
 			r.limitUrgentPolls()
 			r.update(processor.Tick, func(s *scheduler.Scheduler, now time.Time) { s.Tick(now) })
 			r.handOverToLarger(time.Now())
--- a/fleet/overload/overload_test.go
+++ b/fleet/overload/overload_test.go
@@ -77,3 +77,44 @@
 		gomega.Expect(c).To(gomega.BeNumerically("~", 100, 40))
 	}
 })
+
+var _ = ginkgo.Describe("the throughput of a process", func() {
+	const step = 200 * time.Millisecond
+	// observe lets a process of half a core, which needs a tenth of a core and 0.2 ms a unit, work at the rate for a time.
+	observe := func(t *overload.Throughput, rate float64, d time.Duration) {
+		for range int(d / step) {
+			n := min(rate, (0.5-0.1)/0.0002)
+			t.Observe(time.Duration((0.1+0.0002*n)*float64(step)), int64(n*step.Seconds()), step)
+		}
+	}
+	ginkgo.It("is learned from calm and busy times", func() {
+		t := overload.NewThroughput(0.5)
+		observe(&t, 100, 2*time.Second)
+		gomega.Expect(t.Rate()).To(gomega.BeZero(), "one rate tells nothing")
+		observe(&t, 1000, 2*time.Second)
+		gomega.Expect(t.Rate()).To(gomega.BeNumerically("~", (0.45-0.1)/0.0002, 50))
+		gomega.Expect(t.Busy()).To(gomega.BeFalse())
+		observe(&t, 5000, time.Second)
+		gomega.Expect(t.Busy()).To(gomega.BeTrue())
+		observe(&t, 100, time.Second)
+		gomega.Expect(t.Busy()).To(gomega.BeFalse())
+	})
+	ginkgo.It("follows what a unit costs", func() {
+		t := overload.NewThroughput(0.5)
+		observe(&t, 100, 5*time.Second)
+		observe(&t, 1500, 5*time.Second)
+		for range 300 {
+			t.Observe(time.Duration(0.4*float64(step)), int64(500*step.Seconds()), step)
+			t.Observe(time.Duration(0.16*float64(step)), int64(100*step.Seconds()), step)
+		}
+		gomega.Expect(t.Rate()).To(gomega.BeNumerically("~", (0.45-0.1)/0.0006, 60))
+	})
+	ginkgo.It("is not known where the samples contradict it", func() {
+		t := overload.NewThroughput(0.5)
+		observe(&t, 100, 5*time.Second)
+		for range 50 {
+			t.Observe(0, 1000, step)
+		}
+		gomega.Expect(t.Rate()).To(gomega.BeZero())
+	})
+})
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -37,7 +37,7 @@
 )
 
 // admit returns a refusal, or nil if the job is accepted. A job is accepted if it can finish within the target
-// duration of its queue without delaying accepted jobs past theirs. A resubmitted job that can no longer do so is
+// duration of its queue without delaying accepted jobs past theirs, by the room in its pool and by the runs that the owner can start. A resubmitted job that can no longer do so is
 // accepted if it and the accepted jobs need at most overdueWorkShare of the capacity. Scheduled and long-running jobs,
 // and all jobs while no server is usable, are accepted if some server is, or was, large enough. Other jobs are refused at once.
 func (s *Scheduler) admit(n *job.Job, q *queue.Queue, now time.Time) *Reply {
@@ -73,6 +73,9 @@
 		return r
 	}
 	s.offer(n, q.Pool, work, now)
+	if r := s.refuseForStarts(n, due, now); r != nil {
+		return r
+	}
 	d := demand{Demand: backlog.Demand{Due: due, Work: n.Work() * s.durationRatio(n.Queue)}, amount: work, job: n}
 	accepted := s.acceptedDemands(q.Pool, now)
 	s.operations.Jobs += int64(accepted.competing(n).DueAfter(d.Due))
@@ -83,6 +86,7 @@
 		}
 		accepted.add(d)
 		s.addCapDemand(d)
+		s.addStartDemand(n, due)
 		s.accept(n, q.Pool, work, now)
 		return nil
 	}
--- a/fleet/scheduler/allot.go
+++ b/fleet/scheduler/allot.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tarragonbank/tarragonbank/fleet/allowance"
 	"github.com/tarragonbank/tarragonbank/fleet/backlog"
 	"github.com/tarragonbank/tarragonbank/fleet/fairshare"
@@ -274,9 +272,7 @@
 	if !s.usage.Enforced(n.Workspace) {
 		return wait
 	}
-	const steps = 1000
-	x := float64(xxhash.Sum64String(n.ID)%steps)/steps*2 - 1
-	return time.Duration(float64(wait) * (1 + retrySpread*x))
+	return spreadByID(n.ID, wait)
 }
 
 // isAboveShare reports whether the job's workspace uses more than its fair share of a busy pool, so that its on-time work comes
--- a/fleet/scheduler/operations.go
+++ b/fleet/scheduler/operations.go
@@ -8,6 +8,8 @@
 	// Jobs, Steps, Tasks, Servers and Runs count those that passes, decisions about submissions and checks by time have looked at, Comparisons
 	// the comparisons of steps that are put in order.
 	Jobs, Steps, Tasks, Servers, Runs, Comparisons int64
+	// Starts counts the start orders.
+	Starts int64
 }
 
 // Total returns the sum of all that was looked at.
@@ -20,6 +22,7 @@
 	return Operations{
 		Passes: o.Passes - x.Passes, Waiting: o.Waiting - x.Waiting, Jobs: o.Jobs - x.Jobs, Steps: o.Steps - x.Steps, Tasks: o.Tasks - x.Tasks,
 		Servers: o.Servers - x.Servers, Runs: o.Runs - x.Runs, Comparisons: o.Comparisons - x.Comparisons,
+		Starts: o.Starts - x.Starts,
 	}
 }
 
--- a/fleet/scheduler/plan.go
+++ b/fleet/scheduler/plan.go
@@ -16,8 +16,10 @@
 	// resumesAt is when the next pass is due though nothing has changed, zero if there is no such time.
 	resumesAt   time.Time
 	cordonedVMs map[string]bool
-	waiting     waitingSteps
-	lists       serverLists
+	// placements is the number of tasks that the present pass may still place.
+	placements int
+	waiting    waitingSteps
+	lists      serverLists
 }
 
 // rank is the class of a pending step. Lower ranks are placed first.
@@ -50,6 +52,7 @@
 // plan places pending tasks, the most urgent first, if anything changed since the last pass. If only steps were added that wait, it places
 // those alone: the others have found no server, and no server has more room than then. Reservations need a pass over all.
 func (s *Scheduler) plan(now time.Time) {
+	s.placements = s.startRate.allowedPlacements()
 	switch {
 	case s.table == nil:
 	case s.needsPlan || s.limits.LookAhead && s.waiting.hasNew():
@@ -68,6 +71,9 @@
 	s.operations.Waiting += int64(len(l))
 	rooms := map[string]*room{}
 	for _, w := range l {
+		if s.placements <= 0 {
+			break
+		}
 		x := rooms[w.pool]
 		if x == nil {
 			x = s.newRoom(w.pool, now)
@@ -75,6 +81,10 @@
 		}
 		s.place(w, x, now)
 	}
+	if s.placements <= 0 {
+		// The next pass goes on with what is most urgent then.
+		s.needsPlan = true
+	}
 }
 
 // Plan places pending tasks if anything changed since the last pass.
@@ -234,7 +244,7 @@
 			s.resumeAt(t.restartAt)
 			continue
 		}
-		if !s.allowedByCap(w.step, now) {
+		if s.placements <= 0 || !s.allowedByCap(w.step, now) {
 			return
 		}
 		v := s.findServer(t, l, x, now)
@@ -256,6 +266,7 @@
 		s.assign(t, v, t.lastRun+1)
 		s.placed(t, v, now)
 		x.take(v)
+		s.placements--
 	}
 }
 
@@ -304,5 +315,6 @@
 		s.assign(t, chosen[i], number)
 		s.placed(t, chosen[i], now)
 		x.take(chosen[i])
+		s.placements--
 	}
 }
--- a/fleet/scheduler/replay_test.go
+++ b/fleet/scheduler/replay_test.go
@@ -40,8 +40,14 @@
 	// restarts counts the runs that were stopped, helped those of them that an oracle would stop too, and missed the runs that
 	// only the oracle would stop.
 	restarts, helped, missed int
+	// startsPerStep is the number of start orders that the owner's processor carries out in a step, 0 if all.
+	startsPerStep int
+	delayed       []scheduler.StartOrder
 }
 
+// busyCommitSteps is the number of steps from one commit to the next of an owner that is nearly out of processor.
+const busyCommitSteps = 3
+
 func newReplay(l replayLoad, seed uint64, limits scheduler.Limits) *replay {
 	r := &replay{
 		harness: &harness{Scheduler: scheduler.New(limits, start), now: start, endSequences: map[string]uint64{}},
@@ -70,8 +76,9 @@
 }
 
 func (r *replay) run() {
-	for i := 0; r.now.Before(start.Add(replayTime)); i++ {
+	for i := 0; r.now.Before(start.Add(r.load.time())); i++ {
 		r.now = r.now.Add(replayStep)
+		r.commitsHeld = r.startsPerStep > 0 && i%busyCommitSteps != 0
 		r.submitDue()
 		if i%5 == 0 {
 			r.Tick(r.now)
@@ -118,9 +125,20 @@
 	}
 }
 
+// carriedOut returns the start orders that reach their servers in this step.
+func (r *replay) carriedOut() []scheduler.StartOrder {
+	if r.startsPerStep == 0 {
+		return r.acceptStarts()
+	}
+	r.delayed = append(r.delayed, r.orders.Starts...)
+	n := min(len(r.delayed), r.startsPerStep)
+	r.orders.Starts, r.delayed = r.delayed[:n:n], r.delayed[n:]
+	return r.acceptStarts()
+}
+
 // startOrdered starts and stops runs on the simulated servers as the scheduler has ordered.
 func (r *replay) startOrdered() {
-	for _, o := range r.acceptStarts() {
+	for _, o := range r.carriedOut() {
 		t := r.jobs[o.Task.Job].steps[o.Task.Step][o.Task.Index]
 		if t.started.IsZero() {
 			t.started = r.now
@@ -262,7 +280,7 @@
 		}
 	}
 	m.unusable = append(m.unusable, r.unusable...)
-	m.seconds += replayTime.Seconds()
+	m.seconds += r.load.time().Seconds()
 	m.busy += r.busy / float64(r.load.servers*serverCores)
 	for i, n := range []int{r.restarts, r.helped, r.missed} {
 		m.restarts[i] += float64(n)
--- a/fleet/scheduler/replayload_test.go
+++ b/fleet/scheduler/replayload_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -20,6 +21,12 @@
 	misestimate float64
 	// slow is true if one server in twenty takes five times as long, each for slowTime in turn.
 	slow bool
+	// duration is the time of the replay, replayTime if it is 0.
+	duration time.Duration
+}
+
+func (l replayLoad) time() time.Duration {
+	return cmp.Or(l.duration, replayTime)
 }
 
 const (
@@ -57,7 +64,7 @@
 	x := rand.New(rand.NewPCG(seed, 1))
 	jobs := []*replayJob{}
 	rate := float64(l.servers*serverCores) * l.share / (l.steps * 8 * l.cores * 1.13)
-	for t := time.Duration(0); t < replayTime; {
+	for t := time.Duration(0); t < l.time(); {
 		f := restFactor
 		if t%turnEvery < turnTime {
 			f = turnFactor
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -48,6 +48,7 @@
 	startedAt  time.Time
 	advice     adviceLoad
 	operations Operations
+	startRate  startRate
 
 	output
 	previousOwner
--- a/fleet/scheduler/scratch.go
+++ b/fleet/scheduler/scratch.go
@@ -13,7 +13,7 @@
 func (s *Scheduler) scratch(queue, pool string, now time.Time) *Scheduler {
 	c := *s
 	c.dirtyJobs, c.loggedEnds, c.removedJobs, c.orders = nil, nil, nil, Orders{}
-	c.waiting.steps = slices.Clone(s.waiting.steps)
+	c.waiting.steps, c.startRate.demands = slices.Clone(s.waiting.steps), nil
 	c.serversChanged()
 	c.jobs, c.active, c.activeOf = maps.Clone(s.jobs), make(map[string]*jobState, len(s.active)+1), map[string]map[string]*jobState{}
 	c.scheduled, c.finite = map[string]*jobState{}, map[string]map[string]*jobState{}
--- a/fleet/scheduler/world_test.go
+++ b/fleet/scheduler/world_test.go
@@ -43,6 +43,8 @@
 	// checked is true if commits check what the passes leave.
 	checked bool
 	commits int
+	// commitsHeld is true while no commit takes place.
+	commitsHeld bool
 	// batchLimit is the number of keys in the batches of commitTo.
 	batchLimit int
 }
@@ -104,6 +106,9 @@
 
 // commit places pending tasks, commits all changes and collects the resulting orders.
 func (w *harness) commit() {
+	if w.commitsHeld {
+		return
+	}
 	before := w.Operations().Passes
 	w.Plan(w.now)
 	if w.commits++; w.checked && w.commits%checkedCommits == 0 && w.Operations().Passes > before {
