--- a/review/standin-2/machine.go
+++ b/review/standin-2/machine.go
@@ -39,7 +39,7 @@
 	m := &machine{name: name, pool: pool, zone: zone, rack: rack, state: "up", upkeeps: map[int]bool{}}
 	s.machines[name] = m
 	if pool != standbyPool {
-		m.worker = s.startWorker(m)
+		m.worker = s.startWorker(m, "")
 	}
 	return m
 }
@@ -50,13 +50,14 @@
 	s.lock.Lock()
 	w.machine.worker, w.machine.state = nil, "down"
 	s.lock.Unlock()
-	time.AfterFunc(restartTime, func() { s.boot(w.machine) })
+	time.AfterFunc(restartTime, func() { s.boot(w.machine, "") })
 }
 
-func (s *site) boot(m *machine) {
+// boot starts the next life of a machine, under the given ID unless that is empty.
+func (s *site) boot(m *machine, id string) {
 	var w *worker
 	if m.pool != standbyPool {
-		w = s.startWorker(m)
+		w = s.startWorker(m, id)
 	}
 	s.lock.Lock()
 	m.worker, m.state = w, "up"
@@ -124,11 +125,15 @@
 	} else {
 		m.upkeeps[wave] = true
 	}
+	id := ""
 	if w := m.worker; w != nil {
+		if s.keepsID && pool == "" {
+			id = w.id
+		}
 		m.worker = nil
 		go w.crash()
 	}
-	time.AfterFunc(down, func() { s.boot(m) })
+	time.AfterFunc(down, func() { s.boot(m, id) })
 	return http.StatusOK, ""
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -23,7 +25,7 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken; an error means that it could not run.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
-	"crashes": playCrashes, "orders": playOrders, "pace": playPace,
+	"crashes": playCrashes, "orders": playOrders, "pace": playPace, "upkeep": playUpkeep,
 }
 
 func main() {
@@ -41,6 +43,13 @@
 		return notPlay
 	}
 	defer s.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		s.stop()
+		os.Exit(notPlay)
+	}()
 	b, err := cases[name](s, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -44,6 +44,9 @@
 	lock     sync.Mutex
 	machines map[string]*machine
 	workers  int
+	// alive counts the lives of workers by ID. keepsID is true if a worker keeps its ID over an upkeep of its machine.
+	alive    map[string]int
+	keepsID  bool
 	vmOrders []vmOrder
 	slow     int
 	// steps are the steps of the jobs, by ID.STEP.
@@ -77,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{record: r, root: root, dir: dir, store: newStore(), machines: map[string]*machine{}, steps: map[string]step{}}
+	s := &site{record: r, root: root, dir: dir, store: newStore(), machines: map[string]*machine{}, steps: map[string]step{}, alive: map[string]int{}}
 	return s, nil
 }
 
@@ -115,11 +118,8 @@
 			"name": "r-cups", "hostname": host, "prefix": prefix, "route-type": "unsafe", "timeout-ms": 3000, "target-latency-ms": 600,
 			"priority": 0, "backend": pool, "retry-attempts": 4, "slack-factor": 2,
 		}},
-		"backends": []map[string]any{
-			{"name": pool, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, "enforces-capacity": true, "standby": false},
-			{"name": standbyPool, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, "enforces-capacity": true, "standby": true},
-		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"backends": s.backends(),
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
 	for i := range entries {
 		e := &entry{name: fmt.Sprintf("front-%d", i+1), front: freeAddress(), ready: freeAddress(), control: freeAddress()}
@@ -131,6 +131,22 @@
 	return s.awaitReady()
 }
 
+// backends returns the services of the configuration: the pool, and the standby pool if it has a machine.
+func (s *site) backends() []map[string]any {
+	l := []map[string]any{}
+	for _, n := range []string{pool, standbyPool} {
+		for _, m := range s.machines {
+			if m.pool == n {
+				l = append(l, map[string]any{
+					"name": n, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, "enforces-capacity": true, "standby": n == standbyPool,
+				})
+				break
+			}
+		}
+	}
+	return l
+}
+
 // runCommand returns the words of run in the deploy file.
 func (s *site) runCommand() ([]string, error) {
 	b, err := os.ReadFile(filepath.Join(s.root, "deploy", "system.toml"))
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -58,13 +58,17 @@
 	listed chan struct{}
 }
 
-func (s *site) startWorker(m *machine) *worker {
+// startWorker starts a life of a machine under a new ID, or under the given one.
+func (s *site) startWorker(m *machine, id string) *worker {
 	s.lock.Lock()
 	s.workers++
-	n := s.workers
+	if id == "" {
+		id = fmt.Sprintf("i-%04d", s.workers)
+	}
+	s.alive[id]++
 	s.lock.Unlock()
 	w := &worker{
-		site: s, id: fmt.Sprintf("i-%04d", n), machine: m, born: time.Now(), done: make(chan struct{}), runs: map[string]*run{},
+		site: s, id: id, machine: m, born: time.Now(), done: make(chan struct{}), runs: map[string]*run{},
 		highest: map[string]int{}, listed: make(chan struct{}),
 	}
 	var err error
@@ -116,7 +120,17 @@
 	close(w.done)
 	_ = w.server.Close()
 	w.site.record.add("worker %s crashes; it ran: %s", w.id, strings.Join(l, ", "))
-	time.AfterFunc(3*heartbeat, func() { w.site.store.unset("servers/" + w.id) })
+	w.site.lock.Lock()
+	lives := w.site.alive[w.id]
+	w.site.lock.Unlock()
+	time.AfterFunc(3*heartbeat, func() {
+		w.site.lock.Lock()
+		again := w.site.alive[w.id] != lives
+		w.site.lock.Unlock()
+		if !again {
+			w.site.store.unset("servers/" + w.id)
+		}
+	})
 }
 
 // work ends runs that are done, stopped or whose lease has lapsed.
