--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -25,6 +24,8 @@
 	// listLatency and orderLatency are the usual times of the list of machines and of the orders for them.
 	listLatency  = 4 * time.Millisecond
 	orderLatency = 20 * time.Millisecond
+	// cpuShare is the share of a core of an entry in the small deployments.
+	cpuShare = 0.4
 )
 
 // step is what a case knows of a step: how long its tasks take, 0 for tasks that last.
@@ -40,6 +41,8 @@
 	store   *kvStore
 	cloud   net.Listener
 	entries []*entry
+	// storeAddress is where the store listens.
+	storeAddress string
 
 	lock     sync.Mutex
 	machines map[string]*machine
@@ -67,8 +70,10 @@
 // entry is a process of the system.
 type entry struct {
 	name, front, ready, control string
-	command                     *exec.Cmd
-	log                         *os.File
+	// share is the part of a core that the settings give the entry.
+	share   float64
+	command *exec.Cmd
+	log     *os.File
 }
 
 func newSite(root, recordPath string) (*site, error) {
@@ -105,10 +110,15 @@
 
 // start publishes the configuration and starts the entries with the command of the deploy file.
 func (s *site) start(entries int) error {
+	return s.startWith(entries, cpuShare)
+}
+
+func (s *site) startWith(entries int, share float64) error {
 	storeListener, err := listen(s.store)
 	if err != nil {
 		return err
 	}
+	s.storeAddress = storeListener.Addr().String()
 	if s.cloud, err = listen(http.HandlerFunc(s.serveCloud)); err != nil {
 		return err
 	}
@@ -121,16 +131,23 @@
 		"backends": s.backends(),
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
-	for i := range entries {
-		e := &entry{name: fmt.Sprintf("front-%d", i+1), front: freeAddress(), ready: freeAddress(), control: freeAddress()}
-		s.entries = append(s.entries, e)
-		if err := s.startEntry(e, storeListener.Addr().String()); err != nil {
+	for range entries {
+		if _, err := s.addEntry(share); err != nil {
 			return err
 		}
 	}
 	return s.awaitReady()
 }
 
+// addEntry starts one more entry with the share of a core.
+func (s *site) addEntry(share float64) (*entry, error) {
+	e := &entry{name: fmt.Sprintf("front-%d", len(s.entries)+1), front: freeAddress(), ready: freeAddress(), control: freeAddress(), share: share}
+	s.lock.Lock()
+	s.entries = append(s.entries, e)
+	s.lock.Unlock()
+	return e, s.startEntry(e)
+}
+
 // backends returns the services of the configuration: the pool, and the standby pool if it has a machine.
 func (s *site) backends() []map[string]any {
 	l := []map[string]any{}
@@ -161,13 +178,13 @@
 	return nil, fmt.Errorf("no run in the deploy file")
 }
 
-func (s *site) startEntry(e *entry, store string) error {
+func (s *site) startEntry(e *entry) error {
 	settings, err := json.Marshal(map[string]any{
 		"node-name": e.name, "role": "entry", "machine-class": "front", "serves": []string{"front", "control"}, "ip": "127.0.0.1",
 		"zone": "njiro", "region": "arusha", "zones": map[string]string{"njiro": "arusha"},
 		"listen-addrs": map[string]string{"front": e.front, "ready": e.ready, "control": e.control},
 		"port-range":   []int{7060, 7075}, "seeds": []string{}, "bootstrap": true, "counts-as-loss": false,
-		"limits":   map[string]any{"cpu-share": 0.4, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
+		"limits":   map[string]any{"cpu-share": e.share, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
 		"data-dir": nil, "discovery": "platform", "entry": "vip", "heartbeat-ms": heartbeat.Milliseconds(),
 		"contracts":       []string{"base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"},
 		"fault-tolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0},
@@ -181,7 +198,7 @@
 		},
 		"orders": "call", "advice": "",
 		"platform": map[string]any{
-			"address": store, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": 1000,
+			"address": s.storeAddress, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": 1000,
 		},
 		"cloud-api": map[string]any{"address": s.cloud.Addr().String(), "rate-per-s": 64.0, "duties": []string{}, "duty-per-s": 64.0},
 	})
@@ -203,7 +220,7 @@
 	e.command.Dir = s.root
 	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "TARRAGONBANK_CONFIG=" + file}
 	e.command.Stdout, e.command.Stderr = e.log, e.log
-	s.record.add("%s starts", e.name)
+	s.record.add("%s starts, with %.3f of a core in its settings", e.name, e.share)
 	return e.command.Start()
 }
 
@@ -240,26 +257,6 @@
 	}
 }
 
-// terminate sends SIGTERM to an entry.
-func (s *site) terminate(e *entry) {
-	s.record.add("%s gets SIGTERM", e.name)
-	_ = e.command.Process.Signal(syscall.SIGTERM)
-}
-
-// owner returns the entry that wrote last to the store under a condition: the holder of the key that names the owner.
-func (s *site) owner() *entry {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if n := len(s.vmOrders); n > 0 {
-		for _, e := range s.entries {
-			if e.name == s.vmOrders[n-1].holder {
-				return e
-			}
-		}
-	}
-	return nil
-}
-
 // request sends a client's request to an entry and returns the status and the body.
 func (s *site) request(e *entry, method, path string, body any) (int, string) {
 	var b io.Reader
