--- a/review/standin-2/machine.go
+++ b/review/standin-2/machine.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,7 +19,9 @@
 type machine struct {
 	name, pool, zone, rack, state string
 	worker                        *worker
-	upkeeps                       map[int]bool
+	// life is the life that accepts connections.
+	life    atomic.Pointer[worker]
+	upkeeps map[int]bool
 }
 
 func (m *machine) capacity() map[string]int {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,7 +25,7 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken; an error means that it could not run.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
-	"crashes": playCrashes, "orders": playOrders, "pace": playPace, "upkeep": playUpkeep,
+	"crashes": playCrashes, "orders": playOrders, "pace": playPace, "upkeep": playUpkeep, "reborn": playReborn,
 }
 
 func main() {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -299,6 +299,13 @@
 	return false
 }
 
+// setStep records what a step's tasks do.
+func (s *site) setStep(id string, n int, k step) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.steps[id+"."+strconv.Itoa(n)] = k
+}
+
 // durationOf returns how long a task takes, 0 if it lasts.
 func (s *site) durationOf(task string) time.Duration {
 	p := strings.Split(task, ".")
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,10 +46,13 @@
 	id      string
 	machine *machine
 	born    time.Time
+	handler http.Handler
 
 	listener net.Listener
 	server   *http.Server
 	done     chan struct{}
+	// silent is true once the worker has crashed without a sign: connections from before are never answered.
+	silent atomic.Bool
 
 	lock     sync.Mutex
 	token    uint64
@@ -60,6 +67,11 @@
 
 // startWorker starts a life of a machine under a new ID, or under the given one.
 func (s *site) startWorker(m *machine, id string) *worker {
+	return s.startLife(m, id, nil, 0)
+}
+
+// startLife starts a life of a machine, at the address of a previous one unless that is nil; it registers after the lag.
+func (s *site) startLife(m *machine, id string, previous *worker, lag time.Duration) *worker {
 	s.lock.Lock()
 	s.workers++
 	if id == "" {
@@ -71,27 +83,58 @@
 		site: s, id: id, machine: m, born: time.Now(), done: make(chan struct{}), runs: map[string]*run{},
 		highest: map[string]int{}, listed: make(chan struct{}),
 	}
-	var err error
-	if w.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		panic(err)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /tarragonbank/run-start", w.order)
 	mux.HandleFunc("POST /tarragonbank/run-stop", w.order)
 	mux.HandleFunc("POST /tarragonbank/pace", w.order)
 	mux.HandleFunc("POST /tarragonbank/hold", w.hold)
-	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(w.listener) }()
-	go w.beat()
+	w.handler = mux
+	if previous != nil {
+		w.listener, w.server = previous.listener, previous.server
+		m.life.Store(w)
+	} else {
+		w.listen()
+	}
+	go w.beat(lag)
 	go w.work()
 	s.record.add("worker %s is up on machine %s", w.id, m.name)
 	return w
 }
 
+// lifeKey is the key of the life that had accepted a connection, in the connection's context.
+type lifeKey struct{}
+
+// listen serves the machine's calls. A connection belongs to the life that has accepted it, and is never answered once that is over.
+func (w *worker) listen() {
+	m := w.machine
+	var err error
+	if w.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		panic(err)
+	}
+	m.life.Store(w)
+	w.server = &http.Server{
+		ErrorLog: log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, lifeKey{}, m.life.Load())
+		},
+		Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			x := r.Context().Value(lifeKey{}).(*worker)
+			if x.silent.Load() {
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+			x.handler.ServeHTTP(rw, r)
+		}),
+	}
+	l, x := w.listener, w.server
+	go func() { _ = x.Serve(l) }()
+}
+
 func (w *worker) clock() time.Duration { return time.Since(w.born) }
 
 // beat keeps the registration in the store.
-func (w *worker) beat() {
+func (w *worker) beat(lag time.Duration) {
+	time.Sleep(lag)
 	t := time.NewTicker(heartbeat)
 	defer t.Stop()
 	for n := 1; ; n++ {
@@ -108,6 +151,26 @@
 	}
 }
 
+// fallSilent crashes the worker without a sign: nothing that is sent to it is answered. After the time it starts again under its ID at its
+// address, with nothing of before, and registers after the lag.
+func (w *worker) fallSilent(d, lag time.Duration) {
+	w.silent.Store(true)
+	w.lock.Lock()
+	n := len(w.runs)
+	w.runs = map[string]*run{}
+	w.lock.Unlock()
+	close(w.done)
+	w.site.lock.Lock()
+	w.machine.worker, w.machine.state = nil, "down"
+	w.site.lock.Unlock()
+	w.site.record.add("worker %s falls silent for %v; it ran %d tasks", w.id, d, n)
+	time.Sleep(d)
+	x := w.site.startLife(w.machine, w.id, w, lag)
+	w.site.lock.Lock()
+	w.machine.worker, w.machine.state = x, "up"
+	w.site.lock.Unlock()
+}
+
 // crash ends the worker at once, with all that it runs. Its registration expires after three heartbeats.
 func (w *worker) crash() {
 	w.lock.Lock()
