Close an order for a VM by the platform's list, also if its server keeps its ID

With a cap below the number of VMs the wave stops after the first ones.

Cause: an accepted order was closed only if the server ID of the VM differed from the one at the time of the order, or if the list never showed the VM as down. A server may start again under the ID that it had, so that an unchanged ID proves nothing. The order then stayed open for good: the VM stayed cordoned, counted against the cap of its wave and as down in the account.

Ruled out: the scheduler. It knows the next incarnation by its start time, polls it and would place tasks on it; only the cordon is left.

Change: an accepted order ends by the platform's word, a reading of the list that began after the downtime: the VM is up with a server; or, a second later, up under the same ID though never listed as down, failed, or in another pool. A VM that has left a standby pool may show no server for 5 s. If the server has its former ID, its next listing shows which incarnation it is. A VM that is cordoned without an open order is freed in the next step, whatever the cause.

--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -169,13 +169,20 @@
 
 // reportIdleWith registers a VM's server with a capacity in thousandths of a core and has it list no runs.
 func reportIdleWith(o *fakeOwner, name, id string, cpu int64) {
+	report(o, server.Server{ID: id, StartedAt: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: cpu}}, time.Duration(time.Now().UnixNano()))
+}
+
+// reportIdleLife registers an incarnation of a VM's server and has it list no runs at the time clock after its start.
+func reportIdleLife(o *fakeOwner, name, id, pool string, startedAt time.Time, clock time.Duration) {
+	report(o, server.Server{ID: id, StartedAt: startedAt, VM: name, Pool: pool, Capacity: job.Size{CPU: 64000}}, clock)
+}
+
+func report(o *fakeOwner, v server.Server, clock time.Duration) {
+	v.Capacity.MemoryMB = 1000
+	v.Address = netip.MustParseAddrPort("127.0.0.1:1")
 	o.Update(func(s *scheduler.Scheduler, now time.Time) {
-		v := server.Server{
-			ID: id, StartedAt: time.Unix(1, 0), VM: name, Pool: "cups", Capacity: job.Size{CPU: cpu, MemoryMB: 1000},
-			Address: netip.MustParseAddrPort("127.0.0.1:1"),
-		}
 		s.Register(v, now)
-		s.ListingReceived(v.ID, server.Listing{StartedAt: v.StartedAt, Clock: time.Duration(now.UnixNano())}, now)
+		s.ListingReceived(v.ID, server.Listing{StartedAt: v.StartedAt, Clock: clock}, now)
 	})
 }
 
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -23,10 +23,12 @@
 	inFlight sync.WaitGroup
 
 	// lock guards the fields below, which the results of orders change concurrently with the steps.
-	lock          sync.Mutex
-	vms           map[string]vm.PlatformStatus
-	listedAt      time.Time
-	listFailedAt  time.Time
+	lock         sync.Mutex
+	vms          map[string]vm.PlatformStatus
+	listedAt     time.Time
+	listFailedAt time.Time
+	// readAt is when the reading of the list in vms began.
+	readAt        time.Time
 	poolsLoggedAt time.Time
 	usageLoggedAt time.Time
 	usage         *vmusage.Account
@@ -54,7 +56,7 @@
 	deferred int
 }
 
-// order is a planned or sent order for a VM; it is open until the VM is back.
+// order is a planned or sent order for a VM; it is open until the platform's list shows how it has ended.
 type order struct {
 	vm   string
 	wave int
@@ -66,7 +68,7 @@
 	accepted   bool
 	inFlight   bool
 	acceptedAt time.Time
-	// seenDown is true once the list has shown that the VM is not up since the order was accepted.
+	// seenDown is true once the list has shown that the VM is down for an accepted order.
 	seenDown bool
 	// draining is true while the VM is only cordoned and no order has been planned, drainingSince when that began if the VM
 	// is to move.
@@ -117,7 +119,7 @@
 	if now.Sub(t.listedAt) > listInterval && (now.Sub(t.listFailedAt) <= listInterval || !t.readVMs(ctx)) {
 		return
 	}
-	t.closeFinished(now)
+	t.closeFinished()
 	var loads map[string]scheduler.ServerLoad
 	var needs map[string]scheduler.PoolNeed
 	t.owner.Update(func(x *scheduler.Scheduler, now time.Time) {
@@ -155,6 +157,7 @@
 		capacities[v.Name] = v.Capacity
 	}
 	t.vms = m
+	t.readAt = readAt
 	t.listedAt = time.Now()
 	if len(t.poolSizes) == 0 {
 		t.lock.Lock()
@@ -170,61 +173,6 @@
 	return true
 }
 
-// closeFinished closes the orders of VMs that are back, no longer exist, or were not affected.
-func (t *term) closeFinished(now time.Time) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	for n, o := range t.openOrders {
-		v, known := t.vms[n]
-		if !known {
-			t.closeOrder(o, "VM no longer exists")
-			continue
-		}
-		if o.draining || o.inFlight || !o.accepted {
-			continue
-		}
-		if v.State != vm.Up {
-			o.seenDown = true
-			continue
-		}
-		if t.hadNoEffect(o, v) {
-			t.closeOrder(o, "accepted order had no effect: an earlier order was already carried out")
-			t.owner.Update(func(s *scheduler.Scheduler, _ time.Time) { s.TerminationFailed(o.serverID) })
-			continue
-		}
-		back := o.seenDown || now.Sub(o.acceptedAt) > t.downtime(o)
-		moved := o.targetPool == "" || v.Pool == o.targetPool
-		served := v.ServerID != o.serverID || t.isStandby(v.Pool)
-		if back && moved && served && t.listedAt.After(o.acceptedAt.Add(t.downtime(o))) {
-			t.closeOrder(o, "VM is back")
-		}
-	}
-}
-
-// hadNoEffect reports whether the VM's server still runs although the order was accepted. This happens if a previous owner
-// gave the same order, which had already been carried out.
-func (t *term) hadNoEffect(o *order, v vm.PlatformStatus) bool {
-	return !o.seenDown && v.ServerID != "" && v.ServerID == o.serverID && t.listedAt.After(o.acceptedAt.Add(t.downtime(o)+noEffectMargin))
-}
-
-// noEffectMargin is how long after the expected downtime a VM may still be listed as before; the list is read every 500 ms.
-const noEffectMargin = time.Second
-
-// downtime returns how long the VM is down for the order.
-func (t *term) downtime(o *order) time.Duration {
-	if o.targetPool != "" {
-		return t.controller.timing.MoveDowntime
-	}
-	return t.controller.timing.MaintenanceDowntime
-}
-
-// closeOrder removes an open order and uncordons its VM; the caller holds the lock.
-func (t *term) closeOrder(o *order, reason string) {
-	delete(t.openOrders, o.vm)
-	t.logDecision(decision.Record{VM: o.vm, Pool: o.targetPool, Attempt: o.wave, Reason: reason})
-	t.uncordon(o.vm)
-}
-
 func (t *term) logDecision(r decision.Record) {
 	r.Time = time.Now()
 	if r.Kind == 0 {
--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -155,7 +155,7 @@
 		w.submit(newRecord(1, 1, longRunning, sized(40000)))
 		s := w.acceptStarts()[0]
 		w.ServerTerminated("a", w.now)
-		w.TerminationFailed("a")
+		w.ServerMayRun("a")
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
 		w.reportRuns("a", listedRun(s, 100))
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/job"
@@ -78,6 +80,11 @@
 	}
 }
 
+// CordonedVMs returns the names of the cordoned VMs in order.
+func (s *Scheduler) CordonedVMs() []string {
+	return slices.Sorted(maps.Keys(s.cordonedVMs))
+}
+
 // Evacuate moves the long-running tasks of a VM to other servers, as far as the limits of their steps allow, and reports
 // whether the VM has no runs left.
 func (s *Scheduler) Evacuate(name string, now time.Time) bool {
@@ -157,9 +164,9 @@
 	v.terminated = true
 }
 
-// TerminationFailed records that a server still runs although the platform accepted an order to end it. The runs that it
-// still has are known from its next listing.
-func (s *Scheduler) TerminationFailed(id string) {
+// ServerMayRun records that the platform lists a server that an order has ended, or that an earlier reading did not show. It has
+// started again under its ID, or was never ended; its next listing shows which, and the runs that it has.
+func (s *Scheduler) ServerMayRun(id string) {
 	v := s.servers[id]
 	if v == nil || !v.terminated {
 		return
@@ -168,7 +175,7 @@
 	v.reachable = false
 	s.needsPlan = true
 	s.orders.ResumePolling = append(s.orders.ResumePolling, v.info)
-	s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server still runs after its termination was ordered"})
+	s.addDecision(Decision{Server: id, Pool: v.info.Pool, Reason: "server is listed after it was ended"})
 }
 
 // PoolNeed is the capacity that the work of a pool needs.
--- a/fleet/scheduler/vmlist.go
+++ b/fleet/scheduler/vmlist.go
@@ -65,5 +65,5 @@
 		return
 	}
 	v.endedByList = false
-	s.TerminationFailed(v.info.ID)
+	s.ServerMayRun(v.info.ID)
 }
