Tell incarnations of a server by evidence, not by the order of their start times

Cause: Register and ServerRestarted took only a later start time for a new incarnation. Start times are those of the VM's clock, which may step either way. The registration was ignored, and the answers to polls were taken for those of an incarnation that is over.

Change: a start time that is not known yet is that of the next incarnation; the last four are remembered, so that late registrations are ignored. An answer to a call counts as the next incarnation if the call went to the present one, whatever its start time: so the present one is found again if a registration was out of date, and late answers to earlier calls change nothing.

--- a/entry/owner/polls.go
+++ b/entry/owner/polls.go
@@ -99,7 +99,7 @@
 	restarted = !l.StartedAt.IsZero() && !l.StartedAt.Equal(h.Server.StartedAt)
 	r.update(processor.Listing, func(s *scheduler.Scheduler, now time.Time) {
 		if restarted {
-			s.ServerRestarted(h.Server.ID, l.StartedAt, now)
+			s.ServerRestarted(h.Server.ID, h.Server.StartedAt, l.StartedAt, now)
 			return
 		}
 		s.ListingReceived(h.Server.ID, l, now)
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/fleet/loss"
@@ -53,13 +54,37 @@
 	}
 }
 
-// ServerRestarted records that an incarnation of a server that started at the given time has answered. A later one than the
-// known one is used once it has registered, since its capacity and labels may be others.
-func (s *Scheduler) ServerRestarted(id string, startedAt, now time.Time) {
+// maxFormerStarts is the number of earlier incarnations of a server whose registrations may still arrive.
+const maxFormerStarts = 4
+
+// follow records that the incarnation has taken the place of another one, which may be nil. Start times are those of the VM's clock,
+// which may step either way, so that the next incarnation may have an earlier one.
+func (v *serverState) follow(w *serverState) {
+	if w == nil {
+		return
+	}
+	for _, t := range append(w.formerStarts, w.info.StartedAt) {
+		if !t.Equal(v.info.StartedAt) {
+			v.formerStarts = append(v.formerStarts, t)
+		}
+	}
+	v.formerStarts = v.formerStarts[max(len(v.formerStarts)-maxFormerStarts, 0):]
+}
+
+// isFormerStart reports whether an earlier incarnation of the server started at the given time.
+func (v *serverState) isFormerStart(t time.Time) bool {
+	return slices.ContainsFunc(v.formerStarts, t.Equal)
+}
+
+// ServerRestarted records that a call to the server's incarnation that started at the time called was answered by the one that started
+// at startedAt. That is the next one unless called has ended before. It is used once it has registered, since its capacity and labels
+// may be others.
+func (s *Scheduler) ServerRestarted(id string, called, startedAt, now time.Time) {
 	v := s.servers[id]
-	if v == nil || !startedAt.After(v.info.StartedAt) {
+	if v == nil || !v.info.StartedAt.Equal(called) || startedAt.Equal(called) {
 		return
 	}
+	v.formerStarts = slices.DeleteFunc(slices.Clone(v.formerStarts), startedAt.Equal)
 	i := v.info
 	i.StartedAt = startedAt
 	s.Register(i, now)
--- a/fleet/scheduler/listing.go
+++ b/fleet/scheduler/listing.go
@@ -9,14 +9,16 @@
 )
 
 // ListingReceived applies a server's listing of its runs and their ends. It ignores a listing that is older than the
-// newest one or of an earlier incarnation; a later incarnation is registered.
+// newest one or of an incarnation that has ended; one of an unknown incarnation shows that the server has restarted.
 func (s *Scheduler) ListingReceived(id string, l server.Listing, now time.Time) {
 	v := s.servers[id]
 	if v == nil || l.Clock < v.listingClock {
 		return
 	}
 	if !l.StartedAt.IsZero() && !l.StartedAt.Equal(v.info.StartedAt) {
-		s.ServerRestarted(id, l.StartedAt, now)
+		if !v.isFormerStart(l.StartedAt) {
+			s.ServerRestarted(id, v.info.StartedAt, l.StartedAt, now)
+		}
 		return
 	}
 	if !v.reachable {
--- a/fleet/scheduler/model_test.go
+++ b/fleet/scheduler/model_test.go
@@ -661,7 +661,7 @@
 		m.process(o, func() {
 			o.polling[h.Server.ID] = false
 			if !l.StartedAt.Equal(h.Server.StartedAt) {
-				o.ServerRestarted(h.Server.ID, l.StartedAt, m.now)
+				o.ServerRestarted(h.Server.ID, h.Server.StartedAt, l.StartedAt, m.now)
 				return
 			}
 			o.ListingReceived(h.Server.ID, l, m.now)
--- a/fleet/scheduler/restart_test.go
+++ b/fleet/scheduler/restart_test.go
@@ -49,7 +49,7 @@
 		gomega.Expect(w.JobPhase(o.Task.Job).Phase).To(gomega.Equal(job.Completed))
 	},
 		ginkgo.Entry("if it registers", func(v server.Server) { w.Register(v, w.now) }),
-		ginkgo.Entry("if it answers a call to the earlier incarnation", func(v server.Server) { w.ServerRestarted("a", v.StartedAt, w.now) }),
+		ginkgo.Entry("if it answers a call to the earlier incarnation", func(v server.Server) { w.ServerRestarted("a", start, v.StartedAt, w.now) }),
 		ginkgo.Entry("if it restarts once more", func(v server.Server) {
 			x := v
 			x.StartedAt = v.StartedAt.Add(-time.Millisecond)
@@ -133,3 +133,74 @@
 		gomega.Expect(h.AcknowledgedEnd).To(gomega.BeZero())
 	})
 })
+
+// Guards against a server that is never used again because its clock was set back before it restarted under its ID.
+var _ = ginkgo.Describe("a server that restarts under its ID with an earlier start time", func() {
+	var w *harness
+	ginkgo.BeforeEach(func() {
+		w = newHarness()
+		w.addServers("a")
+		w.now = w.now.Add(time.Second)
+	})
+
+	at := func(startedAt time.Time) server.Server {
+		v := newServer("a")
+		v.StartedAt = startedAt
+		return v
+	}
+	earlier := at(start.Add(-time.Hour))
+	// polled returns the start time of the incarnation that is polled.
+	polled := func() time.Time {
+		h, _ := w.PreparePoll("a", w.now)
+		return h.Server.StartedAt
+	}
+	expectUsed := func() {
+		gomega.Expect(polled()).To(gomega.Equal(earlier.StartedAt))
+		w.ListingReceived("a", server.Listing{StartedAt: earlier.StartedAt, Clock: time.Millisecond}, w.now)
+		w.submit(newRecord(1, 1))
+		gomega.Expect(w.acceptStarts()).To(gomega.ConsistOf(gomega.HaveField("Server.StartedAt", earlier.StartedAt)))
+	}
+
+	ginkgo.It("is used once it has registered", func() {
+		w.Register(earlier, w.now)
+		expectUsed()
+	})
+
+	ginkgo.It("is used once it has answered and registered, also if a registration of before comes in between", func() {
+		w.ServerRestarted("a", start, earlier.StartedAt, w.now)
+		w.Register(at(start), w.now)
+		w.Register(earlier, w.now)
+		expectUsed()
+	})
+
+	ginkgo.It("is used if an order has ended it before", func() {
+		w.ServerTerminated("a", w.now)
+		w.ServerMayRun("a")
+		w.ServerRestarted("a", start, earlier.StartedAt, w.now)
+		w.Register(earlier, w.now)
+		expectUsed()
+	})
+
+	ginkgo.It("is used by the next owner, which knows the earlier incarnation from a run", func() {
+		w = newHarness()
+		w.Restore(newRecord(2, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, w.now)
+		w.Register(earlier, w.now)
+		gomega.Expect(polled()).To(gomega.Equal(earlier.StartedAt))
+	})
+
+	ginkgo.It("is not replaced by an answer to a call of before", func() {
+		w.Register(earlier, w.now)
+		w.ServerRestarted("a", start, start.Add(time.Second), w.now)
+		expectUsed()
+	})
+
+	ginkgo.It("is replaced by the incarnation that answers in its place, whichever start time that has", func() {
+		w = newHarness()
+		w.Restore(newRecord(2, 1), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, w.now)
+		w.Register(earlier, w.now)
+		w.ServerRestarted("a", earlier.StartedAt, start, w.now)
+		w.Register(earlier, w.now)
+		w.Register(at(start), w.now)
+		gomega.Expect(polled()).To(gomega.Equal(start))
+	})
+})
--- a/fleet/scheduler/server.go
+++ b/fleet/scheduler/server.go
@@ -21,6 +21,8 @@
 	unregisteredStart bool
 	// restarted is true if an earlier incarnation had runs of this owner or a previous one. Orders to that name the same ID.
 	restarted bool
+	// formerStarts are the start times of earlier incarnations, the latest of them last.
+	formerStarts []time.Time
 	// supersededAt is when a later incarnation, which is not known yet, has answered an order, zero if none has.
 	supersededAt time.Time
 	// addressTaken is true if another server answers at the server's address.
@@ -205,11 +207,11 @@
 // listingTimeout is the age of the last listing from which a server gets no new runs; listings come every second.
 const listingTimeout = 2500 * time.Millisecond
 
-// Register adds a server or updates its registration. A later start time under the same ID is a new incarnation, whose first
-// listing decides about the runs of the previous one; an earlier start time is ignored.
+// Register adds a server or updates its registration. Another start time under the same ID is a new incarnation, whose first
+// listing decides about the runs of the previous one; that of an incarnation that is known to have ended is ignored.
 func (s *Scheduler) Register(i server.Server, now time.Time) {
 	v := s.servers[i.ID]
-	if v != nil && i.StartedAt.Before(v.info.StartedAt) {
+	if v != nil && v.isFormerStart(i.StartedAt) {
 		return
 	}
 	previous := v
@@ -225,6 +227,7 @@
 	}
 	if v == nil {
 		v = s.addServer(i, now)
+		v.follow(previous)
 		v.idleSince = now
 		s.addDecision(Decision{Server: i.ID, Pool: i.Pool, Reason: "server registered"})
 	}
