End only the incarnation of a server that an order for its VM was planned for

The server is taken for ended: its runs are given up, which may begin there all the same, and it gets no task and no renewal of leases for 3 s.

Cause: ServerTerminated named the server by its ID, which it may have in its next incarnation too.

Change: an order keeps the start time of the incarnation for which it was planned, and only that is ended. If the next one is known already, the order may not have ended it; if it has, its polls and the list of VMs show so.

Evidence: TestLateAnswerToOrderDoesNotEndTheNextIncarnation fails on the code before (the server is not usable) and passes with the change. The spec of the scheduler on terminations that are reported late now has one for the run's own server.

--- a/entry/vmcontroller/finish_test.go
+++ b/entry/vmcontroller/finish_test.go
@@ -144,3 +144,23 @@
 		})
 	})
 }
+
+// Guards against a server that is taken for ended, with its runs, by the late answer to an order that has ended its last incarnation.
+func TestLateAnswerToOrderDoesNotEndTheNextIncarnation(t *testing.T) {
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		for i := range x.vms {
+			reportIdle(o, x.vms[i].Name)
+		}
+		restart{after: time.Second}.apply(o, x, 6)
+	}, func(g *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		time.Sleep(1500 * time.Millisecond)
+		for range 100 {
+			o.Update(func(s *scheduler.Scheduler, now time.Time) {
+				g.Expect(s.ServerLoad("s-a", now).Usable).To(gomega.BeTrue())
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(x.ordered()).To(gomega.ContainElement("maintain a by e1"))
+		g.Expect(o.read("status")).To(gomega.Equal("complete"))
+	})
+}
--- a/entry/vmcontroller/move.go
+++ b/entry/vmcontroller/move.go
@@ -150,11 +150,7 @@
 		return
 	}
 	t.logDecision(decision.Record{VM: m.VM, Pool: m.To, Service: m.From, Reason: "move: " + m.Reason})
-	t.lock.Lock()
-	o := &order{vm: m.VM, targetPool: m.To, serverID: t.vms[m.VM].ServerID}
-	t.openOrders[m.VM] = o
-	t.pending = append(t.pending, o)
-	t.lock.Unlock()
+	t.plan(&order{vm: m.VM, targetPool: m.To})
 }
 
 // drainForMove cordons a VM until its tasks have ended and its move can be ordered.
@@ -181,13 +177,13 @@
 			continue
 		}
 		v, known := t.vms[n]
-		idle := false
-		t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { idle = t.isIdle(v, s.ServerLoad(v.ServerID, now)) })
+		var l scheduler.ServerLoad
+		t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { l = s.ServerLoad(v.ServerID, now) })
 		switch {
 		case !known || v.State != vm.Up || v.ServerID != o.serverID:
 			t.closeOrder(o, "VM changed while it was drained for a move")
-		case idle && t.mayOrder(vmorder.Needed, now):
-			o.draining = false
+		case t.isIdle(v, l) && t.mayOrder(vmorder.Needed, now):
+			o.draining, o.startedAt = false, l.StartedAt
 			t.pending = append(t.pending, o)
 		case now.Sub(o.drainingSince) > maxMoveDrain:
 			t.closeOrder(o, "VM not idle in time for a move")
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -62,8 +62,9 @@
 	wave int
 	// targetPool is the pool that the VM moves to, empty for maintenance.
 	targetPool string
-	// serverID is the VM's server when the order was planned.
+	// serverID is the VM's server when the order was planned, startedAt its start.
 	serverID   string
+	startedAt  time.Time
 	sentAt     time.Time
 	accepted   bool
 	inFlight   bool
@@ -254,7 +255,7 @@
 	if r != Accepted {
 		return
 	}
-	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { s.ServerTerminated(o.serverID, now) })
+	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { s.ServerTerminated(o.serverID, o.startedAt, now) })
 	if o.wave > 0 && o.targetPool == "" {
 		t.recordMaintained(ctx, o)
 	}
--- a/entry/vmcontroller/wave.go
+++ b/entry/vmcontroller/wave.go
@@ -215,14 +215,19 @@
 	t.lock.Lock()
 	ok := t.mayOrder(vmorder.Needed, now)
 	t.lock.Unlock()
-	if !ok || !t.cordonIfIdle(name) {
-		return
+	if ok && t.cordonIfIdle(name) {
+		t.plan(&order{vm: name, wave: number})
 	}
+}
+
+// plan opens an order for a VM, which is sent at the end of the step.
+func (t *term) plan(o *order) {
 	t.lock.Lock()
-	o := &order{vm: name, wave: number, serverID: t.vms[name].ServerID}
-	t.openOrders[name] = o
+	defer t.lock.Unlock()
+	o.serverID = t.vms[o.vm].ServerID
+	t.owner.Update(func(s *scheduler.Scheduler, now time.Time) { o.startedAt = s.ServerLoad(o.serverID, now).StartedAt })
+	t.openOrders[o.vm] = o
 	t.pending = append(t.pending, o)
-	t.lock.Unlock()
 }
 
 // isIdle reports whether nothing runs on a VM: it is switched off, its server has listed no runs, or its server has sent no
--- a/fleet/rebalance/turns_test.go
+++ b/fleet/rebalance/turns_test.go
@@ -314,7 +314,7 @@
 			continue
 		}
 		if v.server != "" {
-			w.scheduler.ServerTerminated(v.server, w.now)
+			w.scheduler.ServerTerminated(v.server, w.scheduler.ServerLoad(v.server, w.now).StartedAt, w.now)
 			w.scheduler.Unregister(v.server, w.now)
 		}
 		v.pool, v.server = m.To, ""
--- a/fleet/scheduler/capacity_test.go
+++ b/fleet/scheduler/capacity_test.go
@@ -154,7 +154,7 @@
 	ginkgo.It("waits for a listing when a server turns out to run on after its termination was ordered", func() {
 		w.submit(newRecord(1, 1, longRunning, sized(40000)))
 		s := w.acceptStarts()[0]
-		w.ServerTerminated("a", w.now)
+		w.ServerTerminated("a", start, w.now)
 		w.ServerMayRun("a")
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty())
--- a/fleet/scheduler/fleet.go
+++ b/fleet/scheduler/fleet.go
@@ -11,6 +11,8 @@
 // ServerLoad summarizes the runs on a server.
 type ServerLoad struct {
 	Pool string
+	// StartedAt is when the known incarnation of the server started.
+	StartedAt time.Time
 	// Cores are those that the server reports to have, which may be fewer than its VM is listed with.
 	Cores float64
 	// UsedCores are those that its runs hold.
@@ -50,7 +52,7 @@
 		return ServerLoad{}
 	}
 	l := ServerLoad{
-		Pool: v.info.Pool, Cores: float64(v.info.Capacity.CPU) / milliPerCore, UsedCores: float64(v.used.CPU) / milliPerCore,
+		Pool: v.info.Pool, StartedAt: v.info.StartedAt, Cores: float64(v.info.Capacity.CPU) / milliPerCore, UsedCores: float64(v.used.CPU) / milliPerCore,
 		Listed: v.listingClock > 0, Runs: len(v.runs), Usable: v.usable(now) && !v.health.isSuspect(now),
 	}
 	s.operations.Servers++
@@ -154,10 +156,11 @@
 // fullPercent is the progress that a long-running task reports once it is ready.
 const fullPercent = 100
 
-// ServerTerminated records that the platform has ended a server's incarnation by this owner's order, and drops its runs.
-func (s *Scheduler) ServerTerminated(id string, now time.Time) {
+// ServerTerminated records that the platform has ended the incarnation of a server that started at the given time by this owner's
+// order, and drops its runs. It does nothing if the next incarnation is known, which the order may not have ended.
+func (s *Scheduler) ServerTerminated(id string, startedAt, now time.Time) {
 	v := s.servers[id]
-	if v == nil {
+	if v == nil || !v.info.StartedAt.Equal(startedAt) {
 		return
 	}
 	s.dropRuns(v, now, now, "VM was taken down")
--- a/fleet/scheduler/restart_test.go
+++ b/fleet/scheduler/restart_test.go
@@ -174,7 +174,7 @@
 	})
 
 	ginkgo.It("is used if an order has ended it before", func() {
-		w.ServerTerminated("a", w.now)
+		w.ServerTerminated("a", start, w.now)
 		w.ServerMayRun("a")
 		w.ServerRestarted("a", start, earlier.StartedAt, w.now)
 		w.Register(earlier, w.now)
--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -261,10 +261,12 @@
 	})
 
 	ginkgo.It("keeps the runs of a new server incarnation when the termination of an earlier one is reported late", func() {
-		w.ServerTerminated("", w.now)
+		w.ServerTerminated("", start, w.now)
 		w.submit(newRecord(1, 1))
-		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
-		w.ServerTerminated("life-before", w.now)
+		l := w.acceptStarts()
+		gomega.Expect(l).To(gomega.HaveLen(1))
+		w.ServerTerminated("life-before", start, w.now)
+		w.ServerTerminated(l[0].Server.ID, start.Add(-time.Second), w.now)
 		w.commit()
 		gomega.Expect(w.acceptStarts()).To(gomega.BeEmpty(), "the run continues")
 	})
--- a/fleet/scheduler/vmlist_test.go
+++ b/fleet/scheduler/vmlist_test.go
@@ -255,5 +255,5 @@
 	ginkgo.Entry("once its job is cancelled", func(w *harness, o scheduler.StartOrder) { w.Cancel(o.Task.Job, w.now, func(scheduler.Reply) {}) }),
 	ginkgo.Entry("once the server is unreachable", func(w *harness, _ scheduler.StartOrder) { w.ServerUnreachable("a", start, w.now, "no answer") }),
 	ginkgo.Entry("once the server has restarted", func(w *harness, _ scheduler.StartOrder) { w.ServerRestarted("a", start, start.Add(time.Second), w.now) }),
-	ginkgo.Entry("once the VM is taken down", func(w *harness, _ scheduler.StartOrder) { w.ServerTerminated("a", w.now) }),
+	ginkgo.Entry("once the VM is taken down", func(w *harness, _ scheduler.StartOrder) { w.ServerTerminated("a", start, w.now) }),
 	ginkgo.Entry("once a listing shows the run", func(w *harness, o scheduler.StartOrder) { w.reportRuns("a", listedRun(o, 1)) }))
