--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -41,6 +41,8 @@
 	UnguardedPools []string
 	// Workspaces is the number of workspaces whose callers share the site. They are not in use if it is 0.
 	Workspaces int
+	// KeptIDShare is the share of moves and maintenances after which a server has the ID of before, 0 to 1.
+	KeptIDShare float64
 	// ChecksCaps turns on the check of the workspaces' caps.
 	ChecksCaps bool
 }
@@ -191,7 +193,7 @@
 		Table: s.Table, StoreAddress: s.block.Address(groupPlatform, 1, portStore), CloudAddress: s.block.Address(groupPlatform, 1, portCloud),
 		Seed: s.Options.Seed, MaxLease: maxLease, GangTimeout: gangTimeout, HeartbeatInterval: heartbeatInterval, DrainTime: drainTime, MoveTime: moveTime,
 		MaintenanceTime: maintenanceTime, CancelTimeout: cancelTimeout, RegisteredAddress: s.proxyAddress,
-		ContactTime: contactTime, ConfigApplyTime: configApplyTime, UnguardedPools: s.Options.UnguardedPools, Workspaces: s.simulatedWorkspaces(),
+		ContactTime: contactTime, ConfigApplyTime: configApplyTime, UnguardedPools: s.Options.UnguardedPools, KeptIDShare: s.Options.KeptIDShare, Workspaces: s.simulatedWorkspaces(),
 	}
 	if s.Options.Untimed {
 		p.CancelTimeout, p.ConfigApplyLimit = untimedCancelTimeout, untimedApplyLimit
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -83,6 +83,9 @@
 	minVMsPerPool = 3
 	maxVMsPerPool = 4
 	// settleLimit bounds the recovery after the last fault: faults that are still active, lease expiry and a full queue.
+	// keptIDShare is the share of moves and maintenances after which a server has the ID of before.
+	keptIDShare = 0.5
+
 	settleLimit        = 30 * time.Second
 	settlePollInterval = 100 * time.Millisecond
 	// defaultCancelLimit is the time to cancel a job plus the time to stop its tasks.
@@ -106,7 +109,7 @@
 		EntryCores: cores,
 		Binaries:   p.Binaries, Out: filepath.Join(p.Out, fmt.Sprintf("soak-%d", p.Seed)), Seed: p.Seed,
 		Entries: minEntries + random.IntN(maxEntries-minEntries+1), VMsPerPool: minVMsPerPool + random.IntN(maxVMsPerPool-minVMsPerPool+1),
-		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom), Workspaces: countWorkspaces(p.Seed), ChecksCaps: p.ChecksCaps,
+		Untimed: p.Untimed, UnguardedPools: drawUnguardedPools(capacityRandom), Workspaces: countWorkspaces(p.Seed), ChecksCaps: p.ChecksCaps, KeptIDShare: keptIDShare,
 	})
 	if err != nil {
 		return nil, err
