Renew the stored time of an order for a VM before each sending

The owner hands over, and the next one orders the same VM 1.4 s after the last order, within its lease of 3 s.

Cause: storeOrders stored when an order was planned, and the next owner waits until that time plus the lease. Repeated orders, and orders that were held back because the ownership was not confirmed, were sent later without a new time. A slow write had the same effect on the first sending.

Change: what is stored is until when the order may arrive: 1 s for the write and 0.9 s for the way. Repeated orders are stored with the new ones of a step before they are sent, and not sent if the write fails or takes longer; the answer sets the time back. The next owner waits no longer than an order of its predecessor can be on its way, also if the clock of that was ahead.

--- a/entry/vmcontroller/controller_test.go
+++ b/entry/vmcontroller/controller_test.go
@@ -37,6 +37,8 @@
 	scheduler  *scheduler.Scheduler
 	items      map[string][]byte
 	failWrites bool
+	// writeDelay is how long a write takes.
+	writeDelay time.Duration
 	began      time.Time
 }
 
@@ -66,6 +68,7 @@
 }
 
 func (o *fakeOwner) Write(_ context.Context, l []store.Write) error {
+	time.Sleep(o.writeDelay)
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	if o.failWrites {
@@ -89,6 +92,8 @@
 	vms    []vm.PlatformStatus
 	orders []string
 	result vmcontroller.Result
+	// latency is how long an order is on its way. It arrives also if its sender no longer waits.
+	latency time.Duration
 	// secondWave runs beside wave 1 if it is set.
 	secondWave *wave.Wave
 	// onOrder is called with the VM of each order, under the lock.
@@ -120,6 +125,7 @@
 }
 
 func (f *fakeFleet) order(name, s string) (vmcontroller.Result, error) {
+	time.Sleep(f.latency)
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.orders = append(f.orders, s)
@@ -210,6 +216,15 @@
 // scenario prepares or checks a controller's owner and fleet.
 type scenario func(g *gomega.WithT, o *fakeOwner, x *fakeFleet)
 
+// newController returns the controller of an entry with a wave over VM a.
+func newController(entry string, x *fakeFleet) *vmcontroller.Controller {
+	c := vmcontroller.New(entry, x, statusEncoder{}, discardLogger{}, vmcontroller.Timing{
+		MoveDowntime: time.Second, MaintenanceDowntime: 2 * time.Second, OrderLease: 3 * time.Second,
+	}, func() *queue.Table { return table })
+	c.AddWave(wave.Wave{Number: 1, VMs: []string{"a"}, TimeLimit: 10 * time.Second, MaxDown: 1})
+	return c
+}
+
 // run prepares VMs a, b and c, runs a controller with a wave over VM a, and checks what it does.
 func run(t *testing.T, prepare, check scenario) {
 	t.Helper()
@@ -217,10 +232,7 @@
 		o := newFakeOwner()
 		x := &fakeFleet{vms: []vm.PlatformStatus{newVM("a"), newVM("b"), newVM("c")}}
 		prepare(gomega.NewWithT(t), o, x)
-		c := vmcontroller.New("e1", x, statusEncoder{}, discardLogger{}, vmcontroller.Timing{
-			MoveDowntime: time.Second, MaintenanceDowntime: 2 * time.Second, OrderLease: 3 * time.Second,
-		}, func() *queue.Table { return table })
-		c.AddWave(wave.Wave{Number: 1, VMs: []string{"a"}, TimeLimit: 10 * time.Second, MaxDown: 1})
+		c := newController("e1", x)
 		if x.secondWave != nil {
 			c.AddWave(*x.secondWave)
 		}
--- a/entry/vmcontroller/order.go
+++ b/entry/vmcontroller/order.go
@@ -16,8 +16,16 @@
 // ordersKey is the store's key of the latest order of each VM.
 const ordersKey = "tarragonbank/orders"
 
+const (
+	// maxStoreDelay is how long after an order is written to the store it may be sent. As long as writes take longer, the ownership is
+	// not confirmed often enough for orders either.
+	maxStoreDelay = time.Second
+	// maxArrivalDelay is how long after an order is written to the store it may arrive at the platform.
+	maxArrivalDelay = maxStoreDelay + orderTimeout
+)
+
 // loadOrders reads the latest orders of previous owners. Their VMs accept orders of this entry once the order lease has
-// expired.
+// expired. A previous owner sends none once it has lost the ownership.
 func (t *term) loadOrders(ctx context.Context) error {
 	l, err := t.owner.Read(ctx, ordersKey)
 	if err != nil {
@@ -30,8 +38,12 @@
 			wait.For(ctx, t.controller.timing.OrderLease+orderLeaseMargin)
 			return nil
 		}
+		latest := time.Now().Add(orderTimeout)
 		for _, o := range m.Orders {
 			at := time.UnixMilli(o.AtMs)
+			if at.After(latest) {
+				at = latest
+			}
 			t.lastOrdered[o.Vm] = at
 			t.leasedUntil[o.Vm] = at.Add(t.controller.timing.OrderLease + orderLeaseMargin)
 		}
@@ -42,7 +54,8 @@
 	return nil
 }
 
-// sendPending stores the orders of this step and then sends them. If they cannot be stored, they are dropped.
+// sendPending stores the orders of this step, those that are repeated too, and then sends them. If they cannot be stored, new ones are
+// dropped, and the others are repeated later.
 func (t *term) sendPending(ctx context.Context) {
 	t.lock.Lock()
 	l := t.pending
@@ -51,27 +64,33 @@
 	if len(l) == 0 {
 		return
 	}
-	if err := t.storeOrders(ctx, l); err != nil {
+	now := time.Now()
+	if err := t.storeOrders(ctx, l, now); err != nil {
 		t.logDecision(decision.Record{Kind: decision.Dependency, Reason: "orders not stored and therefore not sent: " + err.Error()})
 		t.lock.Lock()
 		for _, o := range l {
-			t.closeOrder(o, "order dropped, not stored")
+			if o.sentAt.IsZero() {
+				t.closeOrder(o, "order dropped, not stored")
+			}
 		}
 		t.lock.Unlock()
 		return
 	}
+	if d := time.Since(now); d > maxStoreDelay {
+		t.logDecision(decision.Record{Kind: decision.Dependency, Reason: "orders stored too slowly and therefore not sent yet", Duration: d})
+		return
+	}
 	for _, o := range l {
 		t.sendAsync(ctx, o)
 	}
 }
 
-// storeOrders stores when each VM got its last order, without those whose order lease has expired and that have no open
-// order.
-func (t *term) storeOrders(ctx context.Context, l []*order) error {
-	now := time.Now()
+// storeOrders stores until when the last order for each VM may arrive, without those whose order lease has expired and that have no
+// open order.
+func (t *term) storeOrders(ctx context.Context, l []*order, now time.Time) error {
 	t.lock.Lock()
 	for _, o := range l {
-		t.lastOrdered[o.vm] = now
+		t.lastOrdered[o.vm] = now.Add(maxArrivalDelay)
 	}
 	m := &schema.VmOrders{}
 	for n, at := range t.lastOrdered {
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -45,8 +45,8 @@
 	poolLoads map[string]*rebalance.Load
 	// invalidMoves holds the pairs of VM kind and pool for which the platform rejected a move as invalid.
 	invalidMoves map[[2]string]bool
-	// lastOrdered is when a VM got its last order, from any entry; leasedUntil is when the order lease of a previous owner
-	// on it expires.
+	// lastOrdered is until when the last order for a VM, from any entry, may arrive; leasedUntil is when the order lease of a previous
+	// owner on it expires.
 	lastOrdered map[string]time.Time
 	leasedUntil map[string]time.Time
 	// pending holds the orders of this step, which are stored before they are sent.
@@ -128,7 +128,7 @@
 		t.previousLeasesExpired = x.PreviousLeasesExpired(now)
 		needs = x.PoolNeeds(now)
 	})
-	t.retryUnanswered(ctx, now)
+	t.retryUnanswered(now)
 	for _, w := range t.controller.allWaves() {
 		t.stepWave(ctx, w, loads, needs, now)
 	}
@@ -182,21 +182,15 @@
 	t.controller.log.Add(r)
 }
 
-// retryUnanswered sends orders of unknown outcome again.
-func (t *term) retryUnanswered(ctx context.Context, now time.Time) {
+// retryUnanswered plans to send orders of unknown outcome again.
+func (t *term) retryUnanswered(now time.Time) {
 	t.lock.Lock()
-	l := []*order{}
+	defer t.lock.Unlock()
 	for _, o := range t.openOrders {
-		if !o.draining && !o.accepted && !o.inFlight && now.Sub(o.sentAt) > retryInterval {
-			if t.budget.Take(vmorder.Needed, len(l), now) {
-				l = append(l, o)
-			}
+		if !o.draining && !o.accepted && !o.inFlight && now.Sub(o.sentAt) > retryInterval && t.budget.Take(vmorder.Needed, len(t.pending), now) {
+			t.pending = append(t.pending, o)
 		}
 	}
-	t.lock.Unlock()
-	for _, o := range l {
-		t.sendAsync(ctx, o)
-	}
 }
 
 // sendAsync sends an order in the background, unless the store has not lately confirmed that this entry owns the fleet.
@@ -237,6 +231,9 @@
 	t.logDecision(n)
 	t.lock.Lock()
 	o.inFlight = false
+	if r != OutcomeUnknown {
+		t.lastOrdered[o.vm] = time.Now()
+	}
 	switch r {
 	case Accepted:
 		o.accepted = true
