Count a VM as removed only once the list has missed it for three seconds

Cause: one reading of the list without a VM counted as its removal. The open order of such a VM was closed too, even while it was being sent.

Change: a VM of a wave or with an open order counts as removed once readings over 3 s have missed it. Until then the wave waits for it, and its order stays open.

--- a/entry/vmcontroller/finish.go
+++ b/entry/vmcontroller/finish.go
@@ -14,6 +14,9 @@
 	settleTime = time.Second
 	// maxServerStart is how long after the expected downtime a VM that has left a standby pool may be listed without a server.
 	maxServerStart = 5 * time.Second
+	// removedAfter is how long a VM must be missing from the list to count as removed. A VM that was just added, or that a page of the
+	// list has missed, is missing for less.
+	removedAfter = 3 * time.Second
 )
 
 // closeFinished closes the orders of VMs that no longer exist, and the accepted ones that have ended.
@@ -22,11 +25,11 @@
 	defer t.lock.Unlock()
 	for n, o := range t.openOrders {
 		v, known := t.vms[n]
-		if !known {
+		if t.isRemoved(n) && !o.inFlight {
 			t.closeOrder(o, "VM no longer exists")
 			continue
 		}
-		if o.draining || o.inFlight || !o.accepted {
+		if !known || o.draining || o.inFlight || !o.accepted {
 			continue
 		}
 		if reason, ended := t.ending(o, v); ended {
@@ -49,6 +52,18 @@
 	}
 }
 
+// isRemoved reports whether the VM has been missing from the list for removedAfter; the caller holds the lock.
+func (t *term) isRemoved(name string) bool {
+	if _, known := t.vms[name]; known {
+		delete(t.missingSince, name)
+		return false
+	}
+	if t.missingSince[name].IsZero() {
+		t.missingSince[name] = t.readAt
+	}
+	return t.readAt.Sub(t.missingSince[name]) >= removedAfter
+}
+
 // ending reports whether the latest reading of the list shows that an accepted order has ended, and how. A server may have the
 // same ID afterwards, so that an unchanged ID shows neither that the order had no effect nor that the VM is still down.
 func (t *term) ending(o *order, v vm.PlatformStatus) (string, bool) {
--- a/entry/vmcontroller/finish_test.go
+++ b/entry/vmcontroller/finish_test.go
@@ -1,6 +1,7 @@
 package vmcontroller_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -164,3 +165,70 @@
 		g.Expect(o.read("status")).To(gomega.Equal("complete"))
 	})
 }
+
+// Guards against a wave that is reported as complete although a VM of it, which the list did not show yet, was not maintained.
+func TestWaveAwaitsVMThatIsNotListedYet(t *testing.T) {
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		reportIdle(o, "a")
+		missing := x.vms[0]
+		x.vms = x.vms[1:]
+		time.AfterFunc(2*time.Second, func() {
+			x.lock.Lock()
+			defer x.lock.Unlock()
+			x.vms = append(x.vms, missing)
+		})
+	}, func(g *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		time.Sleep(1900 * time.Millisecond)
+		g.Expect(o.read("status")).To(gomega.Equal("running"))
+		time.Sleep(3 * time.Second)
+		g.Expect(x.ordered()).To(gomega.ContainElement("maintain a by e1"))
+		g.Expect(o.read("status")).To(gomega.Equal("complete"))
+	})
+}
+
+// Guards against a wave that waits for a VM that was removed for good.
+func TestWaveDoesNotAwaitRemovedVM(t *testing.T) {
+	run(t, func(_ *gomega.WithT, _ *fakeOwner, x *fakeFleet) {
+		x.vms = x.vms[1:]
+	}, func(g *gomega.WithT, o *fakeOwner, _ *fakeFleet) {
+		time.Sleep(5 * time.Second)
+		g.Expect(o.read("status")).To(gomega.Equal("complete"))
+	})
+}
+
+// Guards against exceeding a wave's cap because the list misses a VM that is in maintenance.
+func TestVMMissingFromTheListCountsAsDown(t *testing.T) {
+	down, most := 0, 0
+	run(t, func(_ *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		for i := range x.vms {
+			reportIdle(o, x.vms[i].Name)
+		}
+		x.secondWave = &wave.Wave{Number: 2, VMs: []string{"b", "c"}, TimeLimit: 30 * time.Second, MaxDown: 1}
+		x.onOrder = func(name string) {
+			if !strings.Contains(x.orders[len(x.orders)-1], "wave 2") {
+				return
+			}
+			down++
+			most = max(most, down)
+			for i := range x.vms {
+				if x.vms[i].Name == name {
+					v := x.vms[i]
+					x.vms = slices.Delete(x.vms, i, i+1)
+					time.AfterFunc(2*time.Second, func() {
+						x.lock.Lock()
+						defer x.lock.Unlock()
+						down--
+						v.ServerID = "t-" + name
+						x.vms = append(x.vms, v)
+						reportIdleAs(o, name, v.ServerID)
+					})
+					return
+				}
+			}
+		}
+	}, func(g *gomega.WithT, o *fakeOwner, x *fakeFleet) {
+		time.Sleep(20 * time.Second)
+		g.Expect(o.read("status 2")).To(gomega.Equal("complete"), strings.Join(x.ordered(), ", "))
+		g.Expect(most).To(gomega.Equal(1))
+	})
+}
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -32,6 +32,8 @@
 	poolsLoggedAt time.Time
 	usageLoggedAt time.Time
 	usage         *vmusage.Account
+	// missingSince is when the first reading of the list without a VM began, for the VMs of waves and open orders.
+	missingSince map[string]time.Time
 	// previousLeasesExpired is true once no run of a previous owner can be left that the scheduler does not know.
 	previousLeasesExpired bool
 	// openOrders has at most one order per VM.
@@ -81,8 +83,8 @@
 	return &term{
 		controller: c, owner: o, usage: vmusage.New(), vms: map[string]vm.PlatformStatus{}, openOrders: map[string]*order{}, waves: map[int]*progress{},
 		surplusSince: map[string]time.Time{}, poolSizes: map[string]float64{}, poolLoads: map[string]*rebalance.Load{},
-		invalidMoves: map[[2]string]bool{},
-		lastOrdered:  map[string]time.Time{}, leasedUntil: map[string]time.Time{},
+		invalidMoves: map[[2]string]bool{}, missingSince: map[string]time.Time{},
+		lastOrdered: map[string]time.Time{}, leasedUntil: map[string]time.Time{},
 		budget: vmorder.New(c.timing.OrdersPerSecond),
 	}
 }
--- a/entry/vmcontroller/wave.go
+++ b/entry/vmcontroller/wave.go
@@ -150,7 +150,7 @@
 	x.LongRunning = load.LongRunning > 0
 	down := o != nil && !o.draining && o.targetPool == ""
 	switch {
-	case !known:
+	case t.isRemoved(name):
 		x.Condition = wave.Removed
 	case p.maintained[name] && (down || v.State == vm.InMaintenance):
 		x.Condition = wave.InMaintenance
