--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -82,10 +82,9 @@
 	maxEntries    = 5
 	minVMsPerPool = 3
 	maxVMsPerPool = 4
-	// settleLimit bounds the recovery after the last fault: faults that are still active, lease expiry and a full queue.
 	// keptIDShare is the share of moves and maintenances after which a server has the ID of before.
 	keptIDShare = 0.5
-
+	// settleLimit bounds the recovery after the last fault: faults that are still active, lease expiry and a full queue.
 	settleLimit        = 30 * time.Second
 	settlePollInterval = 100 * time.Millisecond
 	// defaultCancelLimit is the time to cancel a job plus the time to stop its tasks.
