--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,14 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X github.com/tarragonbank/tarragonbank/entry/tarragond.Version=$(VERSION)
 
-.PHONY: build generate format lint test demo tools all-tools
+.PHONY: build race generate format lint test demo tools all-tools
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./entry/cmd/tarragond ./ctl/cmd/tarragonctl ./bench/cmd/tarragonbench ./platform/cmd/tarragonjobs
 
+race:
+	$(GO) build -race -o bin/race/ ./entry/cmd/tarragond ./platform/cmd/tarragonjobs
+
 all-tools:
 	cd tools && GOWORK=off GOFLAGS=-mod=readonly $(GO) build -o ../$(TOOLS)/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go github.com/dmarkham/enumer mvdan.cc/gofumpt github.com/mgechev/revive
 
--- a/bench/cmd/tarragonbench/main.go
+++ b/bench/cmd/tarragonbench/main.go
@@ -35,7 +35,7 @@
 	e := experiment.Options{Seed: 1, DeployDir: "deploy/horncraft", DurationScale: 1}
 	x := flaggy.NewSubcommand("run")
 	x.Description = "run an experiment; the last line of output is the report as JSON"
-	name := ""
+	name, race := "", false
 	x.AddPositionalValue(&name, "NAME", 1, true, "name of the experiment")
 	x.UInt64(&e.Seed, "s", "seed", "seed of the random generators")
 	x.String(&e.OutDir, "o", "out", "directory for logs and settings; a temporary directory by default")
@@ -43,6 +43,7 @@
 	x.String(&e.DeployDir, "d", "deploy", "directory of the inventory and the rules")
 	x.Float64(&e.DurationScale, "x", "length", "factor on the durations of the experiment")
 	x.Bool(&e.SkipTargets, "u", "untimed", "check only invariants, not the targets for latency, throughput and similar amounts")
+	x.Bool(&race, "r", "race", "run the programs that make race has built, with the race detector")
 	flaggy.AttachSubcommand(x, 1)
 	flaggy.Parse()
 	switch {
@@ -52,15 +53,15 @@
 		}
 		return 0, nil
 	case x.Used:
-		return runOne(name, e)
+		return runOne(name, race, e)
 	default:
 		flaggy.ShowHelpAndExit("")
 		return 0, nil
 	}
 }
 
-// runOne runs one experiment and prints its report.
-func runOne(name string, e experiment.Options) (int, error) {
+// runOne runs one experiment, with race with the programs that have the race detector, and prints its report.
+func runOne(name string, race bool, e experiment.Options) (int, error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	self, err := os.Executable()
@@ -68,6 +69,9 @@
 		return 0, trace.ConvertSystemError(err)
 	}
 	e.BinDir = filepath.Dir(self)
+	if race {
+		e.BinDir = filepath.Join(e.BinDir, "race")
+	}
 	if e.OutDir == "" {
 		if e.OutDir, err = os.MkdirTemp("", "tarragonbench-"); err != nil {
 			return 0, trace.ConvertSystemError(err)
--- a/bench/process/process.go
+++ b/bench/process/process.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"bytes"
 	"os"
 	"os/exec"
 	"strconv"
@@ -143,3 +144,10 @@
 	}
 	return Usage{CPUTime: time.Duration(user+system) * time.Second / ticksPerSecond, ResidentBytes: pages * pageBytes}, nil
 }
+
+// HasReportedRace reports whether the log has a report of the race detector, with which the program may be built. It returns an error if
+// the log cannot be read.
+func (p *Process) HasReportedRace() (bool, error) {
+	b, err := os.ReadFile(p.logFile)
+	return bytes.Contains(b, []byte("WARNING: DATA RACE")), trace.ConvertSystemError(err)
+}
--- a/bench/soak/settle.go
+++ b/bench/soak/settle.go
@@ -27,6 +27,9 @@
 		if e.ExitedWithError() {
 			r.addViolation("%s exited with an error, see its log", e.Name)
 		}
+		if found, err := e.HasReportedRace(); found || err != nil {
+			r.addViolation("%s has reported a data race, see its log (error: %v)", e.Name, err)
+		}
 	}
 }
 
