--- a/fleet/scheduler/trust_test.go
+++ b/fleet/scheduler/trust_test.go
@@ -534,4 +534,16 @@
 		gomega.Expect(replies[2].Result).To(gomega.Equal(scheduler.Refused))
 		gomega.Expect(w.NextBatch(batchLimit, w.now)).To(gomega.BeNil())
 	})
+	// The step of the refused job was placed as well as that of the job that was sent again.
+	ginkgo.It("runs a task once if its job is refused and sent again before the next pass", func() {
+		w := newHarness()
+		w.addServers("a", "b")
+		w.commit()
+		discard := func(scheduler.Reply) {}
+		w.Submit(newRecord(1, 1), w.now, discard)
+		w.RefuseUnsent("the store is unavailable", 2*time.Second, w.now)
+		w.submit(newRecord(1, 1))
+		gomega.Expect(w.acceptStarts()).To(gomega.HaveLen(1))
+		gomega.Expect(w.ServerLoad("a", w.now).Runs + w.ServerLoad("b", w.now).Runs).To(gomega.Equal(1))
+	})
 })
