Wait for orders that an owner sends before it knows of its loss

For leases of servers the suspicion is refuted: RestoreLeases and previousLeasesExpireAt count the renewal time from the loss.

Change: the successor allows for owner.MaxConfirmationAge too. So that this costs little, the time that an order may spend in the store is twice that of the last write, 0.2 to 1 s, in place of 1 s.

The loss itself was not played.

--- a/entry/owner/controller.go
+++ b/entry/owner/controller.go
@@ -20,7 +20,7 @@
 	// Update changes the scheduler's state and sends the orders that follow.
 	Update(f func(s *scheduler.Scheduler, now time.Time))
 	// FencingToken returns the term's fencing token and whether the store has confirmed the ownership within
-	// maxConfirmationAge.
+	// MaxConfirmationAge.
 	FencingToken() (uint64, bool)
 	// StartedAt returns when the term began.
 	StartedAt() time.Time
@@ -39,9 +39,9 @@
 }
 
 // FencingToken returns the term's fencing token and whether the store has confirmed the ownership within
-// maxConfirmationAge.
+// MaxConfirmationAge.
 func (o controllerTerm) FencingToken() (uint64, bool) {
-	return uint64(o.term.token), o.term.confirmationAge() < maxConfirmationAge && o.term.ctx.Err() == nil
+	return uint64(o.term.token), o.term.confirmationAge() < MaxConfirmationAge && o.term.ctx.Err() == nil
 }
 
 // StartedAt returns when the term began.
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -77,8 +77,8 @@
 const (
 	// tickInterval is the time between calls of the scheduler's Tick.
 	tickInterval = 100 * time.Millisecond
-	// maxConfirmationAge is how old the store's confirmation may be for orders that cannot be fenced.
-	maxConfirmationAge = time.Second
+	// MaxConfirmationAge is how old the store's confirmation may be for orders that cannot be fenced.
+	MaxConfirmationAge = time.Second
 	// minPreviousTerm is twice as long as owners, also those of earlier versions, renew leases without a confirmation.
 	minPreviousTerm = 4 * time.Second
 )
--- a/entry/vmcontroller/order.go
+++ b/entry/vmcontroller/order.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
@@ -17,15 +18,14 @@
 const ordersKey = "tarragonbank/orders"
 
 const (
-	// maxStoreDelay is how long after an order is written to the store it may be sent. As long as writes take longer, the ownership is
-	// not confirmed often enough for orders either.
+	// minStoreDelay and maxStoreDelay bound how long after an order is written to the store it may be sent: twice as long as the last
+	// write took. As long as writes take longer, the ownership is not confirmed often enough for orders either.
+	minStoreDelay = 200 * time.Millisecond
 	maxStoreDelay = time.Second
-	// maxArrivalDelay is how long after an order is written to the store it may arrive at the platform.
-	maxArrivalDelay = maxStoreDelay + orderTimeout
 )
 
 // loadOrders reads the latest orders of previous owners. Their VMs accept orders of this entry once the order lease has
-// expired. A previous owner sends none once it has lost the ownership.
+// expired. A previous owner sends none later than a second after it has lost the ownership.
 func (t *term) loadOrders(ctx context.Context) error {
 	l, err := t.owner.Read(ctx, ordersKey)
 	if err != nil {
@@ -38,7 +38,7 @@
 			wait.For(ctx, t.controller.timing.OrderLease+orderLeaseMargin)
 			return nil
 		}
-		latest := time.Now().Add(orderTimeout)
+		latest := time.Now().Add(owner.MaxConfirmationAge + orderTimeout)
 		for _, o := range m.Orders {
 			at := time.UnixMilli(o.AtMs)
 			if at.After(latest) {
@@ -64,8 +64,11 @@
 	if len(l) == 0 {
 		return
 	}
-	now := time.Now()
-	if err := t.storeOrders(ctx, l, now); err != nil {
+	now, limit := time.Now(), t.storeDelay
+	err := t.storeOrders(ctx, l, now.Add(limit+orderTimeout))
+	d := time.Since(now)
+	t.storeDelay = min(max(2*d, minStoreDelay), maxStoreDelay)
+	if err != nil {
 		t.logDecision(decision.Record{Kind: decision.Dependency, Reason: "orders not stored and therefore not sent: " + err.Error()})
 		t.lock.Lock()
 		for _, o := range l {
@@ -76,7 +79,7 @@
 		t.lock.Unlock()
 		return
 	}
-	if d := time.Since(now); d > maxStoreDelay {
+	if d > limit {
 		t.logDecision(decision.Record{Kind: decision.Dependency, Reason: "orders stored too slowly and therefore not sent yet", Duration: d})
 		return
 	}
@@ -86,11 +89,12 @@
 }
 
 // storeOrders stores until when the last order for each VM may arrive, without those whose order lease has expired and that have no
-// open order.
-func (t *term) storeOrders(ctx context.Context, l []*order, now time.Time) error {
+// open order. The given orders may arrive until arrival.
+func (t *term) storeOrders(ctx context.Context, l []*order, arrival time.Time) error {
+	now := time.Now()
 	t.lock.Lock()
 	for _, o := range l {
-		t.lastOrdered[o.vm] = now.Add(maxArrivalDelay)
+		t.lastOrdered[o.vm] = arrival
 	}
 	m := &schema.VmOrders{}
 	for n, at := range t.lastOrdered {
--- a/entry/vmcontroller/term.go
+++ b/entry/vmcontroller/term.go
@@ -53,6 +53,8 @@
 	leasedUntil map[string]time.Time
 	// pending holds the orders of this step, which are stored before they are sent.
 	pending []*order
+	// storeDelay is how long after the orders of a step are written to the store they may be sent.
+	storeDelay time.Duration
 	// budget is the number of orders that may be sent now, deferred the number of those that wait for it since the last step.
 	budget   *vmorder.Budget
 	deferred int
@@ -85,7 +87,7 @@
 		surplusSince: map[string]time.Time{}, poolSizes: map[string]float64{}, poolLoads: map[string]*rebalance.Load{},
 		invalidMoves: map[[2]string]bool{}, missingSince: map[string]time.Time{},
 		lastOrdered: map[string]time.Time{}, leasedUntil: map[string]time.Time{},
-		budget: vmorder.New(c.timing.OrdersPerSecond),
+		storeDelay: minStoreDelay, budget: vmorder.New(c.timing.OrdersPerSecond),
 	}
 }
 
