Leave the queue of the log open when it is closed

What operators would see: a process that leaves ends with a panic and exit code 2 if a decision is logged in its last moments.

Cause: Close closed the channel to which Add sends. The mirror, the relay and the operators' server run on until the process has ended.

Change: Close tells the writer to write what is queued and to end; the queue stays open.

--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -68,9 +68,12 @@
 
 // Log queues records and writes them from one goroutine. If the queue is full, records are dropped and counted.
 type Log struct {
-	logger     *logrus.Logger
-	buffer     *bufio.Writer
-	queue      chan Record
+	logger *logrus.Logger
+	buffer *bufio.Writer
+	queue  chan Record
+	// stopping is closed by Close, done once all lines are written. The queue stays open, since records may be added until the
+	// process has ended.
+	stopping   chan struct{}
 	done       chan struct{}
 	dropped    atomic.Uint64
 	written    atomic.Uint64
@@ -98,7 +101,7 @@
 	g.SetOutput(wholeLines{b})
 	g.SetLevel(level)
 	g.SetFormatter(newLineFormatter())
-	l := &Log{logger: g, buffer: b, queue: make(chan Record, queueCapacity), done: make(chan struct{})}
+	l := &Log{logger: g, buffer: b, queue: make(chan Record, queueCapacity), stopping: make(chan struct{}), done: make(chan struct{})}
 	l.entry = logrus.NewEntry(g)
 	l.entry.Message, l.entry.Data = "decision", logrus.Fields{recordField: &l.record}
 	for _, o := range opts {
@@ -121,7 +124,7 @@
 	return w.buffer.Write(p)
 }
 
-// Add queues a record without blocking, or drops it if the queue is full. It must not be called after Close.
+// Add queues a record without blocking, or drops it if the queue is full. Records that are added during or after Close may be lost.
 func (l *Log) Add(r Record) {
 	select {
 	case l.queue <- r:
@@ -142,7 +145,7 @@
 
 // Close writes the queued records and stops the log.
 func (l *Log) Close() {
-	close(l.queue)
+	close(l.stopping)
 	<-l.done
 }
 
@@ -166,18 +169,25 @@
 	defer t.Stop()
 	for {
 		select {
-		case r, ok := <-l.queue:
-			if !ok {
-				_ = l.buffer.Flush()
-				return
-			}
+		case r := <-l.queue:
 			l.write(r)
 		case <-t.C:
 			_ = l.buffer.Flush()
+		case <-l.stopping:
+			l.writeQueued()
+			return
 		}
 	}
 }
 
+// writeQueued writes the records that are queued now.
+func (l *Log) writeQueued() {
+	for range len(l.queue) {
+		l.write(<-l.queue)
+	}
+	_ = l.buffer.Flush()
+}
+
 func (l *Log) write(r Record) {
 	defer l.account.Since(processor.Log, time.Now())
 	l.addRecent(r)
--- a/entry/decision/log_test.go
+++ b/entry/decision/log_test.go
@@ -47,6 +47,32 @@
 		}))
 	})
 
+	// A decision that was logged while the process left ended it with a panic.
+	ginkgo.It("takes records until the process has ended, and writes those that were added before it was closed", func() {
+		var b bytes.Buffer
+		l := decision.New(&b, logrus.InfoLevel)
+		for range 1000 {
+			l.Add(decision.Record{Time: recordTime, Reason: "before"})
+		}
+		stop, stopped := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					l.Add(decision.Record{Time: recordTime, Reason: "beside"})
+				}
+			}
+		}()
+		l.Close()
+		l.Add(decision.Record{Time: recordTime, Reason: "after"})
+		close(stop)
+		<-stopped
+		gomega.Expect(strings.Count(b.String(), "before")).To(gomega.Equal(1000))
+	})
+
 	ginkgo.It("does not block when the writer blocks, and counts the dropped records", func() {
 		s := blockedWriter{release: make(chan struct{})}
 		l := decision.New(s, logrus.InfoLevel)
