Keep a run that a later incarnation may have for the time of its lease

A server answers start orders with a clock that is earlier than the orders, lists the runs, and its connection is reset 55 ms later. Its runs are given up after 0.06 s ("lease expired on an unreachable server") and started elsewhere.

Cause: such a run is kept until arrivesUntil plus the longest lease. The listing that showed it set arrivesUntil to zero, which is right for the other runs only.

Change: a listing leaves arrivesUntil alone while a later incarnation may have the run.

--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -298,7 +298,9 @@
 
 func (r *run) setWorking(clock time.Duration, now time.Time) {
 	r.phase = working
-	r.arrivesUntil = time.Time{}
+	if !r.startedLater {
+		r.arrivesUntil = time.Time{}
+	}
 	r.startedAt = now
 	r.progressedClock = clock
 }
--- a/fleet/scheduler/vmlist_test.go
+++ b/fleet/scheduler/vmlist_test.go
@@ -237,6 +237,17 @@
 		gomega.Expect(w.ServerLoad("a", w.now).Usable).To(gomega.BeTrue())
 	})
 
+	// The run was given up at once, and ran twice.
+	ginkgo.It("keeps its task from other servers if its server lists it in spite of a misleading clock and then falls silent", func() {
+		w.StartAnswered(o, scheduler.Started, 100*time.Millisecond, w.now)
+		w.reportRuns("a", listedRun(o, 10))
+		w.ServerUnreachable("a", start, w.now, "connection reset")
+		w.keepServing(6 * time.Second)
+		gomega.Expect(starts()).To(gomega.BeEmpty(), "the run may still have its lease")
+		w.keepServing(time.Second)
+		gomega.Expect(starts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", "b")))
+	})
+
 	ginkgo.It("leaves its task to other servers at once if another server runs on the VM", func() {
 		w.listVM(vm.Up, "c")
 		gomega.Expect(starts()).To(gomega.ConsistOf(gomega.HaveField("Server.ID", "b")))
