Allow for the resolution of servers' clocks in answers to start orders

What callers would see: servers that answer within a millisecond are taken for restarted.

Cause: clock-ms is in whole milliseconds. The least that the clock can show when an order is sent is the last reading plus the time since, and an answer within the same millisecond shows the reading itself.

Change: the two are compared in milliseconds.

Evidence: the new spec fails on the code before.

--- a/fleet/scheduler/restart_test.go
+++ b/fleet/scheduler/restart_test.go
@@ -134,6 +134,24 @@
 	})
 })
 
+// Servers report their clocks in whole milliseconds. An answer within the millisecond of a listing was taken for one of the next
+// incarnation, and the server got no renewals and no runs for 6 s.
+var _ = ginkgo.Describe("a server that answers a start order within a millisecond of its listing", func() {
+	ginkgo.It("has not restarted", func() {
+		w := newHarness()
+		w.addServers("a")
+		listed := w.clock()
+		w.now = w.now.Add(700 * time.Microsecond)
+		w.submit(newRecord(1, 1))
+		gomega.Expect(w.orders.Starts).To(gomega.HaveLen(1))
+		w.now = w.now.Add(200 * time.Microsecond)
+		w.StartAnswered(w.orders.Starts[0], scheduler.Started, listed, w.now)
+		gomega.Expect(w.ServerLoad("a", w.now).Usable).To(gomega.BeTrue())
+		h, _ := w.PreparePoll("a", w.now)
+		gomega.Expect(h.LeaseUntil).NotTo(gomega.BeZero())
+	})
+})
+
 // Guards against a server that is never used again because its clock was set back before it restarted under its ID.
 var _ = ginkgo.Describe("a server that restarts under its ID with an earlier start time", func() {
 	var w *harness
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -248,6 +248,9 @@
 	s.applyStartAnswer(t.run, a, clock, now)
 }
 
+// clockResolution is the resolution of the readings of servers' clocks.
+const clockResolution = time.Millisecond
+
 // applyStartAnswer moves the run to its next phase, or drops it if the server has surely not started it.
 func (s *Scheduler) applyStartAnswer(r *run, a StartAnswer, clock time.Duration, now time.Time) {
 	if t := now.Add(orderDeliveryMargin); a == NoAnswer && t.Before(r.arrivesUntil) {
@@ -259,7 +262,7 @@
 	}
 	switch a {
 	case Started:
-		if clock < r.sentClock {
+		if clock < r.sentClock.Truncate(clockResolution) {
 			s.startedByLaterIncarnation(r, now)
 			return
 		}
