Let the soak hand over owners whose orders for VMs are answered late

Change: in spells drawn from a stream of their own, the simulated platform answers orders for VMs 0.5 to 2 s late while a wave over the standby VMs runs, and the owner leaves or is killed up to 3 s later.

--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -100,8 +100,10 @@
 	return func() { r.restart(e) }
 }
 
-func entryShutsDown(r *run) func() {
-	e := r.entry()
+func entryShutsDown(r *run) func() { return r.shutDown(r.entry()) }
+
+// shutDown returns a function that shuts an entry down and restarts it, or nil if another fault has reserved the entry.
+func (r *run) shutDown(e *jobsite.Entry) func() {
 	if !r.reserve(e) {
 		return nil
 	}
@@ -243,14 +245,21 @@
 			l = append(l, m.Name)
 		}
 	}
-	if len(l) == 0 {
-		return nil
+	if len(l) > 0 {
+		r.requestWave(l, 1+r.faultRandom.IntN(2))
 	}
+	return nil
+}
+
+// requestWave requests a maintenance wave of VMs, with at most maxDown of them at a time.
+func (r *run) requestWave(l []string, maxDown int) {
+	r.lock.Lock()
 	r.waves++
-	if err := r.site.Platform.RequestWave(r.waves, l, waveTimeLimit, 1+r.faultRandom.IntN(2)); err != nil {
+	n := r.waves
+	r.lock.Unlock()
+	if err := r.site.Platform.RequestWave(n, l, waveTimeLimit, maxDown); err != nil {
 		r.addViolation("requesting a maintenance wave failed: %s", err)
 	}
-	return nil
 }
 
 // duration draws the duration of a fault: mostly short, sometimes longer than a server's lease.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -50,13 +50,15 @@
 	callers *jobsite.Callers
 	// Each random stream is used by one goroutine: faultRandom by the one that injects faults, loadRandom by the one that
 	// submits jobs, capacityRandom by the one that changes capacities, crashingRandom by the one that submits crashing
-	// jobs, workspaceRandom by the one that changes workspaces, configRandom by the one that changes queues.
+	// jobs, workspaceRandom by the one that changes workspaces, configRandom by the one that changes queues, orderRandom by the one
+	// that delays orders for VMs.
 	faultRandom     *rand.Rand
 	loadRandom      *rand.Rand
 	capacityRandom  *rand.Rand
 	crashingRandom  *rand.Rand
 	workspaceRandom *rand.Rand
 	configRandom    *rand.Rand
+	orderRandom     *rand.Rand
 	// withdrawals counts the withdrawn keys of which an entry does not learn yet.
 	withdrawals  sync.WaitGroup
 	activeFaults sync.WaitGroup
@@ -117,8 +119,8 @@
 	r := &run{
 		ctx: ctx, site: s, callers: jobsite.NewCallers(s, p.Seed), faultRandom: random, loadRandom: rand.New(rand.NewPCG(p.Seed, 12)),
 		capacityRandom: capacityRandom, crashingRandom: rand.New(rand.NewPCG(p.Seed, 14)), workspaceRandom: rand.New(rand.NewPCG(p.Seed, 15)),
-		configRandom: rand.New(rand.NewPCG(p.Seed, 16)),
-		reserved:     map[*jobsite.Entry]func(){}, pinned: map[any]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
+		configRandom: rand.New(rand.NewPCG(p.Seed, 16)), orderRandom: rand.New(rand.NewPCG(p.Seed, 17)),
+		reserved: map[*jobsite.Entry]func(){}, pinned: map[any]bool{}, started: time.Now(), cancelLimit: defaultCancelLimit, changeLimit: defaultChangeLimit,
 	}
 	if p.Untimed {
 		r.cancelLimit, r.changeLimit = settleLimit, settleLimit
@@ -130,7 +132,7 @@
 	faultCtx, stopFaults := context.WithTimeout(ctx, p.FaultDuration)
 	defer stopFaults()
 	var work sync.WaitGroup
-	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities, r.changeWorkspaces, r.changeConfigs, r.probeKeys, r.callers.ProbeQueues} {
+	for _, f := range []func(context.Context){r.submitJobs, r.submitCrashingJobs, r.changeCapacities, r.changeWorkspaces, r.changeConfigs, r.handOverLateOrders, r.probeKeys, r.callers.ProbeQueues} {
 		work.Add(1)
 		go func() {
 			defer work.Done()
