--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -63,7 +63,7 @@
 	if w == nil {
 		return
 	}
-	for _, t := range append(w.formerStarts, w.info.StartedAt) {
+	for _, t := range append(slices.Clone(w.formerStarts), w.info.StartedAt) {
 		if !t.Equal(v.info.StartedAt) {
 			v.formerStarts = append(v.formerStarts, t)
 		}
