Order a pace again that may not be in force

Also, by reading: after a takeover a filling task that was throttled stays so for good, and an order that is carried out late undoes a newer one.

Cause: the pace that was ordered last counts as in force, whether or not the order was answered, and that of a run from a previous owner as full.

Change: an order that was not answered, or whose pace a previous owner set, is given again; and the present one is repeated, at most every 0.7 s, while a serving task on the server is over its target.

--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -47,7 +47,10 @@
 	}
 	for _, x := range o.Paces {
 		r.spawn(func() {
-			r.sendOrder(x.Server, func(c context.Context) error { return r.owner.deps.Servers.Pace(c, x, r.fencingToken(x.Server)) })
+			answered := r.sendOrder(x.Server, func(c context.Context) error { return r.owner.deps.Servers.Pace(c, x, r.fencingToken(x.Server)) })
+			if !answered && r.ctx.Err() == nil {
+				r.update(processor.Other, func(s *scheduler.Scheduler, _ time.Time) { s.PaceUnanswered(x) })
+			}
 		})
 	}
 	for _, v := range o.ResumePolling {
@@ -105,11 +108,13 @@
 	r.update(processor.StartAnswer, func(s *scheduler.Scheduler, now time.Time) { s.StartAnswered(x, a, clock, now) })
 }
 
-// sendOrder sends an order whose effect the server's listing shows.
-func (r *term) sendOrder(v server.Server, f func(context.Context) error) {
-	if !r.retryOrder(v, func() bool { return r.isCurrent(v) }, f) && r.ctx.Err() == nil {
+// sendOrder sends an order to stop or pace a run, and reports whether it was answered.
+func (r *term) sendOrder(v server.Server, f func(context.Context) error) bool {
+	answered := r.retryOrder(v, func() bool { return r.isCurrent(v) }, f)
+	if !answered && r.ctx.Err() == nil {
 		r.owner.logDecision(decision.Server, "no answer to an order", r.token)
 	}
+	return answered
 }
 
 // retryOrder repeats an idempotent order to a server, with a doubled pause and timeout each time, until it is answered,
--- a/fleet/scheduler/incarnation.go
+++ b/fleet/scheduler/incarnation.go
@@ -35,7 +35,7 @@
 // inheritRun assigns a run to a server that may have it by an order of a previous owner or to an earlier incarnation. The order may
 // arrive until arrivesUntil.
 func (s *Scheduler) inheritRun(t *task, v *serverState, number int, stopped bool, arrivesUntil, now time.Time) {
-	r := &run{task: t, number: number, server: v, phase: unconfirmed, inherited: true, arrivesUntil: arrivesUntil, pace: fullPace, startedAt: now}
+	r := &run{task: t, number: number, server: v, phase: unconfirmed, inherited: true, arrivesUntil: arrivesUntil, pace: fullPace, paceUnknown: true, startedAt: now}
 	if stopped {
 		r.phase = stopping
 	}
--- a/fleet/scheduler/lasting_test.go
+++ b/fleet/scheduler/lasting_test.go
@@ -148,32 +148,64 @@
 })
 
 var _ = ginkgo.Describe("serving tasks", func() {
-	ginkgo.It("throttle best-effort tasks on their server before they exceed their target, and restore them in steps", func() {
-		w := newHarness()
+	var w *harness
+	var l []scheduler.StartOrder
+	ginkgo.BeforeEach(func() {
+		w = newHarness()
 		w.addServers("a")
 		w.submit(newRecord(1, 1, longRunning, func(s *schema.StepRecord) { s.TargetMs = 100 }))
 		w.submit(newRecord(2, 1, longRunning, func(s *schema.StepRecord) { s.Fills = true }))
-		l := w.acceptStarts()
+		l = w.acceptStarts()
 		gomega.Expect(l).To(gomega.HaveLen(2))
-		tail := func(ms int64) []int {
-			w.advance(800 * time.Millisecond)
-			serving := listedRun(l[0], 100)
-			serving.Metric = ms
-			w.reportRuns("a", serving, listedRun(l[1], 100))
-			w.orders.Paces = nil
-			w.advance(100 * time.Millisecond)
-			p := []int{}
-			for _, x := range w.orders.Paces {
-				p = append(p, x.Percent)
-			}
-			return p
+	})
+	// tail lists the tasks with a tail latency of the serving one and returns the paces that are ordered then.
+	tail := func(ms int64) []int {
+		w.advance(800 * time.Millisecond)
+		serving := listedRun(l[0], 100)
+		serving.Metric = ms
+		w.reportRuns("a", serving, listedRun(l[1], 100))
+		w.orders.Paces = nil
+		w.advance(100 * time.Millisecond)
+		p := []int{}
+		for _, x := range w.orders.Paces {
+			p = append(p, x.Percent)
 		}
+		return p
+	}
+
+	ginkgo.It("throttle best-effort tasks on their server before they exceed their target, and restore them in steps", func() {
 		gomega.Expect(tail(50)).To(gomega.BeEmpty())
 		gomega.Expect(tail(90)).To(gomega.Equal([]int{33}))
 		gomega.Expect(tail(110)).To(gomega.Equal([]int{0}))
 		gomega.Expect(tail(70)).To(gomega.BeEmpty())
 		gomega.Expect(tail(40)).To(gomega.Equal([]int{15}))
 	})
+
+	// A lost order, or one that an older one overtook, left them over their target for good.
+	ginkgo.It("throttle best-effort tasks again while they are over their target", func() {
+		gomega.Expect(tail(110)).To(gomega.Equal([]int{0}))
+		gomega.Expect(tail(110)).To(gomega.Equal([]int{0}))
+		gomega.Expect(tail(70)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("get an order again that was not answered", func() {
+		gomega.Expect(tail(90)).To(gomega.Equal([]int{33}))
+		w.PaceUnanswered(w.orders.Paces[0])
+		gomega.Expect(tail(70)).To(gomega.Equal([]int{33}))
+		gomega.Expect(tail(70)).To(gomega.BeEmpty())
+	})
+
+	// They stayed throttled for good, since the next owner took their pace for full.
+	ginkgo.It("leave best-effort tasks at the pace of the next owner after a takeover", func() {
+		x := newHarness()
+		for i, o := range []func(*schema.StepRecord){func(s *schema.StepRecord) { s.TargetMs = 100 }, func(s *schema.StepRecord) { s.Fills = true }} {
+			x.Restore(newRecord(i+1, 1, longRunning, o), &schema.JobProgress{Tasks: []*schema.TaskProgress{{LastRun: 1, Server: "a", BornMs: start.UnixMilli()}}}, x.now)
+		}
+		x.Register(newServer("a"), x.now)
+		w = x
+		gomega.Expect(tail(40)).To(gomega.Equal([]int{100}))
+		gomega.Expect(tail(40)).To(gomega.BeEmpty())
+	})
 })
 
 // An owner that is behind processes listings long after they were made. It took tasks that were still starting up then for
--- a/fleet/scheduler/pace.go
+++ b/fleet/scheduler/pace.go
@@ -31,16 +31,31 @@
 			if !r.task.step.step.BestEffort || r.phase != working || v.listedAt.Sub(r.pacedAt) < minPaceInterval {
 				continue
 			}
-			if p := nextPace(r.pace, worst); p != r.pace {
-				r.pace = p
-				r.pacedAt = now
-				s.addDecision(r.decision("pace changed for a serving task on the same server"))
+			p := nextPace(r.pace, worst)
+			if reason := r.paceReason(p, worst); reason != "" {
+				r.pace, r.pacedAt, r.paceUnknown = p, now, false
+				s.addDecision(r.decision(reason))
 				s.orders.Paces = append(s.orders.Paces, PaceOrder{Server: v.info, Task: r.task.key, Number: r.number, Percent: p})
 			}
 		}
 	}
 }
 
+// paceReason returns why the run is ordered to go at the pace p, given the worst tail latency on its server in percent of its target,
+// or an empty string if it is not. An order that was lost, or overtaken by an older one, is given again.
+func (r *run) paceReason(p, worst int) string {
+	switch {
+	case p != r.pace:
+		return "pace changed for a serving task on the same server"
+	case r.paceUnknown:
+		return "pace ordered again, since it is not known"
+	case worst > fullPercent:
+		return "pace ordered again, since a serving task on the same server is still over its target"
+	default:
+		return ""
+	}
+}
+
 // worstTailPercent returns the worst tail latency of the server's serving tasks, as a percentage of their target.
 func (v *serverState) worstTailPercent() int {
 	worst := 0
@@ -70,3 +85,12 @@
 		return pace
 	}
 }
+
+// PaceUnanswered records that an order to pace a run was not answered, so that it may not have been carried out.
+func (s *Scheduler) PaceUnanswered(o PaceOrder) {
+	if v := s.servers[o.Server.ID]; v != nil {
+		if r := v.runs[o.Task]; r != nil && r.number == o.Number {
+			r.paceUnknown = true
+		}
+	}
+}
--- a/fleet/scheduler/run.go
+++ b/fleet/scheduler/run.go
@@ -67,6 +67,8 @@
 	// pace is the percentage of full speed to which the run is throttled.
 	pace    int
 	pacedAt time.Time
+	// paceUnknown is true if the server may run it at another pace: the last order was not answered, or a previous owner gave it.
+	paceUnknown bool
 }
 
 // assign places a task on a server. The start order is sent once the assignment is stored.
