--- a/bench/jobsite/site.go
+++ b/bench/jobsite/site.go
@@ -35,6 +35,9 @@
 	// EntryCores is the number of cores that the settings give each entry, 0.4 if it is 0. An entry with few cores for the
 	// number of servers lets other entries send its orders.
 	EntryCores float64
+	// MemoryMB and MaxDescriptors are the limits in the settings of each entry, those of the stand-in's settings if 0.
+	MemoryMB       int64
+	MaxDescriptors int
 	// Untimed extends the time after a cancellation in which task starts are still allowed, for busy machines.
 	Untimed bool
 	// UnguardedPools lists the pools whose servers start whatever they are ordered to, even beyond their capacity.
@@ -237,6 +240,7 @@
 		Spec: simulator.EntrySpec{
 			Name: name, DataCentre: fmt.Sprintf("dc-%d", i%dataCentres+1), Cores: cmp.Or(s.Options.EntryCores, defaultEntryCores),
 			CallerAddress: at(portCaller), ReadinessAddress: at(portReadiness), PeerAddress: at(portPeer), StoreAddress: at(portStore), CloudAddress: at(portCloud),
+			MemoryMB: s.Options.MemoryMB, MaxDescriptors: s.Options.MaxDescriptors,
 		},
 		StoreProxy: proxy.New(s.Platform.Options.StoreAddress), CloudProxy: proxy.New(s.Platform.Options.CloudAddress), site: s,
 	}
--- a/bench/process/process.go
+++ b/bench/process/process.go
@@ -151,3 +151,8 @@
 	b, err := os.ReadFile(p.logFile)
 	return bytes.Contains(b, []byte("WARNING: DATA RACE")), trace.ConvertSystemError(err)
 }
+
+// PID returns the ID of the instance started last.
+func (p *Process) PID() int {
+	return p.command.Process.Pid
+}
