Bound what all callers of an entry hold together

Callers saw: connections that were reset, as the process had ended for lack of memory, or no answer, as it had no descriptors left. Cause: a connection could hold a body and a half (0.4 MB) or a header of 1 MB for any time, and there was no limit to connections. Change: package ingress, a listener that counts connections and the estimated memory of requests that arrive and that are handled, with limits from memory-mb and max-fds. Without room it closes what holds most for the longest without a complete request, and refuses whole requests with 503 before they are decoded. Why it works: what a crowd holds is counted as it arrives, and a usual request, complete within milliseconds, is never what holds most.

--- /dev/null
+++ b/entry/ingress/request.go
@@ -0,0 +1,153 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// MaxHeaderBytes is the size up to which a request's header is read.
+	MaxHeaderBytes = 64 << 10
+	// RetryAfter is when a client whose request was refused for lack of memory should come back.
+	RetryAfter = time.Second
+	// initialBodyBytes is the size of the buffer into which a body is read at first.
+	initialBodyBytes = 4 << 10
+)
+
+type contextKey struct{}
+
+// Protect makes a server that serves the listener keep to its limits.
+func (l *Listener) Protect(s *http.Server) {
+	s.MaxHeaderBytes = MaxHeaderBytes
+	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
+		return context.WithValue(ctx, contextKey{}, connOf(n))
+	}
+	s.ConnState = func(n net.Conn, x http.ConnState) {
+		if c := connOf(n); c != nil && x == http.StateIdle {
+			l.setPhase(c, idle)
+		}
+	}
+	h := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { l.serve(h, w, r) })
+}
+
+// connOf returns the connection below a connection of the server, which may be a TLS connection.
+func connOf(n net.Conn) *Conn {
+	if t, ok := n.(interface{ NetConn() net.Conn }); ok {
+		n = t.NetConn()
+	}
+	c, _ := n.(*Conn)
+	return c
+}
+
+// serve handles a request. One without a body has arrived, another one has once ReadBody has read its body.
+func (l *Listener) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(contextKey{}).(*Conn)
+	if c == nil {
+		h.ServeHTTP(w, r)
+		return
+	}
+	defer l.setPhase(c, finished)
+	if r.ContentLength == 0 {
+		if !l.begin(c) {
+			l.busy.ServeHTTP(w, r)
+			return
+		}
+	} else {
+		l.beginBody(c)
+	}
+	h.ServeHTTP(w, r)
+}
+
+// begin begins to handle the request of a connection, and reports whether there is room for it. There is for one request alone.
+func (l *Listener) begin(c *Conn) bool {
+	l.lock.Lock()
+	n := l.queues[handled].Len()
+	room := n == 0 || l.handledBytes+c.cost() <= l.limits.MemoryBytes && (l.limits.Requests == 0 || n < l.limits.Requests)
+	if room && c.element != nil {
+		c.enter(handled, time.Now())
+	}
+	l.lock.Unlock()
+	if !room {
+		l.report(tooManyHandled)
+	}
+	return room
+}
+
+// beginBody marks the end of the header.
+func (l *Listener) beginBody(c *Conn) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	c.inBody = true
+}
+
+// refuse tells a client to come back, since there is no memory for its request.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter/time.Second)))
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// BusyError reports that a request was read, but that there is no memory to handle it.
+type BusyError struct{}
+
+// Error implements error.
+func (*BusyError) Error() string {
+	return "too many requests are being handled"
+}
+
+// ReadBody reads the body of a request within the timeout, 0 for none. It fails with an http.MaxBytesError if the body is longer than
+// the limit, with a BusyError if there is no memory to handle the request, and otherwise with the error of the connection. The
+// connection of a body that was not read to its end is closed after the response.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	x := http.NewResponseController(w)
+	if timeout > 0 {
+		// Only the writers of tests have no deadlines.
+		_ = x.SetReadDeadline(time.Now().Add(timeout))
+	}
+	most := limit + 1
+	if r.ContentLength > 0 {
+		most = r.ContentLength + 1
+	}
+	b, err := readAll(http.MaxBytesReader(w, r.Body, limit), most)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
+	_ = x.SetReadDeadline(time.Time{})
+	if c, _ := r.Context().Value(contextKey{}).(*Conn); c != nil && !c.listener.begin(c) {
+		return nil, &BusyError{}
+	}
+	return b, nil
+}
+
+// readAll reads to the end into a buffer that grows with what has arrived, to most bytes at the most.
+func readAll(r io.Reader, most int64) ([]byte, error) {
+	b := make([]byte, 0, min(initialBodyBytes, most))
+	for {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err == io.EOF {
+			return b, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(b) == cap(b) {
+			grown := make([]byte, len(b), max(min(2*int64(cap(b)), most), int64(len(b))+1))
+			copy(grown, b)
+			b = grown
+		}
+	}
+}
--- /dev/null
+++ b/entry/ingress/resources.go
@@ -0,0 +1,66 @@
+package ingress
+
+// Resources is what a process may use.
+type Resources struct {
+	MemoryBytes int64
+	Descriptors int
+}
+
+const (
+	// DefaultMemoryBytes and DefaultDescriptors apply where nothing is configured.
+	DefaultMemoryBytes = 256 << 20
+	DefaultDescriptors = 4096
+	// fileDescriptors is the number of descriptors that are not for sockets.
+	fileDescriptors = 200
+	// maxOperatorRequests is the number of requests of operators that are handled at the same time; their responses may be large.
+	maxOperatorRequests = 64
+	// connectionBytes is the memory of a connection without a request: its goroutine, its buffers, and its receive buffer in the kernel.
+	connectionBytes = 48 << 10
+	// memoryLimitPercent is the soft limit of the Go runtime's memory, in percent of that of the process. Near the limit, garbage is
+	// collected more often.
+	memoryLimitPercent = 60
+)
+
+// withDefaults returns the resources with defaults for what is not configured.
+func (r Resources) withDefaults() Resources {
+	if r.MemoryBytes <= 0 {
+		r.MemoryBytes = DefaultMemoryBytes
+	}
+	if r.Descriptors <= 0 {
+		r.Descriptors = DefaultDescriptors
+	}
+	return r
+}
+
+// RuntimeMemoryLimit returns the soft memory limit for the Go runtime.
+func (r Resources) RuntimeMemoryLimit() int64 {
+	return r.withDefaults().MemoryBytes * memoryLimitPercent / 100
+}
+
+// Callers returns the limits of the callers' listener: three eighths of the sockets, a quarter of the memory for connections, and an
+// eighth of it for requests that arrive and for those that are handled.
+func (r Resources) Callers() Limits {
+	return r.share(3, 4, 8)
+}
+
+// Operators returns the limits of a listener for operators and probes of readiness.
+func (r Resources) Operators() Limits {
+	m := r.share(1, 16, 16)
+	m.Requests = maxOperatorRequests
+	return m
+}
+
+// Peers returns the limits of a listener for other entries, which do not apply to trusted ones.
+func (r Resources) Peers() Limits {
+	return r.share(1, 8, 8)
+}
+
+// share returns limits of so many eighths of the sockets, and of one part in so many of the memory.
+func (r Resources) share(socketEighths, connectionPart, requestPart int) Limits {
+	r = r.withDefaults()
+	sockets := max(r.Descriptors-fileDescriptors, 0) * socketEighths / 8
+	return Limits{
+		Connections: max(min(sockets, int(r.MemoryBytes)/connectionPart/connectionBytes), 1),
+		MemoryBytes: r.MemoryBytes / int64(requestPart),
+	}
+}
