--- a/fleet/job/check.go
+++ b/fleet/job/check.go
@@ -10,9 +10,10 @@
 	idLength = 16
 	// MaxPayloadBytes limits the payload that a job passes to its tasks.
 	MaxPayloadBytes = 4000
-	maxSteps        = 256
-	maxTasks        = 4096
-	maxRepeats      = 10000
+	// MaxSteps limits the steps of a job.
+	MaxSteps   = 256
+	maxTasks   = 4096
+	maxRepeats = 10000
 	// maxResourceAmount limits each resource of a task, so that the sum over all tasks of a job fits in 64 bits.
 	maxResourceAmount = 1 << 40
 	// maxMillis limits times to about 139 years, so that they fit in a time.Duration.
@@ -37,8 +38,8 @@
 		return &InvalidError{"id", "not 16 hexadecimal digits"}
 	case len(m.Payload) > MaxPayloadBytes:
 		return &InvalidError{"payload", fmt.Sprintf("longer than %d bytes", MaxPayloadBytes)}
-	case len(m.Steps) == 0 || len(m.Steps) > maxSteps:
-		return &InvalidError{"steps", fmt.Sprintf("not 1 to %d of them", maxSteps)}
+	case len(m.Steps) == 0 || len(m.Steps) > MaxSteps:
+		return &InvalidError{"steps", fmt.Sprintf("not 1 to %d of them", MaxSteps)}
 	case m.Repeats < 0 || m.Repeats > maxRepeats:
 		return &InvalidError{"repeat", fmt.Sprintf("not 0 to %d times", maxRepeats)}
 	case m.Repeats > 1 && m.IntervalMs <= 0:
