Cut the texts of log records

Cause: errors of the decoder quote the value that does not fit, up to the whole body, and the queue of the log holds 8,192 records. Change: a text of a record is cut after 1,024 bytes when it is added. Evidence: the new test of the log.

--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,10 @@
 	queueCapacity = 8192
 	// bufferBytes is what one write to standard output takes at most. A pipe takes writes of up to 4 KB as a whole, so that
 	// lines are neither torn nor mixed with those of other processes.
-	bufferBytes   = 4096
-	recentCount   = 64
+	bufferBytes = 4096
+	recentCount = 64
+	// maxTextBytes is the length to which a text of a record is cut, so that the queue holds no texts of callers in full.
+	maxTextBytes  = 1024
 	flushInterval = 100 * time.Millisecond
 )
 
@@ -125,7 +128,13 @@
 }
 
 // Add queues a record without blocking, or drops it if the queue is full. Records that are added during or after Close may be lost.
+// Longer texts than maxTextBytes are cut.
 func (l *Log) Add(r Record) {
+	for _, t := range []*string{&r.Request, &r.Service, &r.Pool, &r.VM, &r.Task, &r.Reason} {
+		if len(*t) > maxTextBytes {
+			*t = strings.ToValidUTF8((*t)[:maxTextBytes], "") + "..."
+		}
+	}
 	select {
 	case l.queue <- r:
 	default:
--- a/entry/decision/log_test.go
+++ b/entry/decision/log_test.go
@@ -73,6 +73,18 @@
 		gomega.Expect(strings.Count(b.String(), "before")).To(gomega.Equal(1000))
 	})
 
+	// Quoted requests of callers filled the queue with hundreds of kilobytes each.
+	ginkgo.It("cuts long texts", func() {
+		var b bytes.Buffer
+		l := decision.New(&b, logrus.InfoLevel)
+		l.Add(decision.Record{Time: recordTime, Request: strings.Repeat("r", 5000), Reason: strings.Repeat("\u00e4", 5000)})
+		l.Close()
+		var line struct{ Request, Reason string }
+		gomega.Expect(json.Unmarshal(b.Bytes(), &line)).To(gomega.Succeed())
+		gomega.Expect(line.Request).To(gomega.Equal(strings.Repeat("r", 1024) + "..."))
+		gomega.Expect(line.Reason).To(gomega.Equal(strings.Repeat("\u00e4", 512) + "..."))
+	})
+
 	ginkgo.It("does not block when the writer blocks, and counts the dropped records", func() {
 		s := blockedWriter{release: make(chan struct{})}
 		l := decision.New(s, logrus.InfoLevel)
