Bound what clients of the job API and of readiness hold together

Callers saw: connections that were reset, as the entry had ended for lack of memory or of descriptors. Cause: the address of readiness had no limits. A submission there holds up to 1 MB, in TOML many times that once decoded, and connections of refused requests linger for as long as their clients send. Requests of usual size are never refused for lack of memory, so that checks of readiness are answered beside a crowd. Why it works: as with the callers' listener; what lingers is closed first, and nothing is decoded beside another job.

--- a/entry/ingress/ingress_test.go
+++ b/entry/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"strings"
@@ -25,7 +26,7 @@
 }
 
 const (
-	bodyLimit   = 1000
+	bodyLimit   = 4000
 	bodyTimeout = 200 * time.Millisecond
 )
 
@@ -104,10 +105,10 @@
 		gomega.Expect(b).To(gomega.Equal(body))
 	},
 	ginkgo.Entry("no body", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusOK, "0"),
-	ginkgo.Entry("the largest body", request("/", bodyLimit, strings.Repeat("a", bodyLimit)), http.StatusOK, "1000"),
-	ginkgo.Entry("the largest body in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\na\r\n", bodyLimit)+"0\r\n\r\n", http.StatusOK, "1000"),
+	ginkgo.Entry("the largest body", request("/", bodyLimit, strings.Repeat("a", bodyLimit)), http.StatusOK, "4000"),
+	ginkgo.Entry("the largest body in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\na\r\n", bodyLimit)+"0\r\n\r\n", http.StatusOK, "4000"),
 	ginkgo.Entry("an announced body over the limit", request("/", bodyLimit+1, ""), http.StatusRequestEntityTooLarge, ""),
-	ginkgo.Entry("chunks over the limit", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n"+strings.Repeat("a", bodyLimit+1)+"\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge, ""),
+	ginkgo.Entry("chunks over the limit", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfa1\r\n"+strings.Repeat("a", bodyLimit+1)+"\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge, ""),
 	ginkgo.Entry("a body that does not arrive in time", request("/", 10, "a"), http.StatusRequestTimeout, ""),
 )
 
@@ -173,6 +174,25 @@
 		gomega.Expect(n).To(gomega.Equal(http.StatusOK))
 	})
 
+	ginkgo.It("passes so many requests at a time to a handler", func() {
+		entered, release := make(chan struct{}), make(chan struct{})
+		h := ingress.LimitRequests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			entered <- struct{}{}
+			<-release
+		}), 1)
+		serve := func() int {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+			return w.Code
+		}
+		first := make(chan int)
+		go func() { first <- serve() }()
+		<-entered
+		gomega.Expect(serve()).To(gomega.Equal(http.StatusServiceUnavailable))
+		close(release)
+		gomega.Expect(<-first).To(gomega.Equal(http.StatusOK))
+	})
+
 	ginkgo.It("serves request after request on a connection", func() {
 		x := start(ingress.Limits{Connections: 1, MemoryBytes: 40000})
 		c := x.open("")
--- a/entry/ingress/listener.go
+++ b/entry/ingress/listener.go
@@ -22,8 +22,6 @@
 	Connections int
 	// MemoryBytes is the estimated memory of the requests that are arriving, and again that of the requests that are handled.
 	MemoryBytes int64
-	// Requests is the number of requests that are handled at the same time, 0 for no limit.
-	Requests int
 }
 
 // Metrics counts closed connections and refused requests by cause.
--- a/entry/ingress/request.go
+++ b/entry/ingress/request.go
@@ -14,6 +14,8 @@
 	MaxHeaderBytes = 64 << 10
 	// RetryAfter is when a client whose request was refused for lack of memory should come back.
 	RetryAfter = time.Second
+	// smallCost is the estimated memory up to which a request is never refused. The limit of connections bounds these.
+	smallCost = 32 << 10
 	// initialBodyBytes is the size of the buffer into which a body is read at first.
 	initialBodyBytes = 4 << 10
 )
@@ -63,11 +65,11 @@
 	h.ServeHTTP(w, r)
 }
 
-// begin begins to handle the request of a connection, and reports whether there is room for it. There is for one request alone.
+// begin begins to handle the request of a connection, and reports whether there is room for it. There is for one request alone, and for
+// small ones.
 func (l *Listener) begin(c *Conn) bool {
 	l.lock.Lock()
-	n := l.queues[handled].Len()
-	room := n == 0 || l.handledBytes+c.cost() <= l.limits.MemoryBytes && (l.limits.Requests == 0 || n < l.limits.Requests)
+	room := c.cost() <= smallCost || l.queues[handled].Len() == 0 || l.handledBytes+c.cost() <= l.limits.MemoryBytes
 	if room && c.element != nil {
 		c.enter(handled, time.Now())
 	}
@@ -92,6 +94,21 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// LimitRequests returns a handler that passes at most n requests at a time to h, and refuses others with status 503 and a Retry-After
+// header.
+func LimitRequests(h http.Handler, n int) http.Handler {
+	free := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case free <- struct{}{}:
+			defer func() { <-free }()
+			h.ServeHTTP(w, r)
+		default:
+			refuse(w, r)
+		}
+	})
+}
+
 // BusyError reports that a request was read, but that there is no memory to handle it.
 type BusyError struct{}
 
--- a/entry/ingress/resources.go
+++ b/entry/ingress/resources.go
@@ -12,8 +12,6 @@
 	DefaultDescriptors = 4096
 	// fileDescriptors is the number of descriptors that are not for sockets.
 	fileDescriptors = 200
-	// maxOperatorRequests is the number of requests of operators that are handled at the same time; their responses may be large.
-	maxOperatorRequests = 64
 	// connectionBytes is the memory of a connection without a request: its goroutine, its buffers, and its receive buffer in the kernel.
 	connectionBytes = 48 << 10
 	// memoryLimitPercent is the soft limit of the Go runtime's memory, in percent of that of the process. Near the limit, garbage is
@@ -37,6 +35,14 @@
 	return r.withDefaults().MemoryBytes * memoryLimitPercent / 100
 }
 
+// jobPart is the part of the memory that jobs may take.
+const jobPart = 4
+
+// JobMemory returns the memory for accepted jobs.
+func (r Resources) JobMemory() int64 {
+	return r.withDefaults().MemoryBytes / jobPart
+}
+
 // Callers returns the limits of the callers' listener: three eighths of the sockets, a quarter of the memory for connections, and an
 // eighth of it for requests that arrive and for those that are handled.
 func (r Resources) Callers() Limits {
@@ -45,9 +51,7 @@
 
 // Operators returns the limits of a listener for operators and probes of readiness.
 func (r Resources) Operators() Limits {
-	m := r.share(1, 16, 16)
-	m.Requests = maxOperatorRequests
-	return m
+	return r.share(1, 16, 16)
 }
 
 // Peers returns the limits of a listener for other entries, which do not apply to trusted ones.
--- a/entry/jobapi/answer.go
+++ b/entry/jobapi/answer.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonbank/tarragonbank/entry/ingress"
 	"github.com/tarragonbank/tarragonbank/fleet/document"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/scheduler"
@@ -46,6 +47,16 @@
 	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
 }
 
+// writeBodyError writes the error of a body that could not be read.
+func writeBodyError(w http.ResponseWriter, err error) {
+	var busy *ingress.BusyError
+	status, x := http.StatusRequestEntityTooLarge, errorResponse{Kind: "body", Error: err.Error()}
+	if errors.As(err, &busy) {
+		status, x.Kind, x.RetryAfterMs = http.StatusServiceUnavailable, "busy", ingress.RetryAfter.Milliseconds()
+	}
+	writeError(w, status, x)
+}
+
 // invalidJob returns the body for a job that cannot be decoded or is invalid.
 func invalidJob(err error) errorResponse {
 	var i *job.InvalidError
--- a/entry/jobapi/server.go
+++ b/entry/jobapi/server.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/tarragonbank/tarragonbank/entry/decision"
+	"github.com/tarragonbank/tarragonbank/entry/ingress"
 	"github.com/tarragonbank/tarragonbank/entry/owner"
 	"github.com/tarragonbank/tarragonbank/fleet/job"
 	"github.com/tarragonbank/tarragonbank/fleet/queue"
@@ -17,6 +18,8 @@
 const (
 	// maxBodyBytes bounds a submission; a job of 256 steps with a payload of 4,000 bytes takes a tenth of it.
 	maxBodyBytes = 1 << 20
+	// bodyTimeout bounds the time in which a submission arrives.
+	bodyTimeout = 30 * time.Second
 	// callTimeout bounds a call through the relay, whose own timeout is 2 s, and a read of the store; a commit to a slow
 	// store takes 500 ms.
 	callTimeout = 3 * time.Second
@@ -60,6 +63,8 @@
 	log     Logger
 	metrics Metrics
 	mux     *http.ServeMux
+	// decoding is held while a job is decoded, since some take much more memory than their text.
+	decoding sync.Mutex
 }
 
 // New returns a server that passes calls to the relay.
@@ -106,12 +111,14 @@
 // readJob reads the job in a request. If the job cannot be submitted, it writes the error, passes the reason to refused and
 // returns false.
 func (s *Server) readJob(w http.ResponseWriter, r *http.Request, refused func(id, reason string)) (*schema.JobRequest, bool) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	b, err := ingress.ReadBody(w, r, maxBodyBytes, bodyTimeout)
 	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, errorResponse{Kind: "body", Error: err.Error()})
+		writeBodyError(w, err)
 		return nil, false
 	}
+	s.decoding.Lock()
 	q, err := decodeJob(r.Header.Get("Content-Type"), r.URL.Query().Get("file"), b)
+	s.decoding.Unlock()
 	if err == nil {
 		if q.Id == "" {
 			q.Id = r.URL.Query().Get("id")
