Bound what strangers hold at the address of the other entries

Callers saw: connections that were reset, as the entry had ended for lack of memory or of descriptors. Cause: a connection without a stream stayed open for ever; a message of 4 MB took its memory when it was announced; a session could have 256 streams with 256 KB each. Why it works: entries send a call within milliseconds, so that a crowd of strangers is closed before them; strangers that send valid calls are not told apart from entries, whose address nobody outside reaches.

--- a/entry/peer/frame.go
+++ b/entry/peer/frame.go
@@ -14,6 +14,8 @@
 
 const (
 	lengthPrefixBytes = 4
+	// initialFrameBytes is the size of the buffer into which a message is read at first.
+	initialFrameBytes = 64 << 10
 	// MaxFrameBytes is the largest size of a message between entries, without its length prefix.
 	MaxFrameBytes = 4 << 20
 )
@@ -73,11 +75,19 @@
 	if n > MaxFrameBytes {
 		return nil, trace.Wrap(&FrameError{Detail: fmt.Sprintf("length of %d bytes exceeds the limit of %d", n, MaxFrameBytes)})
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, trace.Wrap(err, "reading message")
+	// The buffer grows with what arrives, since a peer may announce much and send little.
+	b := make([]byte, min(n, initialFrameBytes))
+	for read := 0; ; {
+		k, err := io.ReadFull(r, b[read:])
+		if err != nil {
+			return nil, trace.Wrap(err, "reading message")
+		}
+		read += k
+		if read == int(n) {
+			return b, nil
+		}
+		b = append(b, make([]byte, min(len(b), int(n)-read))...)
 	}
-	return b, nil
 }
 
 // DecodeFrame decodes one message. It fails with a FrameError if the message is malformed.
--- a/entry/relay/ownerconn.go
+++ b/entry/relay/ownerconn.go
@@ -174,6 +174,8 @@
 func yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = false
+	// A session has one stream.
+	c.AcceptBacklog = 1
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = writeTimeout
 	c.LogOutput = io.Discard
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -12,6 +12,11 @@
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
+// limited is a connection of a listener with limits, which do not apply to trusted connections.
+type limited interface {
+	Trust()
+}
+
 // Serve answers calls of other entries until the listener is closed; the context bounds the calls.
 func (r *Relay) Serve(ctx context.Context, l net.Listener) {
 	for {
@@ -24,18 +29,21 @@
 			c.Close()
 			continue
 		}
-		go r.serveSession(ctx, s)
+		go r.serveSession(ctx, c, s)
 	}
 }
 
-// serveSession serves the one channel of a session.
-func (r *Relay) serveSession(ctx context.Context, s *yamux.Session) {
+// serveSession serves the one channel of a session, which must be opened within silenceTimeout.
+func (r *Relay) serveSession(ctx context.Context, c net.Conn, s *yamux.Session) {
 	defer s.Close()
-	t, err := s.Accept()
+	opening, stop := context.WithTimeout(ctx, silenceTimeout)
+	defer stop()
+	t, err := s.AcceptStreamWithContext(opening)
 	if err != nil {
 		return
 	}
 	x := &entryChannel{relay: r, ready: make(chan struct{})}
+	x.connection, _ = c.(limited)
 	x.channel = channel.New(ctx, t, silenceTimeout, x.answer, r.channelOptions...)
 	close(x.ready)
 	<-x.channel.Done()
@@ -45,6 +53,8 @@
 type entryChannel struct {
 	relay   *Relay
 	channel *channel.Channel
+	// connection is nil if it has no limits.
+	connection limited
 	// ready is closed once channel is set.
 	ready chan struct{}
 }
@@ -55,6 +65,9 @@
 	if m == nil {
 		return nil
 	}
+	if x.connection != nil {
+		x.connection.Trust()
+	}
 	if m.Kind == schema.JobCall_PING {
 		x.relay.ownership.RecordContact(m.From, m.Strength, time.Now())
 		<-x.ready
