Accept connections of other entries again after an error

Callers would see: 503 from all other entries, as they do not reach the owner any more. Cause: the loop that accepts connections of other entries ended with the first error, for instance when no descriptor was free. Change: it ends when the listener is closed, and otherwise goes on after 50 ms. Evidence: the new test of the relay fails on the code before. Why it works: errors of accept(2) but for a closed socket pass.

--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -146,6 +147,33 @@
 	return netip.MustParseAddrPort(n.Addr().String()), func() { stop(); n.Close() }
 }
 
+// failingListener fails to accept its first connection, as if no descriptor were free.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// An owner that had no descriptor left for a moment took no connections of other entries from then on.
+var _ = ginkgo.It("takes connections again after one could not be accepted", func() {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer n.Close()
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
+	go relay.New(&fakeOwnership{owner: &fakeOwner{reply: scheduler.Reply{Result: scheduler.Done}}}, owner.Identity{}, &fakeExecutors{}, nil).
+		Serve(ctx, &failingListener{Listener: n})
+	a := netip.MustParseAddrPort(n.Addr().String())
+	r := relay.New(&fakeOwnership{known: owner.Record{Address: a, Revision: 1}}, owner.Identity{}, &fakeExecutors{}, nil)
+	gomega.Expect(r.Call(ctx, &schema.JobCall{Kind: schema.JobCall_CANCEL, Id: "1"}).Result).To(gomega.Equal(scheduler.Done))
+})
+
 // fakeProof has a fixed proof and keeps what is confirmed.
 type fakeProof struct {
 	revision  store.Revision
--- a/entry/relay/serve.go
+++ b/entry/relay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -9,9 +10,13 @@
 
 	"github.com/tarragonbank/tarragonbank/entry/channel"
 	"github.com/tarragonbank/tarragonbank/entry/executor"
+	"github.com/tarragonbank/tarragonbank/entry/wait"
 	"github.com/tarragonbank/tarragonbank/fleet/schema"
 )
 
+// acceptRetryDelay is the pause after a connection could not be accepted, for instance for lack of descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // limited is a connection of a listener with limits, which do not apply to trusted connections.
 type limited interface {
 	Trust()
@@ -21,9 +26,13 @@
 func (r *Relay) Serve(ctx context.Context, l net.Listener) {
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			wait.For(ctx, acceptRetryDelay)
+			continue
+		}
 		s, err := yamux.Server(c, yamuxConfig())
 		if err != nil {
 			c.Close()
