Bound what clients of tarragond hold together

Callers saw: connections that were reset, as the entry had ended for lack of memory or of descriptors. Cause: a body, an operator's body of 8 MB, a header and a message of a peer were bounded, their sum and the connections were not. Change: the three listeners of tarragond have limits as those of tarragonjobs, from the new settings memoryLimitBytes (256 MB) and descriptorLimit (4,096). A request without room is answered overloaded; 64 requests of operators are handled at a time, beside the probes. Why it works: as with tarragonjobs.

--- a/bench/crowd/tarragond_test.go
+++ b/bench/crowd/tarragond_test.go
@@ -26,13 +26,14 @@
 	site *site.Site
 }
 
-func startEntries(t *testing.T) *entries {
+// startEntries starts a site with more settings, in TOML.
+func startEntries(t *testing.T, more ...string) *entries {
 	g := gomega.NewWithT(t)
 	binaries := t.TempDir()
 	text, err := exec.Command("go", "build", "-o", binaries+"/", "../../entry/cmd/tarragond", "../../ctl/cmd/tarragonctl").CombinedOutput()
 	g.Expect(err).NotTo(gomega.HaveOccurred(), string(text))
 	s, err := site.New(t.Context(), site.Options{
-		Binaries: binaries, Deploy: "../../deploy/horncraft", Out: t.TempDir(), Seed: 1, Entries: 2, ServiceTime: time.Millisecond,
+		Binaries: binaries, Deploy: "../../deploy/horncraft", Out: t.TempDir(), Seed: 1, Entries: 2, ServiceTime: time.Millisecond, Settings: strings.Join(more, "\n"),
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(s.Stop)
@@ -40,8 +41,8 @@
 }
 
 // withstands lets a crowd call an address of the first entry. The entry must live, stay below its memory and answer a caller
-// afterwards.
-func (x *entries) withstands(t *testing.T, a netip.AddrPort, size int, c crowd.Client) {
+// afterwards. It returns the most that the entry held.
+func (x *entries) withstands(t *testing.T, a netip.AddrPort, size int, c crowd.Client) crowd.Peak {
 	e := x.site.Entries[0]
 	m := crowd.Watch(e.PID(), e.CallerAddress, e.OperatorAddress, e.PeerListenAddress)
 	k := crowd.Start(t.Context(), a, size, c)
@@ -55,6 +56,7 @@
 	}
 	fmt.Printf("%s: %.1f MB, %d descriptors, %d connections\n", e.Name, float64(p.MemoryBytes)/mebibyte, p.Descriptors, k.Opened())
 	x.Expect(p.MemoryBytes).To(gomega.BeNumerically("<=", entryMemoryMB*mebibyte), "memory")
+	return p
 }
 
 func (x *entries) call(e *site.Entry) (int, error) {
@@ -134,3 +136,13 @@
 	x := startEntries(t)
 	x.withstands(t, x.site.Entries[0].PeerListenAddress, 150, unfinishedMessage())
 }
+
+// Guards against connections without a request that take the descriptors which the entry needs for its own connections.
+func TestSilentClientsExceedDescriptorsOfEntry(t *testing.T) {
+	x := startEntries(t, "descriptorLimit = 400")
+	e := x.site.Entries[0]
+	for _, a := range []netip.AddrPort{e.CallerAddress, e.OperatorAddress, e.PeerListenAddress} {
+		p := x.withstands(t, a, 600, crowd.Client{Pieces: func(int, int) [][]byte { return nil }})
+		x.Expect(p.Descriptors).To(gomega.BeNumerically("<=", 400), "descriptors")
+	}
+}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/tarragonbank/tarragonbank/entry/backend"
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/dispatch"
+	"github.com/tarragonbank/tarragonbank/entry/ingress"
 	"github.com/tarragonbank/tarragonbank/fleet/admission"
 	"github.com/tarragonbank/tarragonbank/fleet/request"
 	"github.com/tarragonbank/tarragonbank/fleet/service"
@@ -80,11 +80,19 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{
+	s.newExchange(w, r).serve()
+}
+
+// RefuseBusy refuses a request since there is no memory to handle it.
+func (s *Server) RefuseBusy(w http.ResponseWriter, r *http.Request) {
+	s.newExchange(w, r).refuse(admission.Overloaded, "too many requests are being handled", ingress.RetryAfter)
+}
+
+func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{
 		server: s, writer: w, http: r, started: time.Now(),
 		id: s.name + "-" + s.instance + "-" + strconv.FormatUint(s.sequence.Add(1), 36),
 	}
-	x.serve()
 }
 
 // exchange is one request of a caller and its response.
@@ -139,15 +147,16 @@
 	if x.http.ContentLength == 0 {
 		return true
 	}
-	c := http.NewResponseController(x.writer)
-	_ = c.SetReadDeadline(x.request.Deadline)
-	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.http.Body, l))
-	_ = c.SetReadDeadline(time.Time{})
+	b, err := ingress.ReadBody(x.writer, x.http, l, time.Until(x.request.Deadline))
 	var large *http.MaxBytesError
+	var busy *ingress.BusyError
 	switch {
 	case errors.As(err, &large):
 		x.refuse(admission.BodyTooLarge, "the body is longer than "+strconv.FormatInt(l, 10)+" bytes", 0)
 		return false
+	case errors.As(err, &busy):
+		x.refuse(admission.Overloaded, err.Error(), ingress.RetryAfter)
+		return false
 	case err != nil:
 		x.refuse(admission.CallerLeft, "the body ended early", 0)
 		return false
--- a/entry/operator/answer.go
+++ b/entry/operator/answer.go
@@ -1,13 +1,14 @@
 package operator
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonbank/tarragonbank/entry/ingress"
 	"github.com/tarragonbank/tarragonbank/fleet/document"
 	"github.com/tarragonbank/tarragonbank/fleet/store"
 )
@@ -15,9 +16,18 @@
 // decodeBody decodes the JSON body of a request into v. If it is malformed, has unknown fields or exceeds maxBodyBytes,
 // decodeBody answers the request with an error and returns false.
 func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
+	b, err := ingress.ReadBody(w, r, maxBodyBytes, bodyTimeout)
+	var busy *ingress.BusyError
+	if errors.As(err, &busy) {
+		writeJSON(w, http.StatusServiceUnavailable, errorResponse{Error: err.Error(), Kind: "busy"})
+		return false
+	}
+	if err == nil {
+		d := json.NewDecoder(bytes.NewReader(b))
+		d.DisallowUnknownFields()
+		err = d.Decode(v)
+	}
+	if err != nil {
 		writeJSON(w, http.StatusBadRequest, errorResponse{Error: err.Error(), Kind: "body"})
 		return false
 	}
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -17,6 +17,8 @@
 
 const (
 	maxBodyBytes = 8 << 20
+	// bodyTimeout bounds the time in which a request body arrives.
+	bodyTimeout = 30 * time.Second
 	// maxChangesPerSecond is the rate limit, and the burst, of change requests to one entry.
 	maxChangesPerSecond = 100
 )
--- a/entry/peer/serve.go
+++ b/entry/peer/serve.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return
 		}
-		go n.serveStream(ctx, t, limit)
+		go n.serveStream(ctx, c, t, limit)
 	}
 }
 
@@ -80,14 +80,17 @@
 	})
 }
 
-// serveStream handles the messages of one stream, at the rate that the limiter allows.
-func (n *Node) serveStream(ctx context.Context, t net.Conn, limit *rate.Limiter) {
+// serveStream handles the messages of one stream of a connection, at the rate that the limiter allows.
+func (n *Node) serveStream(ctx context.Context, c, t net.Conn, limit *rate.Limiter) {
 	defer t.Close()
 	for limit.Wait(ctx) == nil {
 		m, k, err := ReadFrame(t)
 		if err != nil {
 			return
 		}
+		if m.GetExchange() != nil {
+			trust(c)
+		}
 		p := n.handle(ctx, m)
 		sent := 0
 		if p != nil {
@@ -101,6 +104,16 @@
 	}
 }
 
+// trust exempts the connection of a peer from the limits of its listener, if that has any.
+func trust(c net.Conn) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if l, ok := c.(interface{ Trust() }); ok {
+		l.Trust()
+	}
+}
+
 func messageKind(m *schema.Envelope) string {
 	switch {
 	case m.GetExchange() != nil:
--- a/entry/tarragond/tarragond.go
+++ b/entry/tarragond/tarragond.go
@@ -23,6 +23,7 @@
 	"github.com/tarragonbank/tarragonbank/entry/controller"
 	"github.com/tarragonbank/tarragonbank/entry/decision"
 	"github.com/tarragonbank/tarragonbank/entry/dispatch"
+	"github.com/tarragonbank/tarragonbank/entry/ingress"
 	"github.com/tarragonbank/tarragonbank/entry/metrics"
 	"github.com/tarragonbank/tarragonbank/entry/operator"
 	"github.com/tarragonbank/tarragonbank/entry/peer"
@@ -39,9 +40,12 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	sweepInterval     = time.Second
-	drainPollInterval = 10 * time.Millisecond
+	// operatorWriteTimeout bounds the time until an operator has taken a response, profiles included.
+	operatorWriteTimeout = 2 * time.Minute
+	// maxOperatorRequests is the number of operators\' requests that are handled at the same time; their responses may be large.
+	maxOperatorRequests = 64
+	sweepInterval       = time.Second
+	drainPollInterval   = 10 * time.Millisecond
 	// leavingAnnouncements is how many times the entry announces to its peers that it is leaving, spread over the balancer wait.
 	leavingAnnouncements = 2
 	// exitInvariantBroken is the exit code after a panic in a request handler.
@@ -161,10 +165,11 @@
 			f(ctx)
 		}()
 	}
-	callers := newServer(e.caller)
-	operators := newServer(e.operator)
+	callers := newServer(e.caller, l.caller)
+	operators := newServer(e.operatorHandler(), l.operator)
+	operators.WriteTimeout = operatorWriteTimeout
 	go func() { _ = callers.Serve(l.caller) }()
-	go func() { _ = operators.Serve(l.operator) }()
+	go func() { _ = operators.Serve(e.operatorListener(l.operator)) }()
 	e.logLifecycle("serving")
 	e.waitForShutdown(ctx)
 	e.drain(callers)
@@ -221,31 +226,57 @@
 
 // listeners holds the listeners for callers, peers and operators.
 type listeners struct {
-	caller   net.Listener
-	peer     net.Listener
-	operator net.Listener
+	caller   *ingress.Listener
+	peer     *ingress.Listener
+	operator *ingress.Listener
 }
 
 func (e *Entry) listen() (listeners, error) {
 	var l listeners
+	r := ingress.Resources{MemoryBytes: e.settings.MemoryLimitBytes, Descriptors: int(e.settings.DescriptorLimit)}
+	debug.SetMemoryLimit(r.RuntimeMemoryLimit())
 	for _, x := range []struct {
-		listener *net.Listener
+		listener **ingress.Listener
+		name     string
 		address  netip.AddrPort
-	}{{&l.caller, e.settings.CallerAddress}, {&l.peer, e.settings.PeerAddress}, {&l.operator, e.settings.OperatorAddress}} {
-		n, err := net.Listen("tcp", x.address.String())
+		limits   ingress.Limits
+		option   ingress.Option
+	}{
+		{&l.caller, "callers", e.settings.CallerAddress, r.Callers(), ingress.WithBusyHandler(http.HandlerFunc(e.caller.RefuseBusy))},
+		{&l.peer, "peers", e.settings.PeerAddress, r.Peers(), ingress.WithoutHeaders()},
+		{&l.operator, "operators", e.settings.OperatorAddress, r.Operators(), ingress.WithLog(e.log)},
+	} {
+		n, err := ingress.Listen(x.name, x.address, x.limits, ingress.WithMetrics(e.metrics), ingress.WithLog(e.log), x.option)
 		if err != nil {
 			return l, trace.ConvertSystemError(err)
 		}
 		*x.listener = n
 	}
-	if e.operatorTLS != nil {
-		l.operator = tls.NewListener(l.operator, e.operatorTLS)
-	}
 	return l, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: exitOnPanic(h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+// operatorListener adds TLS to the operators' listener if it is configured.
+func (e *Entry) operatorListener(l net.Listener) net.Listener {
+	if e.operatorTLS == nil {
+		return l
+	}
+	return tls.NewListener(l, e.operatorTLS)
+}
+
+// operatorHandler returns the handler of operators' requests. Probes are answered beside any number of other requests.
+func (e *Entry) operatorHandler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/live", e.operator)
+	m.Handle("/ready", e.operator)
+	m.Handle("/", ingress.LimitRequests(e.operator, maxOperatorRequests))
+	return m
+}
+
+// newServer returns a server that keeps to the limits of the listener.
+func newServer(h http.Handler, l *ingress.Listener) *http.Server {
+	s := &http.Server{Handler: exitOnPanic(h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	l.Protect(s)
+	return s
 }
 
 // exitOnPanic ends the process if a handler panics: the panic shows a broken invariant, and net/http would otherwise recover
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -27,8 +27,13 @@
 	DefaultSharePolicy      = "lending"
 	DefaultAdmissionPolicy  = "deadline"
 	DefaultLogLevel         = "info"
-	// maxLimitBytes is the largest value that the settings bodyLimitBytes and answerLimitBytes accept.
-	maxLimitBytes = 1 << 30
+	DefaultMemoryLimitBytes = 256 << 20
+	DefaultDescriptorLimit  = 4096
+	// maxLimitBytes is the largest value that the settings bodyLimitBytes and answerLimitBytes accept, minMemoryLimitBytes and
+	// minDescriptorLimit are the smallest ones of memoryLimitBytes and descriptorLimit.
+	maxLimitBytes       = 1 << 30
+	minMemoryLimitBytes = 64 << 20
+	minDescriptorLimit  = 256
 )
 
 // Settings holds the startup settings of an entry. The schema message of this name describes the fields.
@@ -53,6 +58,8 @@
 	StallLimit            time.Duration
 	BodyLimitBytes        int64
 	AnswerLimitBytes      int64
+	MemoryLimitBytes      int64
+	DescriptorLimit       int64
 	SharePolicy           string
 	AdmissionPolicy       string
 	WatchPolicy           WatchPolicy
@@ -118,6 +125,8 @@
 		StallLimit:            c.duration("stallLimit", m.StallLimit, DefaultStallLimit),
 		BodyLimitBytes:        c.limitBytes("bodyLimitBytes", m.BodyLimitBytes, DefaultBodyLimitBytes),
 		AnswerLimitBytes:      c.limitBytes("answerLimitBytes", m.AnswerLimitBytes, DefaultAnswerLimitBytes),
+		MemoryLimitBytes:      c.atLeast("memoryLimitBytes", "bytes", m.MemoryLimitBytes, minMemoryLimitBytes, DefaultMemoryLimitBytes),
+		DescriptorLimit:       c.atLeast("descriptorLimit", "descriptors", m.DescriptorLimit, minDescriptorLimit, DefaultDescriptorLimit),
 		SharePolicy:           valueOrDefault(m.SharePolicy, DefaultSharePolicy),
 		AdmissionPolicy:       valueOrDefault(m.AdmissionPolicy, DefaultAdmissionPolicy),
 		WatchPolicy:           c.watchPolicy("watchPolicy", m.WatchPolicy),
@@ -192,6 +201,17 @@
 	return v
 }
 
+// atLeast returns v, or the default d if v is 0.
+func (c *converter) atLeast(key, unit string, v, least, d int64) int64 {
+	if v == 0 {
+		return d
+	}
+	if v < least {
+		c.fail(key, "at least "+strconv.FormatInt(least, 10)+" "+unit, strconv.FormatInt(v, 10))
+	}
+	return v
+}
+
 func (c *converter) watchPolicy(key, v string) WatchPolicy {
 	if v == "" {
 		return WatchOnePerDataCentre
