Bound the memory of accepted jobs

Callers saw: no answers for a minute, then connections that were reset, as the owner had ended for lack of memory, and so each next one. Cause: scheduled and long-running jobs were accepted without a bound, each with up to 4,096 tasks; a scheduled job whose occurrences are all due opened up to 10,000 of them at once. One client with one job within the limits took the owner to 17.8 GB. Change: jobs may take a quarter of the memory, by estimate. A job is accepted while four times its size is free, else refused as not run with the cause memory; a due occurrence waits for room while another one of its job is unfinished. Why it works: what a job takes is known when it is submitted, and each task and occurrence is counted.

--- a/fleet/loss/trace.go
+++ b/fleet/loss/trace.go
@@ -96,7 +96,7 @@
 
 // refusalCauses are the causes of refusals and unknown outcomes by the word in the log.
 var refusalCauses = map[string]Cause{
-	"store": StoreAway, "owner": NoOwner, "unreached": OwnerUnreached, "overload": OwnerOverloaded, "capacity": PoolFull,
+	"store": StoreAway, "owner": NoOwner, "unreached": OwnerUnreached, "overload": OwnerOverloaded, "memory": OwnerOverloaded, "capacity": PoolFull,
 	causeVMOnTheWay: VMOnTheWay, "cap": Share, "share": Share, "excess": Share, "size": TooLarge,
 }
 
--- a/fleet/scheduler/admit.go
+++ b/fleet/scheduler/admit.go
@@ -47,6 +47,9 @@
 	if r := s.refuseAboveCap(n); r != nil {
 		return r
 	}
+	if r := s.refuseForMemory(n); r != nil {
+		return r
+	}
 	n.Excess = s.exceedsAllowance(n, now)
 	n.AcceptedAt = s.recordArrival(n, now)
 	if n.Scheduled() || n.LongRunning() {
--- a/fleet/scheduler/cause.go
+++ b/fleet/scheduler/cause.go
@@ -29,4 +29,6 @@
 	CauseUnreached
 	// CauseOverload means that the owner is behind.
 	CauseOverload
+	// CauseMemory means that the owner has no memory for the job.
+	CauseMemory
 )
--- a/fleet/scheduler/cause_enumer.go
+++ b/fleet/scheduler/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "otherqueuesizecapacitycapshareexcessstoreownerunreachedoverload"
+const _CauseName = "otherqueuesizecapacitycapshareexcessstoreownerunreachedoverloadmemory"
 
-var _CauseIndex = [...]uint8{0, 5, 10, 14, 22, 25, 30, 36, 41, 46, 55, 63}
+var _CauseIndex = [...]uint8{0, 5, 10, 14, 22, 25, 30, 36, 41, 46, 55, 63, 69}
 
-const _CauseLowerName = "otherqueuesizecapacitycapshareexcessstoreownerunreachedoverload"
+const _CauseLowerName = "otherqueuesizecapacitycapshareexcessstoreownerunreachedoverloadmemory"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -35,9 +35,10 @@
 	_ = x[CauseOwner-(8)]
 	_ = x[CauseUnreached-(9)]
 	_ = x[CauseOverload-(10)]
+	_ = x[CauseMemory-(11)]
 }
 
-var _CauseValues = []Cause{CauseOther, CauseQueue, CauseSize, CauseCapacity, CauseCap, CauseShare, CauseExcess, CauseStore, CauseOwner, CauseUnreached, CauseOverload}
+var _CauseValues = []Cause{CauseOther, CauseQueue, CauseSize, CauseCapacity, CauseCap, CauseShare, CauseExcess, CauseStore, CauseOwner, CauseUnreached, CauseOverload, CauseMemory}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:5]:   CauseOther,
@@ -51,6 +52,7 @@
 	_CauseName[41:46]: CauseOwner,
 	_CauseName[46:55]: CauseUnreached,
 	_CauseName[55:63]: CauseOverload,
+	_CauseName[63:69]: CauseMemory,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
@@ -65,6 +67,7 @@
 	_CauseLowerName[41:46]: CauseOwner,
 	_CauseLowerName[46:55]: CauseUnreached,
 	_CauseLowerName[55:63]: CauseOverload,
+	_CauseLowerName[63:69]: CauseMemory,
 }
 
 var _CauseNames = []string{
@@ -79,6 +82,7 @@
 	_CauseName[41:46],
 	_CauseName[46:55],
 	_CauseName[55:63],
+	_CauseName[63:69],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/fleet/scheduler/commit.go
+++ b/fleet/scheduler/commit.go
@@ -321,7 +321,7 @@
 			}
 		}
 		s.deactivate(j)
-		delete(s.jobs, id)
+		s.forget(j)
 		s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, func(x *jobState) bool { return x == j })
 		s.countRefusal(j.job.Workspace, CauseStore)
 		s.addDecision(Decision{Job: id, Pool: j.job.Pool, Reason: loss.ReasonRefused + reason, Cause: CauseStore})
--- a/fleet/scheduler/job.go
+++ b/fleet/scheduler/job.go
@@ -30,7 +30,9 @@
 	wholeSince        uint64
 	openedOccurrences int
 	occurrences       []*occurrence
-	waiters           []waiter
+	// retainedBytes is the estimated memory of the job.
+	retainedBytes int64
+	waiters       []waiter
 	// cachedWork is the remaining work in core-seconds, computed at cachedWorkAt.
 	cachedWork   float64
 	cachedWorkAt time.Time
@@ -153,6 +155,7 @@
 func (s *Scheduler) addJob(n *job.Job) *jobState {
 	j := &jobState{job: n}
 	s.jobs[n.ID] = j
+	s.retain(j, definitionBytes(n))
 	s.activate(j)
 	return j
 }
@@ -166,9 +169,9 @@
 	}
 }
 
-// openOccurrences opens the occurrences that are due.
+// openOccurrences opens the occurrences that are due, as far as there is memory for them.
 func (s *Scheduler) openOccurrences(j *jobState, now time.Time) {
-	for j.openedOccurrences < j.job.Occurrences() && s.isDue(j.job, j.openedOccurrences, now) {
+	for j.openedOccurrences < j.job.Occurrences() && s.isDue(j.job, j.openedOccurrences, now) && s.mayOpen(j) {
 		s.openNextOccurrence(j, now)
 	}
 }
@@ -186,6 +189,7 @@
 	}
 	o.unfinished = len(o.steps)
 	j.occurrences = append(j.occurrences, o)
+	s.retain(j, occurrenceBytes(j.job))
 	s.awaitSteps(o)
 	j.openedOccurrences++
 }
--- a/fleet/scheduler/scheduler.go
+++ b/fleet/scheduler/scheduler.go
@@ -23,6 +23,8 @@
 	GangTimeout time.Duration
 	// ConfigApply is the age of the proof of the configuration from which no task of a workspace is started, 0 for no bound.
 	ConfigApply time.Duration
+	// JobMemoryBytes is the estimated memory from which large jobs are refused, and later small ones, 0 for no bound.
+	JobMemoryBytes int64
 	// LookAhead learns how long tasks take and reserves servers for large tasks that find no room.
 	LookAhead bool
 }
@@ -40,6 +42,8 @@
 	scheduled map[string]*jobState
 	finite    map[string]map[string]*jobState
 	ended     endedJobs
+	// retainedBytes is the estimated memory of all jobs.
+	retainedBytes int64
 	// pendingJobs counts, by queue, the stored jobs of which no task has started.
 	pendingJobs map[string]int
 	// restarts counts the restarts of servers by ID, also of those that are no longer known.
@@ -104,11 +108,17 @@
 func (s *Scheduler) purgeEndedJobs(now time.Time) {
 	for _, j := range s.ended.takeBefore(now.Add(-s.limits.JobRetention)) {
 		s.operations.Jobs++
-		delete(s.jobs, j.job.ID)
+		s.forget(j)
 		s.removedJobs = append(s.removedJobs, j.job.ID)
 	}
 }
 
+// forget removes a job.
+func (s *Scheduler) forget(j *jobState) {
+	delete(s.jobs, j.job.ID)
+	s.retainedBytes -= j.retainedBytes
+}
+
 // Result is the outcome of a call.
 type Result int
 
