Send a bounded number of orders to start and stop runs at a time

Callers saw: connections that were reset, as the owner had ended for lack of memory. Cause: each order had a goroutine with its request from the start, of some 16 KB and the payload: a job of 4,096 tasks that all find room took 100 MB for a moment, and its cancellation again. Change: orders to start and stop runs wait in a queue beyond so many that they take a sixteenth of the memory (736 of 184 MB, 1,136 of 284 MB). Why it works: connections to a server take six orders at a time; the others waited with their requests in memory.

--- a/entry/ingress/resources.go
+++ b/entry/ingress/resources.go
@@ -14,6 +14,8 @@
 	fileDescriptors = 200
 	// connectionBytes is the memory of a connection without a request: its goroutine, its buffers, and its receive buffer in the kernel.
 	connectionBytes = 48 << 10
+	// orderBytes is the memory of an order to a backend server with its request.
+	orderBytes = 16 << 10
 	// memoryLimitPercent is the soft limit of the Go runtime's memory, in percent of that of the process. Near the limit, garbage is
 	// collected more often.
 	memoryLimitPercent = 60
@@ -43,6 +45,11 @@
 	return r.withDefaults().MemoryBytes / jobPart
 }
 
+// MaxOrders returns the number of orders to backend servers that may be sent at the same time, in a sixteenth of the memory.
+func (r Resources) MaxOrders() int {
+	return max(int(r.withDefaults().MemoryBytes/16/orderBytes), 1)
+}
+
 // Callers returns the limits of the callers' listener: three eighths of the sockets, a quarter of the memory for connections, and an
 // eighth of it for requests that arrive and for those that are handled.
 func (r Resources) Callers() Limits {
--- a/entry/owner/orders.go
+++ b/entry/owner/orders.go
@@ -21,7 +21,7 @@
 	orderRetryPause = 10 * time.Millisecond
 )
 
-// sendOrders sends each order in a goroutine of its own, and logs the decisions.
+// sendOrders sends each order in a goroutine of its own, as soon as the limit allows it, and logs the decisions.
 func (r *term) sendOrders(o scheduler.Orders) {
 	defer r.owner.deps.Account.Since(processor.Orders, time.Now())
 	for _, n := range o.Decisions {
@@ -38,10 +38,10 @@
 		}
 	}
 	for _, x := range o.Starts {
-		r.spawn(func() { r.startRun(x) })
+		r.orders.add(r.spawn, func() { r.startRun(x) })
 	}
 	for _, x := range o.Stops {
-		r.spawn(func() {
+		r.orders.add(r.spawn, func() {
 			r.sendOrder(x.Server, func(c context.Context) error { return r.owner.deps.Servers.Stop(c, x, r.fencingToken(x.Server)) })
 		})
 	}
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -86,6 +86,8 @@
 	ConfigAge func() time.Duration
 	// Usage returns the processor time that the process has used. It is nil if that is not known.
 	Usage func() time.Duration
+	// MaxOrders is the number of orders to start and stop runs that are sent at the same time, 0 for no limit.
+	MaxOrders int
 	// Account sums up what the owner spends its time on. It may be nil.
 	Account *processor.Account
 }
--- a/entry/owner/owner_test.go
+++ b/entry/owner/owner_test.go
@@ -238,6 +238,8 @@
 	entryStore owner.Store
 	// lookAhead makes the entries learn the durations of tasks.
 	lookAhead bool
+	// maxOrders is the number of start orders that an entry sends at the same time, 0 for no limit.
+	maxOrders int
 }
 
 // killedStore is the store as an entry uses it that is stopped without a chance to end its lease.
@@ -268,7 +270,7 @@
 	o := owner.New(owner.Identity{Name: name, Address: netip.MustParseAddrPort("127.0.0.1:2"), Cores: s.cores},
 		scheduler.Limits{MaxLease: 6 * time.Second, JobRetention: time.Minute, LookAhead: s.lookAhead}, owner.Dependencies{
 			Store: m, Servers: s.servers, Registry: singleServerRegistry{}, Log: discard{}, Metrics: s.metrics,
-			Controller: s.controller,
+			Controller: s.controller, MaxOrders: s.maxOrders,
 		})
 	o.SetTable(table)
 	go o.Run(ctx)
--- a/entry/owner/term.go
+++ b/entry/owner/term.go
@@ -63,6 +63,8 @@
 	storeUnavailable bool
 	// orderTimeout is the timeout of orders to servers.
 	orderTimeout adaptiveTimeout
+	// orders are those to start and stop runs.
+	orders orderQueue
 	// pollTurns spreads the polls of servers that have not answered lately.
 	pollTurns pollTurns
 	// reportedAt, operations, those of the scheduler at the last report, and delays and throughput belong to the goroutine of tick. overloaded is true while new jobs are refused because this
@@ -101,6 +103,7 @@
 		commitRequests: make(chan struct{}, 1),
 		commitTimeout:  adaptiveTimeout{minimum: minCommitTimeout, maximum: storeTimeout},
 		orderTimeout:   adaptiveTimeout{minimum: minOrderTimeout, maximum: maxOrderTimeout},
+		orders:         orderQueue{limit: o.deps.MaxOrders},
 		pollTurns:      newPollTurns(o.self.Cores),
 		throughput:     throughputMeter{learned: overload.NewThroughput(o.self.Cores)},
 	}
