--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -42,8 +42,9 @@
 
 // Limits bounds callers' requests.
 type Limits struct {
-	// BodyBytes is the maximum size of a request body.
-	BodyBytes int64
+	// BodyBytes is the maximum size of a request body, HeaderBytes that of a header with the request line. 0 stands for a default.
+	BodyBytes   int64
+	HeaderBytes int64
 }
 
 // Table is one version of the configuration of queues and pools.
