Leave the receive buffers of connections between entries as they are

Cause: the receive buffer of 16 KB of all listeners bounds what a connection carries in a round trip; connections between entries carry the owner's orders and listings, and are read all the time, so that nothing remains unread there. Change: only listeners of HTTP limit it.

--- a/entry/ingress/listener.go
+++ b/entry/ingress/listener.go
@@ -75,24 +75,30 @@
 	return func(l *Listener) { l.busy = h }
 }
 
-// WithoutHeaders is for listeners of another protocol than HTTP: all that arrives counts as the body of a request.
+// WithoutHeaders is for listeners of another protocol than HTTP: all that arrives counts as the body of a request. Their connections have
+// the usual receive buffers, since they are read all the time.
 func WithoutHeaders() Option {
 	return func(l *Listener) { l.headerless = true }
 }
 
 // Listen listens on an address. The name is that of the clients in the log and in the metrics.
 func Listen(name string, a netip.AddrPort, m Limits, opts ...Option) (*Listener, error) {
-	n, err := (&net.ListenConfig{Control: limitReceiveBuffer}).Listen(context.Background(), "tcp", a.String())
-	if err != nil {
-		return nil, err
-	}
-	l := &Listener{Listener: n, name: name, limits: m, reports: newReports(), busy: http.HandlerFunc(refuse)}
+	l := &Listener{name: name, limits: m, reports: newReports(), busy: http.HandlerFunc(refuse)}
 	for i := range l.queues {
 		l.queues[i] = list.New()
 	}
 	for _, o := range opts {
 		o(l)
 	}
+	c := &net.ListenConfig{}
+	if !l.headerless {
+		c.Control = limitReceiveBuffer
+	}
+	n, err := c.Listen(context.Background(), "tcp", a.String())
+	if err != nil {
+		return nil, err
+	}
+	l.Listener = n
 	return l, nil
 }
 
