--- a/entry/ingress/resources.go
+++ b/entry/ingress/resources.go
@@ -7,9 +7,9 @@
 }
 
 const (
-	// DefaultMemoryBytes and DefaultDescriptors apply where nothing is configured.
-	DefaultMemoryBytes = 256 << 20
-	DefaultDescriptors = 4096
+	// defaultMemoryBytes and defaultDescriptors apply where nothing is configured.
+	defaultMemoryBytes = 256 << 20
+	defaultDescriptors = 4096
 	// fileDescriptors is the number of descriptors that are not for sockets.
 	fileDescriptors = 200
 	// connectionBytes is the memory of a connection without a request: its goroutine, its buffers, and its receive buffer in the kernel.
@@ -24,10 +24,10 @@
 // withDefaults returns the resources with defaults for what is not configured.
 func (r Resources) withDefaults() Resources {
 	if r.MemoryBytes <= 0 {
-		r.MemoryBytes = DefaultMemoryBytes
+		r.MemoryBytes = defaultMemoryBytes
 	}
 	if r.Descriptors <= 0 {
-		r.Descriptors = DefaultDescriptors
+		r.Descriptors = defaultDescriptors
 	}
 	return r
 }
