--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -66,6 +66,8 @@
 	newEnd   chan struct{}
 	seq      int
 	draining bool
+	// slow is how many times as long the work takes, 1 if it is 0.
+	slow float64
 	// hook is asked before a call is carried out; it may delay the call, and drops the call without an answer if it returns false.
 	hook func(path string, body []byte) bool
 }
@@ -134,6 +136,12 @@
 	_ = w.srv.Close()
 }
 
+func (w *worker) setSlow(x float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slow = x
+}
+
 func (w *worker) loop() {
 	for {
 		select {
@@ -165,6 +173,9 @@
 		case !r.stopAt.IsZero():
 			continue
 		}
+		if w.slow > 0 {
+			d = time.Duration(float64(d) / w.slow)
+		}
 		r.progress += d * time.Duration(r.pace) / 100
 		if !r.spec.Long && r.progress >= r.work {
 			w.end(r, r.spec.endOf(r.task, r.number))
