--- a/review/standins-3/checker.go
+++ b/review/standins-3/checker.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"net"
+	"sort"
 	"sync"
 	"time"
 )
@@ -67,6 +69,11 @@
 	repeat   int
 	startAt  time.Time
 	interval time.Duration
+	poolName string
+
+	cancelled time.Time
+	refused   bool
+	answered  bool
 }
 
 func (j *jobSpec) body() map[string]any {
@@ -113,6 +120,7 @@
 	ended   time.Time
 	how     string
 	acked   bool
+	void    bool
 }
 
 // checker knows what clients sent and what workers ran.
@@ -126,6 +134,7 @@
 	orders   []machineOrder
 	starts   int
 	quiet    bool
+	gangs    map[string]*gang
 	onStart  func(w *worker, r *run, o orderBody, over bool)
 }
 
@@ -139,7 +148,7 @@
 }
 
 func newChecker(s *site) *checker {
-	return &checker{site: s, jobs: map[string]*jobSpec{}, runs: map[string][]*runRecord{}}
+	return &checker{site: s, jobs: map[string]*jobSpec{}, runs: map[string][]*runRecord{}, gangs: map[string]*gang{}}
 }
 
 func (c *checker) breach(format string, v ...any) {
@@ -181,6 +190,7 @@
 	if over {
 		c.breachLocked("LIMIT: %s is over its capacity with %s", w.id, r.task)
 	}
+	c.checkStart(w, r, o)
 	for _, x := range c.runs[r.task] {
 		if r.spec.Spec || r.spec.Long && x.how != "" {
 			continue
@@ -220,8 +230,21 @@
 func (c *checker) acked(w *worker, e ended) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if x := c.find(w, e.task, e.number); x != nil {
-		x.acked = true
+	x := c.find(w, e.task, e.number)
+	if x == nil || x.acked || x.void {
+		return
+	}
+	x.acked = true
+	p := &c.jobs[e.task[:16]].steps[stepNumber(e.task)]
+	if x.how == "done" && !p.Spec && !p.Long {
+		for _, y := range c.runs[e.task] {
+			if y != x && y.started.After(x.ended) {
+				c.breachLocked("TWICE: %s run %d has started on %s after run %d on %s had ended done, which is taken note of later", e.task, y.number, y.worker, x.number, x.worker)
+			}
+		}
+	}
+	if x.how == "failed" && !p.Long {
+		c.checkBudget(e.task, nil)
 	}
 }
 
@@ -261,3 +284,182 @@
 	}
 	return n
 }
+
+func stepNumber(task string) int {
+	_, _, step, _ := stepOf(task)
+	return step
+}
+
+// lapsed records that the lease of a worker has lapsed before its ends were taken note of.
+func (c *checker) lapsed(w *worker, l []ended) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range l {
+		if x := c.find(w, e.task, e.number); x != nil && !x.acked {
+			x.void = true
+		}
+	}
+}
+
+// checkBudget looks for a start after as many runs have ended failed as the queue allows. The caller holds the lock.
+func (c *checker) checkBudget(task string, starting *runRecord) {
+	j := c.jobs[task[:16]]
+	p := &j.steps[stepNumber(task)]
+	if p.Long || p.Spec {
+		return
+	}
+	failed := []time.Time{}
+	for _, x := range c.runs[task] {
+		if x.how == "failed" && x.acked {
+			failed = append(failed, x.ended)
+		}
+	}
+	if len(failed) < attempts {
+		return
+	}
+	sort.Slice(failed, func(i, k int) bool { return failed[i].Before(failed[k]) })
+	for _, x := range c.runs[task] {
+		if x.started.After(failed[attempts-1]) {
+			c.breachLocked("BUDGET: %s run %d has started on %s after %d runs had ended failed", task, x.number, x.worker, attempts)
+		}
+	}
+	if starting != nil {
+		c.breachLocked("BUDGET: %s run %d starts after %d runs have ended failed", task, starting.number, attempts)
+	}
+}
+
+const attempts = 4
+
+func (c *checker) stepDone(j *jobSpec, k, step int) bool {
+	p := &j.steps[step]
+	for i := range p.Count {
+		done := false
+		for _, x := range c.runs[fmt.Sprintf("%s.%d.%d.%d", j.id, k, step, i)] {
+			done = done || x.how == "done"
+		}
+		if done && p.Gang {
+			return true
+		}
+		if !done {
+			if p.Gang {
+				continue
+			}
+			return false
+		}
+	}
+	return !p.Gang
+}
+
+// checkStart looks for rules that a start breaks. The caller holds the lock.
+func (c *checker) checkStart(w *worker, r *run, o orderBody) {
+	id, k, step, _ := stepOf(r.task)
+	j := c.jobs[id]
+	p := &j.steps[step]
+	if o.Spec != j.text {
+		c.breachLocked("UNASKED: %s is started with another task-spec", r.task)
+	}
+	for _, a := range p.After {
+		if !c.stepDone(j, k, a) {
+			c.breachLocked("ORDER: %s starts before step %d is done", r.task, a)
+		}
+	}
+	if j.repeat > 0 {
+		if early := j.startAt.Add(time.Duration(k) * j.interval).Sub(time.Now()); early > 250*time.Millisecond {
+			c.breachLocked("ORDER: %s starts %v early", r.task, early)
+		}
+	}
+	c.checkBudget(r.task, &runRecord{number: r.number})
+	if p.Requires != "" && !contains(w.labels, p.Requires) {
+		c.breachLocked("ROUTE: %s starts on %s without the label %s", r.task, w.id, p.Requires)
+	}
+	if w.pool != j.pool() {
+		c.breachLocked("ROUTE: %s of %s starts on %s of %s", r.task, j.queue, w.id, w.pool)
+	}
+	if p.Apart > 0 {
+		n := 1
+		for t := range w.runs {
+			x, y, z, _ := stepOf(t)
+			if x == id && y == k && z == step && t != r.task {
+				n++
+			}
+		}
+		if n > p.Apart {
+			c.breachLocked("ROUTE: %d tasks of %s.%d.%d on %s", n, id, k, step, w.id)
+		}
+	}
+	if o.Ckpt != "" && o.Ckpt[8:] != ckptName(r.task, p) {
+		c.breachLocked("UNASKED: %s starts with the checkpoint %s", r.task, o.Ckpt)
+	}
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > 3*time.Second {
+		c.breachLocked("UNASKED: %s starts %v after the cancelling was acknowledged", r.task, time.Since(j.cancelled))
+	}
+	if j.refused {
+		c.breachLocked("REFUSED: %s starts", r.task)
+	}
+}
+
+func ckptName(task string, p *stepSpec) string {
+	id, k, step, i := stepOf(task)
+	if p.Gang {
+		i = 0
+	}
+	return fmt.Sprintf("%08x", crc32.ChecksumIEEE([]byte(fmt.Sprintf("%s.%d.%d.%d", id, k, step, i))))
+}
+
+func (j *jobSpec) pool() string {
+	if j.poolName != "" {
+		return j.poolName
+	}
+	return j.queue
+}
+
+// refuse records that all attempts to hand a job in were rejected.
+func (c *checker) refuse(j *jobSpec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j.refused = true
+	for t, l := range c.runs {
+		if t[:16] == j.id && len(l) > 0 {
+			c.breachLocked("REFUSED: %s has started", t)
+		}
+	}
+}
+
+// gang is a run of a gang.
+type gang struct {
+	members map[string]bool
+	broken  bool
+}
+
+func (c *checker) gangOf(r *run) *gang {
+	id, k, step, _ := stepOf(r.task)
+	n := fmt.Sprintf("%s.%d.%d/%d", id, k, step, r.number)
+	g := c.gangs[n]
+	if g == nil {
+		g = &gang{members: map[string]bool{}}
+		c.gangs[n] = g
+	}
+	return g
+}
+
+// joinGang reports whether all members of a run's gang are present, and whether the gang is broken.
+func (c *checker) joinGang(r *run) (whole, broken bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.gangOf(r)
+	g.members[r.task] = true
+	return len(g.members) == r.spec.Count, g.broken
+}
+
+func (c *checker) breakGang(r *run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gangOf(r).broken = true
+}
+
+// cancel records that the cancelling of a job was acknowledged.
+func (c *checker) cancel(j *jobSpec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j.cancelled = time.Now()
+}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -93,16 +93,26 @@
 
 // submit submits a job as a client does, with up to 4 retries at the entries in turn, and returns whether it was accepted.
 func (s *scene) submit(j *jobSpec) bool {
+	unknown := false
+	defer func() {
+		if !unknown && !j.answered {
+			s.checker.refuse(j)
+		}
+	}()
 	for i := range 5 {
 		e := s.entries[(s.serial+i)%len(s.entries)]
 		status, _ := s.call(e, "POST", "/"+j.queue+"/"+j.id, j.body(), 3*time.Second)
 		s.rec.add("client: POST %s to %s: %d", j.id, e.name, status)
 		switch status {
 		case 200:
+			j.answered = true
 			return true
 		case 429, 503:
 			time.Sleep(time.Second)
+		case 400, 404, 413:
+			time.Sleep(300 * time.Millisecond)
 		default:
+			unknown = true
 			time.Sleep(300 * time.Millisecond)
 		}
 	}
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -81,6 +81,8 @@
 	pools      []string
 	standby    string
 	adviser    string
+	// tickets is the advice service, nil if there is none.
+	tickets *tickets
 
 	mu       sync.Mutex
 	machines map[string]*machine
@@ -137,10 +139,12 @@
 
 var zones = []string{"za", "zb", "zc"}
 
+// nextPort is the next port for a program, below the kernel's range of ephemeral ports, so that nothing else takes it meanwhile.
+var nextPort = 21000
+
 func freePort() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+	nextPort++
+	return fmt.Sprintf("%s:%d", loopback, nextPort)
 }
 
 func (s *site) addEntries(n int, memory int, share float64) {
@@ -157,7 +161,7 @@
 func (e *entry) start() {
 	s := e.site
 	m := map[string]any{
-		"node-name": e.name, "role": "entry", "machine-class": "front", "serves": []string{"front", "control"}, "ip": "127.0.0.1", "zone": e.zone, "region": "r",
+		"node-name": e.name, "role": "entry", "machine-class": "front", "serves": []string{"front", "control"}, "ip": loopback, "zone": e.zone, "region": "r",
 		"zones":        map[string]string{"za": "r", "zb": "r", "zc": "r"},
 		"listen-addrs": map[string]string{"front": e.front, "ready": e.ready, "control": e.ctl},
 		"seeds":        []string{}, "bootstrap": false, "counts-as-loss": false,
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -71,8 +72,11 @@
 	return l.Addr().String()
 }
 
+// loopback is the loopback address of this process's stand-ins and programs.
+var loopback = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%64, 1+os.Getpid()/64%250)
+
 func listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		fail("cannot listen: %v", err)
 	}
@@ -174,7 +178,10 @@
 	if err != nil {
 		return
 	}
-	if h := s.hook; h != nil && !h(entry, r, body) {
+	s.mu.Lock()
+	h := s.hook
+	s.mu.Unlock()
+	if h != nil && !h(entry, r, body) {
 		<-r.Context().Done()
 		return
 	}
@@ -372,3 +379,9 @@
 	s.broadcast()
 	return 200, map[string]any{"revision": s.rev}
 }
+
+func (s *store) setHook(h func(entry string, r *http.Request, body []byte) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hook = h
+}
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -131,6 +131,9 @@
 	close(w.dead)
 	for _, r := range w.runs {
 		w.site.checker.ended(w, r, "lost", 0)
+		if r.spec.Gang {
+			w.site.checker.breakGang(r)
+		}
 	}
 	w.runs = map[string]*run{}
 	_ = w.srv.Close()
@@ -157,10 +160,7 @@
 
 func (w *worker) advance() {
 	now := time.Now()
-	if w.clock() > w.leaseEnd {
-		for _, r := range w.runs {
-			w.end(r, "lapsed")
-		}
+	if w.advanceLease() {
 		return
 	}
 	for _, r := range w.runs {
@@ -176,6 +176,19 @@
 		if w.slow > 0 {
 			d = time.Duration(float64(d) / w.slow)
 		}
+		if r.spec.Gang {
+			whole, broken := w.site.checker.joinGang(r)
+			if broken {
+				w.end(r, "broken")
+				continue
+			}
+			if !whole {
+				if now.Sub(r.started) > 3*time.Second {
+					w.end(r, "alone")
+				}
+				continue
+			}
+		}
 		r.progress += d * time.Duration(r.pace) / 100
 		if !r.spec.Long && r.progress >= r.work {
 			w.end(r, r.spec.endOf(r.task, r.number))
@@ -191,6 +204,9 @@
 	w.lastEnd++
 	w.ends = append(w.ends, ended{w.lastEnd, r.task, r.number, how, w.saved(r)})
 	w.site.checker.ended(w, r, how, w.lastEnd)
+	if r.spec.Gang && how != "done" {
+		w.site.checker.breakGang(r)
+	}
 	close(w.newEnd)
 	w.newEnd = make(chan struct{})
 }
@@ -199,7 +215,7 @@
 	if !r.spec.Checkpoint || r.progress < time.Second {
 		return ""
 	}
-	return fmt.Sprintf("%08x%s", int64(r.progress/time.Second)*1000, r.task[:8])
+	return fmt.Sprintf("%08x%s", int64(r.progress/time.Second)*1000, ckptName(r.task, r.spec))
 }
 
 func (r *run) percent() int {
@@ -335,6 +351,9 @@
 		return w.conflict("late")
 	}
 	w.advanceLease()
+	if t := w.site.tickets; t != nil && !t.valid(w, o) {
+		return w.conflict("ticket")
+	}
 	w.extend(o.Deadline)
 	if r := w.runs[o.Task]; r != nil {
 		if r.number == o.Run {
@@ -365,12 +384,18 @@
 	return 200, map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
 }
 
-func (w *worker) advanceLease() {
-	if w.clock() > w.leaseEnd {
-		for _, r := range w.runs {
-			w.end(r, "lapsed")
-		}
+// advanceLease reports whether the lease has lapsed, and kills everything that runs if so.
+func (w *worker) advanceLease() bool {
+	if w.clock() <= w.leaseEnd {
+		return false
+	}
+	for _, r := range w.runs {
+		w.end(r, "lapsed")
+	}
+	if len(w.ends) > 0 {
+		w.site.checker.lapsed(w, w.ends)
 	}
+	return true
 }
 
 func (w *worker) listing() map[string]any {
