--- a/review/standins-3/case14.go
+++ b/review/standins-3/case14.go
@@ -2,128 +2,95 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 )
 
-// lateCall is a call to a worker that gets no answer and is carried out later.
-type lateCall struct {
-	path string
-	body []byte
-	at   time.Time
-}
-
-// A poll with the number of an end of one life of a worker is carried out late, by the next life. TROUBLE=0 carries out nothing late and lets the
-// worker live.
+// A start that gets no answer is carried out late, by the next life of the worker. TROUBLE=0 carries out nothing late and lets the worker live.
 func init() {
 	cases["case14"] = func(s *scene) {
 		s.standby = "spare"
 		s.addMachines("cups", 10, size{CPU: 64000, Mem: 131072}, true)
 		s.addMachines("carving", 9, size{CPU: 64000, Mem: 131072}, true)
 		s.addMachines("spare", 2, size{CPU: 64000, Mem: 131072}, true)
-		w := s.workers("cups")[4]
-		w.mu.Lock()
-		w.labels = append(w.labels, "k")
-		w.mu.Unlock()
-		w.register()
+		two := s.workers("cups")[3:5]
+		for _, w := range two {
+			w.mu.Lock()
+			w.labels = append(w.labels, "k")
+			w.mu.Unlock()
+			w.register()
+		}
 		s.configure(1)
 		s.addEntries(3, 284, 0.4)
 		s.awaitReady(15 * time.Second)
-		// A task that lasts keeps the worker's machine from being moved.
-		if !s.submit(s.job("cups", stepSpec{Count: 1, CPU: 1000, Mem: 1000, Long: true, Requires: "k"})) {
+		// A task that lasts on each of the two workers keeps their machines from being moved.
+		if !s.submit(s.job("cups", stepSpec{Count: 2, CPU: 1000, Mem: 1000, Long: true, Requires: "k", Apart: 1})) {
 			fail("the lasting job was not accepted")
 		}
-		time.Sleep(2 * time.Second)
-
-		// Some tasks end on the worker, and their ends are taken note of.
-		first := s.job("cups", stepSpec{Count: 5, CPU: 3500, Mem: 3600, Work: 300 * time.Millisecond, Requires: "k"})
-		if !s.submit(first) || !s.await(first, 10*time.Second) {
-			fail("the first job was not done")
-		}
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(6 * time.Second)
 
-		second := s.job("cups", stepSpec{Count: 1, CPU: 3500, Mem: 3600, Work: 200 * time.Millisecond, Requires: "k"})
+		j := s.job("cups", stepSpec{Count: 1, CPU: 3500, Mem: 3600, Work: 4 * time.Second, Requires: "k"})
 		if s.trouble {
-			s.disturbPoll(w, func() { go s.submit(second) })
-		} else if !s.submit(second) {
-			fail("the second job was not accepted")
+			var once sync.Once
+			for _, w := range two {
+				s.delayStarts(w, j, func() { once.Do(func() { go s.restart(w) }) })
+			}
 		}
-		s.await(second, 30*time.Second)
-		time.Sleep(2 * time.Second)
+		if !s.submit(j) {
+			fail("the job was not accepted")
+		}
+		s.await(j, 30*time.Second)
+		time.Sleep(time.Second)
 	}
 }
 
-// disturbPoll lets calls to a worker be carried out 2 s and more late, from the next poll that takes note of ends on. submit hands a job in
-// then. The worker crashes 1 s later and starts again under its id.
-func (s *scene) disturbPoll(w *worker, submit func()) {
-	var mu sync.Mutex
-	calls := []lateCall{}
-	late, noted := true, make(chan struct{})
-	var once sync.Once
-	hook := func(path string, b []byte) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		if !late {
-			return true
-		}
+// delayStarts lets the first run of a job's task be started 2 s and more late on a worker, without an answer, by the life of the worker of that time.
+func (s *scene) delayStarts(w *worker, j *jobSpec, captured func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hook = func(path string, b []byte) bool {
 		var o orderBody
 		_ = json.Unmarshal(b, &o)
-		if len(calls) == 0 && (path != "/tarragonbank/hold" || o.Ack == 0) {
+		if path != "/tarragonbank/run-start" || !strings.HasPrefix(o.Task, j.id) || o.Run != 1 {
 			return true
 		}
-		calls = append(calls, lateCall{path, b, time.Now()})
-		s.rec.add("late: %s %s", path, b)
-		once.Do(func() { close(noted) })
+		s.rec.add("late: %s %s at worker %s", path, b, w.id)
+		captured()
+		at := time.Now()
+		time.AfterFunc(2030*time.Millisecond, func() {
+			s.mu.Lock()
+			next := s.machines[w.machine].w
+			s.mu.Unlock()
+			if next == nil {
+				s.rec.add("lost: %s %s", path, b)
+				return
+			}
+			status, answer := next.execute(nil, path, b)
+			s.rec.add("carried out %.2f s late: %s %s: %d %v", time.Since(at).Seconds(), path, b, status, answer["reason"])
+		})
 		return false
 	}
-	w.mu.Lock()
-	w.hook = hook
-	w.mu.Unlock()
-	<-noted
-	began := time.Now()
-	s.rec.add("calls to worker %s are carried out late from now on", w.id)
-	submit()
-	time.Sleep(time.Second)
-	s.rec.add("worker %s crashes", w.id)
-	w.crash()
-	time.Sleep(200 * time.Millisecond)
-	m := s.machines[w.machine]
-	s.reborn(m)
-	s.rec.add("worker %s has started again under its id", w.id)
-	next := m.w
-	// Each call is carried out 2 s after its arrival, the first poll 2.6 s after it.
-	carryOut := func(c lateCall) {
-		status, answer := next.execute(nil, c.path, noWait(c.body))
-		s.rec.add("carried out %.1f s late: %s %s: %d %v", time.Since(c.at).Seconds(), c.path, c.body, status, answer["reason"])
-	}
-	mu.Lock()
-	l := append([]lateCall{}, calls...)
-	mu.Unlock()
-	for i, c := range l {
-		d := 2 * time.Second
-		if i == 0 {
-			d = 2600 * time.Millisecond
-		}
-		time.AfterFunc(time.Until(c.at.Add(d)), func() { carryOut(c) })
-	}
-	time.Sleep(time.Until(began.Add(2700 * time.Millisecond)))
-	mu.Lock()
-	late = false
-	rest := calls[len(l):]
-	mu.Unlock()
-	for _, c := range rest {
-		time.AfterFunc(time.Until(c.at.Add(4*time.Second)), func() { carryOut(c) })
-	}
-	s.rec.add("calls to worker %s are carried out at once again", w.id)
 }
 
-// await waits until a job is completed.
-func (s *scene) await(j *jobSpec, limit time.Duration) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if _, t := s.state(j); t == "completed" {
-			s.rec.add("client: %s is completed", j.id)
-			return true
-		}
+// restart crashes a worker 0.3 s from now. It starts again under its id 1.7 s later and writes to the store 0.4 s after that.
+func (s *scene) restart(w *worker) {
+	time.Sleep(300 * time.Millisecond)
+	s.rec.add("worker %s (%s) crashes", w.id, w.machine)
+	w.crash()
+	s.mu.Lock()
+	m := s.machines[w.machine]
+	m.w, m.state = nil, "down"
+	s.mu.Unlock()
+	time.Sleep(1700 * time.Millisecond)
+	l, err := relisten(w.addr)
+	if err != nil {
+		fail("%v", err)
 	}
-	return false
+	n := &worker{site: s.site, id: w.id, machine: w.machine, pool: w.pool, zone: w.zone, rack: w.rack, labels: w.labels, cap: w.cap, guards: w.guards, lst: l, addr: w.addr, firstBeat: 400 * time.Millisecond}
+	n.start()
+	s.mu.Lock()
+	m.w, m.state = n, "up"
+	s.mu.Unlock()
+	s.rec.add("worker %s (%s) has started again under its id", n.id, n.machine)
 }
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -66,6 +66,8 @@
 	newEnd   chan struct{}
 	seq      int
 	draining bool
+	// firstBeat is how long after its start the worker first writes to the store.
+	firstBeat time.Duration
 	// slow is how many times as long the work takes, 1 if it is 0.
 	slow float64
 	// hook is asked before a call is carried out; it may delay the call, and drops the call without an answer if it returns false.
@@ -109,6 +111,7 @@
 }
 
 func (w *worker) beat() {
+	time.Sleep(w.firstBeat)
 	for {
 		w.register()
 		select {
